--- /dev/null
+++ b/.ci/run_tests.py
@@ -0,0 +1,94 @@
+"""Run all features, pass over the known failures, and print one line of counts."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from random import SystemRandom
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED_PATH = ROOT / "KNOWN-RED.txt"
+CI_SEED = "20261204"
+
+
+@dataclass(frozen=True)
+class Result:
+    """Hold the outcome of one scenario."""
+
+    name: str
+    is_passed: bool
+
+
+def main() -> int:
+    """Run the features, and return 1 if any but a known one fails."""
+    is_exploring = "--explore" in sys.argv
+    seed = str(SystemRandom().randrange(2**32)) if is_exploring else CI_SEED
+    print(f"seed {seed}", flush=True)
+    selected = [argument for argument in sys.argv[1:] if argument != "--explore"]
+    results, exit_code = run_features(seed, selected)
+    known_red = read_known_red()
+    failed = [result for result in results if not result.is_passed]
+    passed = [result for result in results if result.is_passed]
+    unexpected = [result for result in failed if result.name not in known_red]
+    for name, line in known_red.items():
+        report_known(name, line, results)
+    for result in unexpected:
+        print(f"FAILED {result.name}")
+    is_broken = exit_code != 0 and not failed
+    if is_broken or not results:
+        print("the test run itself failed")
+    print(f"{len(passed)} passed, {len(unexpected)} failed")
+    return 1 if unexpected or is_broken or not results else 0
+
+
+def run_features(seed: str, selected: list[str]) -> tuple[list[Result], int]:
+    """Run behave, and return the outcome of each scenario and its exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        report_path = Path(folder) / "report.json"
+        # Behave pairs each format with the outfile at the same position.
+        command = [sys.executable, "-m", "behave", "--no-color", "--no-capture"]
+        command += ["--format", "json", "--outfile", str(report_path), "--format", "progress3"]
+        environment = {**os.environ, "COMFREYHITCH_TEST_SEED": seed}
+        exit_code = subprocess.run(
+            [*command, *selected], cwd=ROOT, env=environment, check=False
+        ).returncode
+        if not report_path.exists():
+            return [], exit_code
+        return read_report(json.loads(report_path.read_text())), exit_code
+
+
+def read_report(report: list[dict]) -> list[Result]:
+    """Return the outcome of each scenario that was run."""
+    results = []
+    for feature in report:
+        for element in feature.get("elements", []):
+            if element["type"] != "scenario" or element["status"] == "skipped":
+                continue
+            is_passed = element["status"] == "passed"
+            results.append(Result(f"{feature['name']}: {element['name']}", is_passed))
+    return results
+
+
+def read_known_red() -> dict[str, str]:
+    """Return the lines of known failures by the name of their scenario."""
+    lines = KNOWN_RED_PATH.read_text().splitlines() if KNOWN_RED_PATH.exists() else []
+    entries = [line for line in lines if line.strip() and not line.startswith("#")]
+    return {line.partition("|")[0].strip(): line for line in entries}
+
+
+def report_known(name: str, line: str, results: list[Result]) -> None:
+    """Print what became of a known failure."""
+    outcomes = [result.is_passed for result in results if result.name == name]
+    if not outcomes:
+        print(f"KNOWN RED, not run: {line}")
+    elif all(outcomes):
+        print(f"KNOWN RED HAS TURNED GREEN, remove it: {line}")
+    else:
+        print(f"KNOWN RED, still failing: {line}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/comfreyhitch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control in front of one target."""
--- /dev/null
+++ b/comfreyhitch/admission/limiter.py
@@ -0,0 +1,132 @@
+"""Concurrency limit that follows what a target bears."""
+
+from dataclasses import dataclass
+from math import ceil
+
+INITIAL_LIMIT = 1
+MIN_WINDOW_ANSWERS = 4
+WINDOW_ANSWERS_PER_SLOT = 2
+GROWTH_LATENCY_FACTOR = 1.5
+CUT_LATENCY_FACTOR = 2.0
+RESET_LATENCY_FACTOR = 4.0
+RESET_MIN_ANSWERS = 3
+CUT_FACTOR = 0.7
+CUT_ERROR_SHARE = 0.2
+RESET_ERROR_SHARE = 0.5
+RESET_MIN_ERRORS = 2
+BASELINE_WEIGHT = 0.1
+BASELINE_WEIGHT_AT_FLOOR = 0.25
+# Differences below this are noise of the operating system, not of the target.
+LATENCY_SLACK_SECONDS = 0.002
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """Hold the limit of one target and the answers seen since it last changed."""
+
+    slots: int
+    limit: int = INITIAL_LIMIT
+    baseline_seconds: float | None = None
+    window_started_at: float = 0.0
+    window_answers: int = 0
+    window_errors: int = 0
+    window_seconds: float = 0.0
+    window_was_saturated: bool = False
+
+
+def record_start(state: ConcurrencyLimit, in_flight: int) -> None:
+    """Note whether a started request, included in `in_flight`, fills the limit."""
+    if in_flight >= state.limit:
+        state.window_was_saturated = True
+
+
+def record_answer(
+    state: ConcurrencyLimit, started_at: float, now: float, *, is_failure: bool
+) -> None:
+    """Take in one answer; times are monotonic seconds."""
+    if started_at < state.window_started_at:
+        # The request ran under an earlier limit and says nothing of this one.
+        return
+    state.window_answers += 1
+    state.window_errors += is_failure
+    state.window_seconds += now - started_at
+    if _is_collapsing(state):
+        reset_ramp(state, now)
+    elif state.window_answers >= _get_window_size(state):
+        _close_window(state, now)
+
+
+def reset_ramp(state: ConcurrencyLimit, now: float) -> None:
+    """Start again from the initial limit, as after a cold start."""
+    if state.limit == INITIAL_LIMIT:
+        _follow_baseline(state, BASELINE_WEIGHT_AT_FLOOR)
+    _change_limit(state, INITIAL_LIMIT, now)
+
+
+def forget_baseline(state: ConcurrencyLimit, now: float) -> None:
+    """Start again for a target that was replaced by another."""
+    state.baseline_seconds = None
+    _change_limit(state, INITIAL_LIMIT, now)
+
+
+def _get_window_size(state: ConcurrencyLimit) -> int:
+    return max(MIN_WINDOW_ANSWERS, WINDOW_ANSWERS_PER_SLOT * state.limit)
+
+
+def _is_collapsing(state: ConcurrencyLimit) -> bool:
+    answers = state.window_answers
+    if (
+        state.window_errors >= RESET_MIN_ERRORS
+        and state.window_errors > answers * RESET_ERROR_SHARE
+    ):
+        return True
+    if answers < RESET_MIN_ANSWERS:
+        return False
+    return _exceeds_baseline(state, RESET_LATENCY_FACTOR)
+
+
+def _exceeds_baseline(state: ConcurrencyLimit, factor: float) -> bool:
+    if state.baseline_seconds is None:
+        return False
+    mean_seconds = state.window_seconds / state.window_answers
+    return mean_seconds > state.baseline_seconds * factor + LATENCY_SLACK_SECONDS
+
+
+def _close_window(state: ConcurrencyLimit, now: float) -> None:
+    has_errors = state.window_errors > state.window_answers * CUT_ERROR_SHARE
+    if state.baseline_seconds is None and not has_errors:
+        state.baseline_seconds = state.window_seconds / state.window_answers
+    if has_errors or _exceeds_baseline(state, CUT_LATENCY_FACTOR):
+        _cut_limit(state, now)
+        return
+    if _exceeds_baseline(state, GROWTH_LATENCY_FACTOR):
+        _change_limit(state, state.limit, now)
+        return
+    _follow_baseline(state, BASELINE_WEIGHT)
+    growth = 1 if state.window_was_saturated else 0
+    _change_limit(state, min(state.slots, state.limit + growth), now)
+
+
+def _cut_limit(state: ConcurrencyLimit, now: float) -> None:
+    if state.limit == INITIAL_LIMIT:
+        # Alone at the target, a request takes the time that the target needs now.
+        _follow_baseline(state, BASELINE_WEIGHT_AT_FLOOR)
+    lower = min(state.limit - 1, ceil(state.limit * CUT_FACTOR))
+    _change_limit(state, max(INITIAL_LIMIT, lower), now)
+
+
+def _follow_baseline(state: ConcurrencyLimit, weight: float) -> None:
+    if state.baseline_seconds is None or state.window_answers == 0:
+        return
+    mean_seconds = state.window_seconds / state.window_answers
+    state.baseline_seconds += weight * (mean_seconds - state.baseline_seconds)
+
+
+def _change_limit(state: ConcurrencyLimit, limit: int, now: float) -> None:
+    if limit != state.limit:
+        state.window_started_at = now
+    state.limit = limit
+    state.window_answers = 0
+    state.window_errors = 0
+    state.window_seconds = 0.0
+    state.window_was_saturated = False
--- /dev/null
+++ b/comfreyhitch/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon and of the command line."""
--- /dev/null
+++ b/comfreyhitch/conf/checks.py
@@ -0,0 +1,107 @@
+"""System checks of settings that depend on one another."""
+
+import socket
+
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.core.checks import CheckError, register
+
+
+@register
+def check_ports_differ(settings: Settings) -> list[CheckError]:
+    """Check that each port is used once."""
+    ports = [settings.http_port, settings.peer_port, settings.admin_port]
+    if settings.target_port is not None:
+        ports.append(settings.target_port)
+    if len(set(ports)) == len(ports):
+        return []
+    return [
+        CheckError(
+            "COMFREYHITCH_HTTP_PORT, _PEER_PORT, _ADMIN_PORT, _TARGET_PORT",
+            f"two of {ports} are the same",
+            "give each a port of its own",
+        )
+    ]
+
+
+@register
+def check_target_is_whole(settings: Settings) -> list[CheckError]:
+    """Check that a target given by settings has its service, version and port."""
+    parts = {
+        "COMFREYHITCH_SERVICE": settings.service,
+        "COMFREYHITCH_VERSION": settings.version,
+        "COMFREYHITCH_TARGET_PORT": settings.target_port,
+    }
+    missing = [name for name, value in parts.items() if value is None]
+    if len(missing) in (0, len(parts)):
+        return []
+    return [
+        CheckError(
+            ", ".join(missing),
+            "missing although other settings of the target are given",
+            "set all of service, version and target-port, or none if the target announces itself",
+        )
+    ]
+
+
+@register
+def check_peers_exclude_self(settings: Settings) -> list[CheckError]:
+    """Check that a daemon is not its own first peer."""
+    if settings.peer_address not in settings.peers:
+        return []
+    return [
+        CheckError(
+            "COMFREYHITCH_PEERS",
+            f"holds this daemon's own address {settings.peer_address}",
+            "remove it",
+        )
+    ]
+
+
+@register
+def check_fence_before_deadline(settings: Settings) -> list[CheckError]:
+    """Check that a silent request is looked into before its deadline."""
+    if settings.fence_after < settings.default_timeout:
+        return []
+    return [
+        CheckError(
+            "COMFREYHITCH_FENCE_AFTER",
+            "not shorter than COMFREYHITCH_DEFAULT_TIMEOUT",
+            "shorten it, so that a silent connection is found before the deadline",
+        )
+    ]
+
+
+@register
+def check_platform_url(settings: Settings) -> list[CheckError]:
+    """Check the form of the platform's URL."""
+    url = settings.platform_url
+    if url is None or url.startswith("http://"):
+        return []
+    return [CheckError("COMFREYHITCH_PLATFORM_URL", f"{url!r} is not an http:// URL", "correct it")]
+
+
+@register
+def check_ports_free(settings: Settings) -> list[CheckError]:
+    """Check that the daemon's ports are free."""
+    errors = []
+    for name in ("http_port", "peer_port", "admin_port"):
+        port = getattr(settings, name)
+        if not _is_port_free(str(settings.host), port):
+            errors.append(
+                CheckError(
+                    f"COMFREYHITCH_{name.upper()}",
+                    f"can't listen on {settings.host}:{port}",
+                    "choose a free port, and a host that this instance has",
+                )
+            )
+    return errors
+
+
+def _is_port_free(host: str, port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/comfreyhitch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every other package builds on."""
--- /dev/null
+++ b/comfreyhitch/core/blackboard.py
@@ -0,0 +1,83 @@
+"""State that the controllers of a daemon read and write."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from datetime import datetime
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.egress.models import Candidate, TargetView
+from comfreyhitch.membership.models import Member
+from comfreyhitch.rollouts.models import Evidence, RolloutStatus
+from comfreyhitch.sections.models import DEFAULT_FREEZES, Freeze, Section, ServicePolicy
+
+
+@dataclass(frozen=True, slots=True)
+class Veto:
+    """Hold that a rollout was judged bad, which is never undone."""
+
+    rollout_id: str
+    reason: str
+    vetoed_at: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Hold that a target died while it ran a request."""
+
+    fingerprint: str
+    target: str
+    reported_at: datetime
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """Hold the daemon's view of itself, its peers and the configuration."""
+
+    clock: Clock
+    own: Member
+    members_by_address: dict[str, Member] = field(default_factory=dict)
+    members_revision: int = 0
+    sections_by_name: dict[str, Section] = field(default_factory=dict)
+    services_by_name: dict[str, ServicePolicy] = field(default_factory=dict)
+    service_names_by_host: dict[str, str] = field(default_factory=dict)
+    zones_out: frozenset[str] = frozenset()
+    tenant_shares_by_name: dict[str, float] = field(default_factory=dict)
+    probe_rate: float | None = None
+    freezes: tuple[Freeze, ...] = DEFAULT_FREEZES
+    vetoes_by_rollout: dict[str, Veto] = field(default_factory=dict)
+    completed_at_by_rollout: dict[str, datetime] = field(default_factory=dict)
+    rollout_statuses_by_id: dict[str, RolloutStatus] = field(default_factory=dict)
+    stages_by_rollout: dict[str, int] = field(default_factory=dict)
+    evidence_by_rollout: dict[str, dict[tuple[str, int], Evidence]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    crash_reports_by_fingerprint: dict[str, dict[str, CrashReport]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    views_by_address: dict[str, TargetView] = field(default_factory=dict)
+    candidates_by_service: dict[str, list[Candidate]] = field(default_factory=dict)
+    shares_by_service: dict[str, dict[str, float]] = field(default_factory=dict)
+    is_stale: bool = False
+    is_draining: bool = False
+    is_target_healthy: bool = True
+
+
+QUARANTINE_TARGETS = 2
+
+
+def is_quarantined(blackboard: Blackboard, request_fingerprint: str) -> bool:
+    """Return whether a request killed enough targets to be refused everywhere."""
+    reports = blackboard.crash_reports_by_fingerprint.get(request_fingerprint)
+    return reports is not None and len(reports) >= QUARANTINE_TARGETS
+
+
+def get_refused_version_reason(blackboard: Blackboard, service: str, version: str) -> str | None:
+    """Return why a version of a service gets no work, or None if it does."""
+    policy = blackboard.services_by_name.get(service)
+    if policy is None or policy.rollout is None or policy.rollout.to_version != version:
+        return None
+    rollout_id = policy.rollout.rollout_id
+    if rollout_id in blackboard.completed_at_by_rollout:
+        return None
+    veto = blackboard.vetoes_by_rollout.get(rollout_id)
+    return None if veto is None else veto.reason
--- /dev/null
+++ b/comfreyhitch/core/verdicts.py
@@ -0,0 +1,101 @@
+"""Outcome types that say whether a request may have run."""
+
+import enum
+from dataclasses import dataclass, field
+
+from result import Result
+
+
+class Verdict(enum.IntEnum):
+    """Say whether a request ran at a target."""
+
+    NOT_RUN = 0
+    MAY_HAVE_RUN = 1
+    RAN = 2
+
+    @property
+    def header_value(self) -> str:
+        """Return the value of the verdict header."""
+        return _HEADER_VALUES[self]
+
+
+_HEADER_VALUES = {
+    Verdict.NOT_RUN: "not-run",
+    Verdict.MAY_HAVE_RUN: "may-have-run",
+    Verdict.RAN: "ran",
+}
+
+
+class Refusal(enum.StrEnum):
+    """Name the cause of a request that was not answered by its target."""
+
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    UNKNOWN_SERVICE = "unknown-service"
+    NO_TARGET = "no-target"
+    OVERLOADED = "overloaded"
+    TENANT_SHARE = "tenant-share"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    DRAINING = "draining"
+    ZONE_OUT = "zone-out"
+    VERSION_VETOED = "version-vetoed"
+    QUARANTINED = "quarantined"
+    FENCED = "fenced"
+    KEY_MISMATCH = "key-mismatch"
+    KEY_HELD = "key-held"
+    KEY_UNSETTLED = "key-unsettled"
+    NO_KEY_QUORUM = "no-key-quorum"
+    RECORDS_FULL = "records-full"
+    WRONG_SERVICE = "wrong-service"
+    STALE_VIEW = "stale-view"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_FAILED = "target-failed"
+    PEER_UNREACHABLE = "peer-unreachable"
+    PEER_FAILED = "peer-failed"
+    RESPONSE_TOO_LARGE = "response-too-large"
+
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(slots=True)
+class Response:
+    """Hold a whole HTTP response of a target."""
+
+    status: int
+    reason: str
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    version: str = ""
+    replayed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Hold why a request has no response, and whether it may have run."""
+
+    verdict: Verdict
+    refusal: Refusal
+    detail: str = ""
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status that a caller receives."""
+        return _STATUSES.get(self.refusal) or _STATUS_BY_VERDICT[self.verdict]
+
+
+_STATUSES = {
+    Refusal.BAD_REQUEST: 400,
+    Refusal.UNKNOWN_SERVICE: 404,
+    Refusal.BODY_TOO_LARGE: 413,
+    Refusal.KEY_MISMATCH: 422,
+    Refusal.RESPONSE_TOO_LARGE: 502,
+}
+_STATUS_BY_VERDICT = {
+    Verdict.NOT_RUN: 503,
+    Verdict.MAY_HAVE_RUN: 504,
+    Verdict.RAN: 502,
+}
+
+Outcome = Result[Response, Failure]
--- /dev/null
+++ b/comfreyhitch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs beside each target."""
--- /dev/null
+++ b/comfreyhitch/daemon/admin.py
@@ -0,0 +1,149 @@
+"""HTTP server for operators, metrics, health, and announcements of the target."""
+
+import json
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import asdict
+from typing import Annotated
+
+from gevent.pywsgi import WSGIServer
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from comfreyhitch.conf.models import Name, Port, Settings
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.ingress.state import Ingress, is_accepting, make_load_report
+from comfreyhitch.replication.facts import FactStore
+from comfreyhitch.telemetry.metrics import Metrics, render_metrics
+
+logger = logging.getLogger(__name__)
+
+MAX_ANNOUNCEMENT_BYTES = 4096
+JSON_TYPE = "application/json"
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+AdminResponse = tuple[str, str, bytes]
+
+
+class Announcement(BaseModel):
+    """Validate what a target says of itself."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    service: Name
+    version: Name
+    port: Port
+    slots: Annotated[int, Field(ge=1, le=10_000)] = 10
+    draining: bool = False
+
+
+def make_admin_server(
+    settings: Settings,
+    blackboard: Blackboard,
+    ingress: Ingress,
+    store: FactStore,
+    metrics: Metrics,
+    announce: Callable[[Announcement], None],
+) -> WSGIServer:
+    """Return the server on the admin port."""
+
+    def get_metrics() -> AdminResponse:
+        _refresh_gauges(blackboard, ingress, metrics)
+        content, content_type = render_metrics(metrics)
+        return "200 OK", content_type, content
+
+    def get_readiness() -> AdminResponse:
+        is_ready = not blackboard.is_draining and not blackboard.is_stale
+        status = "200 OK" if is_ready else "503 Service Unavailable"
+        return _make_json(status, {"ready": is_ready, "accepting": is_accepting(ingress)})
+
+    handlers_by_path: dict[str, Callable[[], AdminResponse]] = {
+        "/metrics": get_metrics,
+        "/healthz": lambda: _make_json("200 OK", {"healthy": True}),
+        "/readyz": get_readiness,
+        "/v1/members": lambda: _make_json("200 OK", _list_members(blackboard)),
+        "/v1/status": lambda: _make_json("200 OK", _make_status(blackboard, ingress, store)),
+    }
+
+    def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        if method == "PUT" and path == "/v1/announcement":
+            status, content_type, body = _take_announcement(environ, announce)
+        elif method == "GET" and path in handlers_by_path:
+            status, content_type, body = handlers_by_path[path]()
+        else:
+            known = sorted([*handlers_by_path, "/v1/announcement (PUT)"])
+            status, content_type, body = _make_json("404 Not Found", {"paths": known})
+        start_response(status, [("Content-Type", content_type)])
+        return [body]
+
+    address = (str(settings.host), settings.admin_port)
+    return WSGIServer(address, application, log=None, error_log=logger)
+
+
+def _take_announcement(
+    environ: dict[str, object], announce: Callable[[Announcement], None]
+) -> AdminResponse:
+    body = environ["wsgi.input"].read(MAX_ANNOUNCEMENT_BYTES)
+    try:
+        announcement = Announcement.model_validate_json(body)
+    except ValidationError as error:
+        errors = [
+            f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
+            for item in error.errors()
+        ]
+        return _make_json("400 Bad Request", {"errors": errors})
+    announce(announcement)
+    return _make_json("200 OK", {"announced": announcement.service})
+
+
+def _make_json(status: str, content: object) -> AdminResponse:
+    return status, JSON_TYPE, json.dumps(content, default=str).encode() + b"\n"
+
+
+def _list_members(blackboard: Blackboard) -> list[dict[str, object]]:
+    members = sorted(blackboard.members_by_address.values(), key=lambda item: item.address)
+    return [{**asdict(member), "status": member.status.name.lower()} for member in members]
+
+
+def _make_status(blackboard: Blackboard, ingress: Ingress, store: FactStore) -> dict[str, object]:
+    load = make_load_report(ingress)
+    return {
+        "address": blackboard.own.address,
+        "boot_id": blackboard.own.boot_id,
+        "sections": {
+            name: section.generation for name, section in blackboard.sections_by_name.items()
+        },
+        "zones_out": sorted(blackboard.zones_out),
+        "rollouts": [asdict(status) for status in blackboard.rollout_statuses_by_id.values()],
+        "vetoes": [asdict(veto) for veto in blackboard.vetoes_by_rollout.values()],
+        "quarantined": sorted(blackboard.crash_reports_by_fingerprint),
+        "candidates": {
+            service: [item.address for item in candidates]
+            for service, candidates in blackboard.candidates_by_service.items()
+        },
+        "load": {"in_flight": load.in_flight, "queued": load.queued, "limit": load.limit},
+        "facts": len(store.facts_by_id),
+        "stale": blackboard.is_stale,
+        "draining": blackboard.is_draining,
+    }
+
+
+def _refresh_gauges(blackboard: Blackboard, ingress: Ingress, metrics: Metrics) -> None:
+    load = make_load_report(ingress)
+    metrics.ingress.limit.set({}, load.limit)
+    metrics.ingress.in_flight.set({}, load.in_flight)
+    metrics.ingress.queued.set({}, load.queued)
+    counts: dict[str, int] = {}
+    for member in blackboard.members_by_address.values():
+        counts[member.status.name.lower()] = counts.get(member.status.name.lower(), 0) + 1
+    for status, count in counts.items():
+        metrics.control.members.set({"status": status}, count)
+    for name, section in blackboard.sections_by_name.items():
+        metrics.control.section_generation.set({"section": name}, section.generation)
+    for service, shares in blackboard.shares_by_service.items():
+        for version, share in shares.items():
+            metrics.control.rollout_share.set({"service": service, "version": version}, share)
+    metrics.control.vetoes.set({}, len(blackboard.vetoes_by_rollout))
+    if blackboard.probe_rate is not None:
+        metrics.control.probe_budget.set({}, blackboard.probe_rate)
--- /dev/null
+++ b/comfreyhitch/daemon/assembly.py
@@ -0,0 +1,130 @@
+"""Assemble and run one daemon."""
+
+import logging
+import secrets
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+import gevent.socket
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
+
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.daemon.observers import make_blackboard_observer, make_validators
+from comfreyhitch.egress.state import Egress
+from comfreyhitch.idempotency.claims import ClaimClient
+from comfreyhitch.ingress.crashes import make_crash_reporter
+from comfreyhitch.ingress.state import Ingress
+from comfreyhitch.membership.detector import (
+    FailureDetector,
+    list_reachable_peers,
+    send_facts_datagram,
+)
+from comfreyhitch.membership.models import Member, MemberStatus
+from comfreyhitch.replication.broadcast import Broadcaster, spread
+from comfreyhitch.replication.facts import FactStore
+from comfreyhitch.replication.sync import fetch_facts
+from comfreyhitch.rollouts.evidence import EvidenceLog
+from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.wire.connections import PeerPool
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 2
+
+
+@dataclass(slots=True)
+class Daemon:
+    """Hold the parts of one daemon."""
+
+    settings: Settings
+    clock: Clock
+    blackboard: Blackboard
+    store: FactStore
+    pool: PeerPool
+    claims: ClaimClient
+    ingress: Ingress
+    egress: Egress
+    evidence: EvidenceLog
+    metrics: Metrics
+    detector: FailureDetector
+    broadcaster: Broadcaster
+    stopping: Event = field(default_factory=Event)
+    servers: list[StreamServer | WSGIServer] = field(default_factory=list)
+    greenlets: list[gevent.Greenlet] = field(default_factory=list)
+
+    @classmethod
+    def from_settings(cls, settings: Settings, clock: Clock) -> "Daemon":
+        """Return a daemon that does not listen yet."""
+        blackboard = Blackboard(clock=clock, own=make_own_member(settings, clock))
+        random = Random(blackboard.own.boot_id)
+        metrics = Metrics.create()
+        store = FactStore.from_clock(clock)
+        store.validators_by_kind = make_validators()
+        pool = PeerPool.from_address(blackboard.own.address, str(settings.host), clock)
+        claims = ClaimClient.from_retention(blackboard, pool, settings.key_retention)
+        evidence = EvidenceLog.from_clock(clock)
+        detector = FailureDetector(
+            blackboard=blackboard,
+            store=store,
+            sock=_open_gossip_socket(settings),
+            interval=settings.gossip_interval,
+            random=random,
+            metrics=metrics.control,
+            fetch=lambda address, heads: fetch_facts(store, pool, address, heads),
+        )
+        broadcaster = Broadcaster.from_store(
+            store,
+            random,
+            lambda address, facts, heads: send_facts_datagram(detector, address, facts, heads),
+            lambda: list_reachable_peers(blackboard),
+        )
+        detector.broadcaster = broadcaster
+        store.observers.append(make_blackboard_observer(blackboard, store, detector))
+        store.observers.append(lambda facts: spread(broadcaster, facts))
+        report_crash = make_crash_reporter(blackboard, store)
+        return cls(
+            settings=settings,
+            clock=clock,
+            blackboard=blackboard,
+            store=store,
+            pool=pool,
+            claims=claims,
+            ingress=Ingress.from_settings(
+                settings, blackboard, claims, evidence, metrics, report_crash
+            ),
+            egress=Egress.from_settings(settings, blackboard, pool, metrics),
+            evidence=evidence,
+            metrics=metrics,
+            detector=detector,
+            broadcaster=broadcaster,
+        )
+
+
+def make_own_member(settings: Settings, clock: Clock) -> Member:
+    """Return the record of a daemon that has just started."""
+    started_at = clock.now().timestamp()
+    return Member(
+        address=settings.advertised_peer_address,
+        http_address=settings.http_address,
+        boot_id=secrets.token_hex(8),
+        incarnation=int(started_at * 1000),
+        status=MemberStatus.ALIVE,
+        zone=settings.zone,
+        region=settings.region,
+        service="",
+        version="",
+        slots=settings.slots,
+        draining=False,
+        started_at=started_at,
+    )
+
+
+def _open_gossip_socket(settings: Settings) -> gevent.socket.socket:
+    sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+    sock.bind((str(settings.host), settings.peer_port))
+    return sock
--- /dev/null
+++ b/comfreyhitch/daemon/observers.py
@@ -0,0 +1,170 @@
+"""Bring newly merged facts onto the blackboard."""
+
+import logging
+from datetime import UTC, datetime
+
+from result import Err, Ok, Result
+
+from comfreyhitch.core.blackboard import Blackboard, CrashReport, Veto
+from comfreyhitch.egress.eligibility import refresh_candidates
+from comfreyhitch.membership.detector import FailureDetector, clear_suspicion, refute_if_needed
+from comfreyhitch.membership.models import decode_member
+from comfreyhitch.replication.facts import FactKind, FactStore, Observer, StoredFact, Validator
+from comfreyhitch.rollouts.models import read_evidence_record
+from comfreyhitch.sections.merging import apply_sections
+from comfreyhitch.sections.parsing import parse_section_json
+from comfreyhitch.wire.codec import decode
+from comfreyhitch.wire.generated.ttypes import (
+    CompletionRecord,
+    CrashRecord,
+    EvidenceRecord,
+    SectionRecord,
+    VetoRecord,
+)
+
+logger = logging.getLogger(__name__)
+
+ELIGIBILITY_KINDS = frozenset(
+    {FactKind.MEMBER, FactKind.SECTION, FactKind.VETO, FactKind.COMPLETION, FactKind.STAGE}
+)
+
+
+def make_validators() -> dict[FactKind, Validator]:
+    """Return the checks that facts of peers have to pass before they are taken in."""
+    return {
+        FactKind.MEMBER: _check_member,
+        FactKind.SECTION: _check_section,
+        FactKind.VETO: _make_check(VetoRecord),
+        FactKind.COMPLETION: _make_check(CompletionRecord),
+        FactKind.CRASH: _make_check(CrashRecord),
+        FactKind.EVIDENCE: _make_check(EvidenceRecord),
+        FactKind.STAGE: _check_stage,
+    }
+
+
+def make_blackboard_observer(
+    blackboard: Blackboard, store: FactStore, detector: FailureDetector
+) -> Observer:
+    """Return the observer that keeps the blackboard up to date."""
+
+    def observe(facts: list[StoredFact]) -> None:
+        kinds = {fact.kind for fact in facts}
+        for fact in facts:
+            _apply(blackboard, detector, fact)
+        if FactKind.SECTION in kinds:
+            apply_sections(blackboard, store)
+        if kinds & ELIGIBILITY_KINDS:
+            refresh_candidates(blackboard)
+
+    return observe
+
+
+def forget_expired(blackboard: Blackboard, facts: list[StoredFact]) -> None:
+    """Take facts past their end off the blackboard."""
+    for fact in facts:
+        if fact.kind is FactKind.MEMBER:
+            blackboard.members_by_address.pop(fact.key, None)
+            blackboard.members_revision += 1
+        elif fact.kind is FactKind.CRASH:
+            request_fingerprint, _, target = fact.key.partition("@")
+            reports = blackboard.crash_reports_by_fingerprint.get(request_fingerprint, {})
+            reports.pop(target, None)
+            if not reports:
+                blackboard.crash_reports_by_fingerprint.pop(request_fingerprint, None)
+    refresh_candidates(blackboard)
+
+
+def _apply(blackboard: Blackboard, detector: FailureDetector, fact: StoredFact) -> None:
+    match fact.kind:
+        case FactKind.MEMBER:
+            _apply_member(blackboard, detector, fact)
+        case FactKind.VETO:
+            _apply_veto(blackboard, fact)
+        case FactKind.COMPLETION:
+            _apply_completion(blackboard, fact)
+        case FactKind.CRASH:
+            _apply_crash(blackboard, fact)
+        case FactKind.STAGE:
+            blackboard.stages_by_rollout[fact.key] = fact.version
+        case FactKind.EVIDENCE:
+            _apply_evidence(blackboard, fact)
+
+
+def _apply_member(blackboard: Blackboard, detector: FailureDetector, fact: StoredFact) -> None:
+    member = decode_member(fact.value).unwrap()
+    known = blackboard.members_by_address.get(member.address)
+    if member.address == blackboard.own.address and member.boot_id != blackboard.own.boot_id:
+        # This is the record of an earlier process at the same address.
+        refute_if_needed(detector, member)
+        return
+    blackboard.members_by_address[member.address] = member
+    blackboard.members_revision += 1
+    if known is not None and known.boot_id != member.boot_id:
+        blackboard.views_by_address.pop(member.address, None)
+    clear_suspicion(detector, member)
+    refute_if_needed(detector, member)
+
+
+def _apply_veto(blackboard: Blackboard, fact: StoredFact) -> None:
+    record = decode(VetoRecord, fact.value).unwrap()
+    if record.rollout_id in blackboard.vetoes_by_rollout:
+        return
+    vetoed_at = datetime.fromtimestamp(record.vetoed_at, UTC)
+    veto = Veto(record.rollout_id, record.reason, vetoed_at)
+    blackboard.vetoes_by_rollout[record.rollout_id] = veto
+    logger.warning(
+        "rollout was vetoed", extra={"rollout": record.rollout_id, "reason": record.reason}
+    )
+
+
+def _apply_completion(blackboard: Blackboard, fact: StoredFact) -> None:
+    record = decode(CompletionRecord, fact.value).unwrap()
+    completed_at = datetime.fromtimestamp(record.completed_at, UTC)
+    blackboard.completed_at_by_rollout[record.rollout_id] = completed_at
+
+
+def _apply_crash(blackboard: Blackboard, fact: StoredFact) -> None:
+    record = decode(CrashRecord, fact.value).unwrap()
+    reported_at = datetime.fromtimestamp(record.reported_at, UTC)
+    report = CrashReport(record.fingerprint, record.target, reported_at)
+    blackboard.crash_reports_by_fingerprint[record.fingerprint][record.target] = report
+    logger.warning(
+        "a request killed its target",
+        extra={"fingerprint": record.fingerprint, "target": record.target},
+    )
+
+
+def _apply_evidence(blackboard: Blackboard, fact: StoredFact) -> None:
+    evidence = read_evidence_record(decode(EvidenceRecord, fact.value).unwrap())
+    windows = blackboard.evidence_by_rollout[evidence.rollout_id]
+    windows[(evidence.address, evidence.window)] = evidence
+
+
+def _make_check(record_type: type) -> Validator:
+    def check(key: str, version: int, value: bytes) -> Result[object, str]:
+        return decode(record_type, value)
+
+    return check
+
+
+def _check_member(key: str, version: int, value: bytes) -> Result[object, str]:
+    decoded = decode_member(value)
+    if decoded.is_ok() and (
+        decoded.ok_value.address != key or decoded.ok_value.fact_version != version
+    ):
+        return Err(f"member record of {decoded.ok_value.address} does not match its key {key}")
+    return decoded
+
+
+def _check_section(key: str, version: int, value: bytes) -> Result[object, str]:
+    decoded = decode(SectionRecord, value)
+    if decoded.is_err():
+        return decoded
+    record = decoded.ok_value
+    if record.name != key or record.generation != version:
+        return Err(f"section record of {record.name} does not match its key {key}")
+    return parse_section_json(record.name, record.generation, record.content).map_err("; ".join)
+
+
+def _check_stage(key: str, version: int, value: bytes) -> Result[object, str]:
+    return Ok(None) if value == b"" else Err("a stage carries no value")
--- /dev/null
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -0,0 +1,123 @@
+"""Answer the thrift calls of other daemons."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent.socket
+from result import Err
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
+from comfreyhitch.idempotency.claims import ClaimClient, answer_claim, take_outcomes
+from comfreyhitch.idempotency.registry import remove_claim
+from comfreyhitch.ingress.fence import answer_fence
+from comfreyhitch.ingress.gate import handle_call
+from comfreyhitch.ingress.models import IncomingCall, make_answer
+from comfreyhitch.ingress.state import Ingress, make_load_report
+from comfreyhitch.replication.facts import (
+    FactStore,
+    find_differing_buckets,
+    find_facts,
+    make_message,
+    merge_facts,
+    read_facts,
+)
+from comfreyhitch.replication.sync import answer_exchange
+from comfreyhitch.wire.generated import Peer
+from comfreyhitch.wire.generated.ttypes import (
+    BucketDigest,
+    CallAnswer,
+    CallRequest,
+    ClaimAnswer,
+    ClaimOutcome,
+    ClaimRequest,
+    ExchangeAnswer,
+    Fact,
+    FactHead,
+    FenceAnswer,
+    FenceQuery,
+    Greeting,
+    SyncAnswer,
+)
+
+
+@dataclass(slots=True)
+class PeerServices:
+    """Hold the parts of a daemon that peers may call."""
+
+    blackboard: Blackboard
+    ingress: Ingress
+    claims: ClaimClient
+    store: FactStore
+
+
+class PeerHandler(Peer.Iface):
+    """Handle the calls on one connection."""
+
+    def __init__(self, services: PeerServices, sock: gevent.socket.socket) -> None:
+        self._services = services
+        self._sock = sock
+
+    def greet(self, caller: str) -> Greeting:
+        """Return the boot id and the load."""
+        services = self._services
+        load = make_load_report(services.ingress)
+        return Greeting(boot_id=services.blackboard.own.boot_id, load=load)
+
+    def call(self, request: CallRequest) -> CallAnswer:
+        """Run a request at the target, or refuse it."""
+        services = self._services
+        now = services.blackboard.clock.monotonic()
+        try:
+            call = IncomingCall.from_wire(request, now, self._sock)
+        except ValueError as error:
+            outcome = Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, str(error)))
+        else:
+            outcome = handle_call(services.ingress, call)
+        return make_answer(request.request_id, outcome, make_load_report(services.ingress))
+
+    def fence(self, query: FenceQuery) -> FenceAnswer:
+        """Return the fate of a request."""
+        return answer_fence(self._services.ingress, query)
+
+    def claim(self, request: ClaimRequest) -> ClaimAnswer:
+        """Grant the claim on a key, or tell who holds it."""
+        return answer_claim(self._services.claims, request)
+
+    def settle_claims(self, outcomes: list[ClaimOutcome]) -> None:
+        """Keep the outcomes of claims."""
+        take_outcomes(self._services.claims, outcomes)
+
+    def release_claim(self, request: ClaimRequest) -> None:
+        """Remove a claim whose request did not run."""
+        remove_claim(self._services.claims.registry, request.scope, request.claim_id)
+
+    def compare(self, digests: list[BucketDigest]) -> SyncAnswer:
+        """Return the buckets that differ."""
+        return SyncAnswer(find_differing_buckets(self._services.store, digests))
+
+    def exchange(self, buckets: list[int], heads: list[FactHead]) -> ExchangeAnswer:
+        """Return the facts that the peer lacks, and those wanted here."""
+        return answer_exchange(self._services.store, buckets, heads)
+
+    def fetch(self, heads: list[FactHead]) -> list[Fact]:
+        """Return the facts that heads ask for."""
+        store = self._services.store
+        now = store.clock.now()
+        return [make_message(fact, now) for fact in find_facts(store, heads)]
+
+    def push(self, facts: list[Fact]) -> None:
+        """Take in facts."""
+        store = self._services.store
+        merge_facts(store, read_facts(store, facts))
+
+
+def make_handler_factory(
+    services: PeerServices,
+) -> Callable[[gevent.socket.socket], PeerHandler]:
+    """Return the function that makes a handler for each connection."""
+
+    def make_handler(sock: gevent.socket.socket) -> PeerHandler:
+        return PeerHandler(services, sock)
+
+    return make_handler
--- /dev/null
+++ b/comfreyhitch/daemon/shutdown.py
@@ -0,0 +1,65 @@
+"""Graceful shutdown: no new work, everything in flight finishes, then leave."""
+
+import logging
+
+import gevent
+
+from comfreyhitch.admission.queue import refuse_all_waiting
+from comfreyhitch.core.verdicts import Refusal
+from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.idempotency.claims import hand_on_claims
+from comfreyhitch.membership.detector import list_reachable_peers, publish_own
+from comfreyhitch.membership.models import MemberStatus
+from comfreyhitch.replication.broadcast import send_facts
+from comfreyhitch.replication.facts import FactKind
+
+logger = logging.getLogger(__name__)
+
+POLL_SECONDS = 0.02
+# Callers keep sending until they have seen that the daemon leaves.
+LINGER_SECONDS = 0.5
+
+
+def stop_gracefully(daemon: Daemon) -> None:
+    """Drain, hand on what others need, and leave."""
+    blackboard = daemon.blackboard
+    blackboard.is_draining = True
+    refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
+    publish_own(daemon.detector, draining=True)
+    logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
+    peer_server, frontend, admin_server = daemon.servers
+    frontend.stop_accepting()
+    gevent.sleep(LINGER_SECONDS)
+    is_drained = _wait_until_idle(daemon)
+    handed_on = hand_on_claims(daemon.claims)
+    publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
+    _tell_everyone(daemon)
+    for server in (frontend, peer_server, admin_server):
+        server.stop(timeout=0)
+    gevent.killall(daemon.greenlets)
+    daemon.pool.close()
+    logger.info("stopped", extra={"drained": is_drained, "claims_handed_on": handed_on})
+
+
+def _wait_until_idle(daemon: Daemon) -> bool:
+    deadline = daemon.clock.monotonic() + daemon.settings.drain_timeout.total_seconds()
+    while daemon.clock.monotonic() < deadline:
+        if _is_idle(daemon):
+            return True
+        gevent.sleep(POLL_SECONDS)
+    return False
+
+
+def _is_idle(daemon: Daemon) -> bool:
+    busy = (
+        daemon.ingress.calls_in_progress
+        + daemon.egress.requests_in_progress
+        + daemon.claims.settling
+    )
+    return busy == 0
+
+
+def _tell_everyone(daemon: Daemon) -> None:
+    own = daemon.store.facts_by_id[(FactKind.MEMBER, daemon.blackboard.own.address)]
+    for address in list_reachable_peers(daemon.blackboard):
+        send_facts(daemon.broadcaster, address, [own])
--- /dev/null
+++ b/comfreyhitch/egress/attempts.py
@@ -0,0 +1,193 @@
+"""One try of a request: send it, wait, hedge or fence it, and read its outcome."""
+
+from dataclasses import dataclass
+
+from gevent.select import select
+from result import Err
+from thrift.Thrift import TException
+
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
+from comfreyhitch.egress.classify import OutgoingCall
+from comfreyhitch.egress.models import Candidate, TargetView
+from comfreyhitch.egress.state import Egress, make_request_id, record_service_latency
+from comfreyhitch.egress.views import (
+    get_view,
+    record_ended,
+    record_failure,
+    record_sent,
+    record_success,
+    take_report,
+)
+from comfreyhitch.ingress.models import read_answer
+from comfreyhitch.wire.connections import (
+    PeerConnection,
+    receive_call,
+    send_call,
+    wait_for_answer,
+)
+from comfreyhitch.wire.exceptions import PeerError
+from comfreyhitch.wire.generated.ttypes import (
+    CallAnswer,
+    CallRequest,
+    FenceAnswer,
+    FenceQuery,
+    FenceState,
+    Header,
+)
+
+FENCE_TIMEOUT_SECONDS = 0.5
+FENCE_RETRY_SECONDS = 0.2
+# An answer that has begun to arrive is given this long to arrive whole.
+READ_TIMEOUT_SECONDS = 5.0
+FAILURE_STATUS = 500
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Hold one try that was sent; `sent_at` is in monotonic seconds."""
+
+    request_id: str
+    candidate: Candidate
+    view: TargetView
+    connection: PeerConnection
+    sent_at: float
+    is_ended: bool = False
+    is_overdue: bool = False
+
+
+def start_attempt(egress: Egress, call: OutgoingCall, candidate: Candidate) -> Attempt:
+    """Send a call to a target's daemon; raise `PeerError` if that fails."""
+    clock = egress.blackboard.clock
+    view = get_view(egress.blackboard.views_by_address, candidate.address)
+    record_sent(view)
+    try:
+        remaining_seconds = call.deadline - clock.monotonic()
+        connection = egress.pool.acquire(candidate.address, remaining_seconds)
+        request = _make_request(egress, call, remaining_seconds)
+        send_call(connection, request, remaining_seconds)
+    except BaseException as error:
+        record_ended(view)
+        if isinstance(error, PeerError):
+            record_failure(view, clock.monotonic())
+        raise
+    return Attempt(request.request_id, candidate, view, connection, clock.monotonic())
+
+
+def finish_attempt(egress: Egress, attempt: Attempt, call: OutgoingCall) -> Outcome:
+    """Read the answer that has begun to arrive; raise `PeerError` if it is cut."""
+    answer = receive_call(attempt.connection, attempt.request_id, READ_TIMEOUT_SECONDS)
+    egress.pool.release(attempt.connection)
+    end_attempt(attempt)
+    now = egress.blackboard.clock.monotonic()
+    take_report(attempt.view, answer.load, now)
+    return _learn(egress, attempt, call, answer, now)
+
+
+def end_attempt(attempt: Attempt) -> None:
+    """Take a try out of the counts of its target."""
+    if attempt.is_ended:
+        return
+    attempt.is_ended = True
+    record_ended(attempt.view)
+    if attempt.is_overdue:
+        attempt.view.overdue -= 1
+
+
+def abandon_attempt(attempt: Attempt) -> None:
+    """Close the connection of a try, so that its late answer reaches nobody."""
+    if not attempt.is_ended:
+        attempt.connection.close()
+        end_attempt(attempt)
+
+
+def mark_overdue(attempt: Attempt) -> None:
+    """Note that a try takes far longer than usual."""
+    if not attempt.is_overdue and not attempt.is_ended:
+        attempt.is_overdue = True
+        attempt.view.overdue += 1
+
+
+def wait_for_any(attempts: list[Attempt], timeout_seconds: float) -> Attempt | None:
+    """Return the try whose answer arrives first, or None if none does in time."""
+    if timeout_seconds <= 0:
+        return None
+    if len(attempts) == 1:
+        attempt = attempts[0]
+        return attempt if wait_for_answer(attempt.connection, timeout_seconds) else None
+    attempts_by_descriptor = {item.connection.sock.fileno(): item for item in attempts}
+    readable, _, _ = select(list(attempts_by_descriptor), [], [], timeout_seconds)
+    return attempts_by_descriptor[readable[0]] if readable else None
+
+
+def fence_attempt(egress: Egress, attempt: Attempt) -> FenceAnswer | None:
+    """Ask on a new connection what became of a try, or return None without an answer."""
+    greeting = attempt.connection.greeting
+    query = FenceQuery(
+        request_id=attempt.request_id,
+        boot_id=greeting.boot_id,
+        age_seconds=egress.blackboard.clock.monotonic() - attempt.sent_at,
+    )
+    try:
+        connection = egress.pool.open(attempt.candidate.address, FENCE_TIMEOUT_SECONDS)
+    except PeerError:
+        return None
+    try:
+        connection.set_timeout(FENCE_TIMEOUT_SECONDS)
+        answer = connection.client.fence(query)
+    except (OSError, TException, EOFError):
+        connection.close()
+        return None
+    except BaseException:
+        connection.close()
+        raise
+    egress.pool.release(connection)
+    egress.metrics.egress.fences.inc({"result": FenceState._VALUES_TO_NAMES[answer.state]})
+    return answer
+
+
+def read_fenced(answer: FenceAnswer) -> Outcome | None:
+    """Return the outcome that a fence proves, or None while the request runs."""
+    match answer.state:
+        case FenceState.NEVER_RAN:
+            return Err(Failure(Verdict.NOT_RUN, Refusal.FENCED, "withdrawn before it ran"))
+        case FenceState.FINISHED:
+            return read_answer(answer.answer)
+        case FenceState.UNKNOWN:
+            detail = "the daemon that had the request can't tell"
+            return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, detail))
+        case _:
+            return None
+
+
+def _make_request(egress: Egress, call: OutgoingCall, remaining_seconds: float) -> CallRequest:
+    return CallRequest(
+        request_id=make_request_id(egress),
+        service_name=call.service,
+        method=call.method,
+        path=call.path,
+        headers=[Header(name, value) for name, value in call.headers],
+        body=call.body,
+        timeout_seconds=remaining_seconds,
+        tenant=call.tenant,
+        priority=call.traffic_class,
+        idempotent=call.is_idempotent,
+        idempotency_key=call.idempotency_key or None,
+        fingerprint=call.fingerprint,
+        route=call.route,
+        attempt=call.attempt,
+    )
+
+
+def _learn(
+    egress: Egress, attempt: Attempt, call: OutgoingCall, answer: CallAnswer, now: float
+) -> Outcome:
+    outcome = read_answer(answer)
+    if outcome.is_ok():
+        record_service_latency(egress, call.service, now - attempt.sent_at)
+        if outcome.ok_value.status >= FAILURE_STATUS:
+            record_failure(attempt.view, now)
+        else:
+            record_success(attempt.view)
+    elif outcome.err_value.refusal in (Refusal.TARGET_FAILED, Refusal.TARGET_UNREACHABLE):
+        record_failure(attempt.view, now)
+    return outcome
--- /dev/null
+++ b/comfreyhitch/egress/choice.py
@@ -0,0 +1,92 @@
+"""Choose the target of a request.
+
+Sampling a few candidates and setting hot ones apart from cold ones by
+quantities that every answer reports follows the published Prequal work; the
+correction by requests sent since the report is our own.
+"""
+
+from collections.abc import Callable, Collection, Sequence
+from random import Random
+
+from comfreyhitch.egress.models import Candidate, TargetView
+from comfreyhitch.egress.views import estimate_in_flight, get_view
+
+SAMPLE_SIZE = 5
+HOT_ERROR_RATE = 0.3
+OTHER_ZONE_PENALTY = 0.25
+
+Choose = Callable[[Sequence[Candidate], Collection[str], float], Candidate | None]
+
+
+def make_load_aware_choice(
+    views_by_address: dict[str, TargetView], own_zone: str, random: Random
+) -> Choose:
+    """Return a choice of the least loaded of a few candidates, own zone first."""
+
+    def rank(candidate: Candidate, now: float) -> tuple[bool, bool, float]:
+        view = get_view(views_by_address, candidate.address)
+        load = estimate_in_flight(view, now) / view.reported_limit
+        penalty = 0.0 if candidate.zone == own_zone else OTHER_ZONE_PENALTY
+        is_avoided = now < view.avoid_until
+        is_hot = load >= 1.0 or view.overdue > 0 or view.error_rate > HOT_ERROR_RATE
+        return is_avoided, is_hot, load + penalty
+
+    def choose(
+        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+    ) -> Candidate | None:
+        sample = take_sample(candidates, excluded, random)
+        return min(sample, key=lambda candidate: rank(candidate, now), default=None)
+
+    return choose
+
+
+def make_random_choice(random: Random) -> Choose:
+    """Return a uniformly random choice, a baseline for measurements."""
+
+    def choose(
+        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+    ) -> Candidate | None:
+        allowed = [item for item in candidates if item.address not in excluded]
+        return random.choice(allowed) if allowed else None
+
+    return choose
+
+
+def make_round_robin_choice() -> Choose:
+    """Return a choice in turn, a baseline for measurements."""
+    position = 0
+
+    def choose(
+        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+    ) -> Candidate | None:
+        nonlocal position
+        allowed = [item for item in candidates if item.address not in excluded]
+        position += 1
+        return allowed[position % len(allowed)] if allowed else None
+
+    return choose
+
+
+def make_least_in_flight_choice(views_by_address: dict[str, TargetView], random: Random) -> Choose:
+    """Return a choice by own requests in flight, a baseline for measurements."""
+
+    def choose(
+        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+    ) -> Candidate | None:
+        allowed = [item for item in candidates if item.address not in excluded]
+        random.shuffle(allowed)
+        return min(
+            allowed,
+            key=lambda item: get_view(views_by_address, item.address).own_in_flight,
+            default=None,
+        )
+
+    return choose
+
+
+def take_sample(
+    candidates: Sequence[Candidate], excluded: Collection[str], random: Random
+) -> list[Candidate]:
+    """Return a few of the candidates that are not excluded, in random order."""
+    allowed = [item for item in candidates if item.address not in excluded]
+    return random.sample(allowed, min(SAMPLE_SIZE, len(allowed)))
--- /dev/null
+++ b/comfreyhitch/egress/classify.py
@@ -0,0 +1,155 @@
+"""Find service, route, tenant and deadline of a caller's request."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Verdict
+from comfreyhitch.sections.models import (
+    IDEMPOTENT_METHODS,
+    RoutePolicy,
+    ServicePolicy,
+    TrafficClass,
+)
+from comfreyhitch.utils.hashing import fingerprint
+
+HEADER_SERVICE = "comfreyhitch-service"
+HEADER_TENANT = "comfreyhitch-tenant"
+HEADER_TIMEOUT = "comfreyhitch-timeout-ms"
+HEADER_ATTEMPT = "comfreyhitch-attempt"
+HEADER_KEY = "idempotency-key"
+DEFAULT_TENANT = "default"
+DEFAULT_ROUTE = "/"
+MAX_NAME_LENGTH = 64
+MAX_KEY_LENGTH = 255
+MAX_TIMEOUT = timedelta(seconds=60)
+CONTROL_HEADERS = frozenset({HEADER_SERVICE, HEADER_TIMEOUT, HEADER_ATTEMPT})
+
+
+@dataclass(slots=True)
+class OutgoingCall:
+    """Hold a caller's request; `deadline` is in monotonic seconds."""
+
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    tenant: str
+    traffic_class: TrafficClass
+    is_idempotent: bool
+    idempotency_key: str
+    fingerprint: str
+    route: str
+    attempt: int
+    deadline: float
+
+
+def classify(
+    blackboard: Blackboard,
+    method: str,
+    path: str,
+    headers: Headers,
+    body: bytes,
+    default_timeout: timedelta,
+) -> Result[OutgoingCall, Failure]:
+    """Return the call that a request asks for, or why it is refused."""
+    values = {name.lower(): value for name, value in headers}
+    service = find_service(blackboard, values)
+    if service is None:
+        detail = "name a service by Comfreyhitch-Service or by the Host header"
+        return Err(Failure(Verdict.NOT_RUN, Refusal.UNKNOWN_SERVICE, detail))
+    numbers = _read_numbers(values, default_timeout)
+    if isinstance(numbers, Err):
+        return numbers
+    timeout_seconds, attempt = numbers.ok_value
+    key = values.get(HEADER_KEY, "")
+    if len(key) > MAX_KEY_LENGTH:
+        return Err(_bad(f"Idempotency-Key is longer than {MAX_KEY_LENGTH} characters"))
+    policy = blackboard.services_by_name.get(service)
+    route = find_route(policy, method, path)
+    return Ok(
+        OutgoingCall(
+            service=service,
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            tenant=values.get(HEADER_TENANT, DEFAULT_TENANT)[:MAX_NAME_LENGTH],
+            traffic_class=TrafficClass.NORMAL if route is None else route.traffic_class,
+            is_idempotent=is_idempotent(route, method),
+            idempotency_key=key,
+            fingerprint=fingerprint(service, method, path, body),
+            route=DEFAULT_ROUTE if route is None else route.path,
+            attempt=attempt,
+            deadline=blackboard.clock.monotonic() + timeout_seconds,
+        )
+    )
+
+
+def find_service(blackboard: Blackboard, values: dict[str, str]) -> str | None:
+    """Return the service named by header, configured host, or first label of the host."""
+    named = values.get(HEADER_SERVICE)
+    if named is not None:
+        return named if _is_known(blackboard, named) else None
+    host = values.get("host", "").partition(":")[0].lower()
+    configured = blackboard.service_names_by_host.get(host)
+    if configured is not None:
+        return configured
+    label = host.partition(".")[0]
+    return label if _is_known(blackboard, label) else None
+
+
+def find_route(policy: ServicePolicy | None, method: str, path: str) -> RoutePolicy | None:
+    """Return the route with the longest path that the request matches."""
+    if policy is None:
+        return None
+    matching = [
+        route
+        for route in policy.routes
+        if _is_below(path, route.path) and (not route.methods or method in route.methods)
+    ]
+    return max(matching, key=lambda route: len(route.path), default=None)
+
+
+def is_idempotent(route: RoutePolicy | None, method: str) -> bool:
+    """Return whether a request may run more than once."""
+    if route is not None and route.idempotent is not None:
+        return route.idempotent
+    return method in IDEMPOTENT_METHODS
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    path = path.partition("?")[0]
+    if prefix.endswith("/"):
+        return path.startswith(prefix)
+    return path == prefix or path.startswith(prefix + "/")
+
+
+def _is_known(blackboard: Blackboard, service: str) -> bool:
+    return service in blackboard.services_by_name or service in blackboard.candidates_by_service
+
+
+def _read_numbers(
+    values: dict[str, str], default_timeout: timedelta
+) -> Result[tuple[float, int], Failure]:
+    timeout_text = values.get(HEADER_TIMEOUT)
+    attempt_text = values.get(HEADER_ATTEMPT, "1")
+    timeout_seconds = default_timeout.total_seconds()
+    if timeout_text is not None:
+        if not _is_count(timeout_text):
+            return Err(_bad(f"Comfreyhitch-Timeout-Ms is not a count of ms: {timeout_text!r}"))
+        timeout_seconds = int(timeout_text) / 1000
+    if not _is_count(attempt_text) or int(attempt_text) < 1:
+        return Err(_bad(f"Comfreyhitch-Attempt is not a count: {attempt_text!r}"))
+    return Ok((min(timeout_seconds, MAX_TIMEOUT.total_seconds()), int(attempt_text)))
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= 9
+
+
+def _bad(detail: str) -> Failure:
+    return Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, detail)
--- /dev/null
+++ b/comfreyhitch/egress/eligibility.py
@@ -0,0 +1,48 @@
+"""Find which targets may get work of which service."""
+
+from collections import defaultdict
+
+from comfreyhitch.core.blackboard import Blackboard, get_refused_version_reason
+from comfreyhitch.egress.models import Candidate
+from comfreyhitch.membership.models import Member
+from comfreyhitch.utils.hashing import rank_by_rendezvous
+
+# More candidates than this per service cost memory and leave the reports of
+# each too old to be of use.
+MAX_TRACKED_TARGETS = 48
+
+
+def refresh_candidates(blackboard: Blackboard) -> None:
+    """Recompute the candidates of each service from members and sections."""
+    candidates_by_service: dict[str, list[Candidate]] = defaultdict(list)
+    for member in blackboard.members_by_address.values():
+        if is_eligible(blackboard, member):
+            candidate = Candidate(member.address, member.zone, member.version, member.slots)
+            candidates_by_service[member.service].append(candidate)
+    for service, candidates in candidates_by_service.items():
+        if len(candidates) > MAX_TRACKED_TARGETS:
+            candidates_by_service[service] = _select_tracked(blackboard.own.address, candidates)
+    blackboard.candidates_by_service = dict(candidates_by_service)
+    _forget_old_views(blackboard)
+
+
+def is_eligible(blackboard: Blackboard, member: Member) -> bool:
+    """Return whether a member's target may get new work."""
+    if not member.service or member.draining or not member.is_reachable:
+        return False
+    if member.zone in blackboard.zones_out:
+        return False
+    return get_refused_version_reason(blackboard, member.service, member.version) is None
+
+
+def _select_tracked(own_address: str, candidates: list[Candidate]) -> list[Candidate]:
+    candidates_by_address = {item.address: item for item in candidates}
+    ranked = rank_by_rendezvous(own_address, candidates_by_address)
+    return [candidates_by_address[address] for address in ranked[:MAX_TRACKED_TARGETS]]
+
+
+def _forget_old_views(blackboard: Blackboard) -> None:
+    unknown = blackboard.views_by_address.keys() - blackboard.members_by_address.keys()
+    for address in unknown:
+        if blackboard.views_by_address[address].own_in_flight == 0:
+            del blackboard.views_by_address[address]
--- /dev/null
+++ b/comfreyhitch/egress/frontend.py
@@ -0,0 +1,232 @@
+"""HTTP server for callers."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import gevent
+from gevent.hub import get_hub
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from result import Err, Ok
+
+from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
+from comfreyhitch.egress.classify import (
+    CONTROL_HEADERS,
+    DEFAULT_TENANT,
+    OutgoingCall,
+    classify,
+)
+from comfreyhitch.egress.router import route
+from comfreyhitch.egress.state import Egress
+from comfreyhitch.ingress.target import HOP_BY_HOP_HEADERS, RequestCancelledError
+from comfreyhitch.telemetry.metrics import observe_request
+from comfreyhitch.wire.sockets import is_disconnected, tune_socket
+
+logger = logging.getLogger(__name__)
+
+HEADER_VERDICT = "Comfreyhitch-Verdict"
+HEADER_REFUSAL = "Comfreyhitch-Refusal"
+HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
+SOCKET_ENVIRON_KEY = "comfreyhitch.socket"
+PATH_ENVIRON_KEY = "comfreyhitch.path"
+NO_BODY_STATUSES = frozenset({204, 304})
+NOT_FORWARDED_HEADERS = HOP_BY_HOP_HEADERS | CONTROL_HEADERS | {"content-length", "expect"}
+RETRY_AFTER_SECONDS = "1"
+
+StartResponse = Callable[[str, Headers], object]
+
+
+class CallerHandler(WSGIHandler):
+    """Handle one caller's connection, with its headers as they came."""
+
+    def __init__(self, sock: object, address: object, server: object) -> None:
+        tune_socket(sock)
+        super().__init__(sock, address, server)
+
+    def get_environ(self) -> dict[str, object]:
+        """Return the WSGI environment with headers, socket and path of the request."""
+        environ = super().get_environ()
+        environ[HEADERS_ENVIRON_KEY] = self.headers.items()
+        environ[SOCKET_ENVIRON_KEY] = self.socket
+        environ[PATH_ENVIRON_KEY] = self.path
+        return environ
+
+    def finalize_headers(self) -> None:
+        """Add no length or coding to the response to HEAD, which has no body."""
+        if self.command == "HEAD" and self.provided_content_length is None:
+            self.provided_content_length = "0"
+        super().finalize_headers()
+
+    def log_request(self) -> None:
+        """Leave the log of requests to the application."""
+
+    def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
+        status, response = super()._handle_client_error(error)
+        verdict = f"\r\n{HEADER_VERDICT}: {Verdict.NOT_RUN.header_value}\r\n".encode()
+        return status, response.replace(b"\r\n", verdict, 1)
+
+
+def make_frontend(egress: Egress) -> WSGIServer:
+    """Return the server that callers talk to."""
+    settings = egress.settings
+
+    def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
+        return _serve(egress, environ, start_response)
+
+    return WSGIServer(
+        (str(settings.host), settings.http_port),
+        application,
+        handler_class=CallerHandler,
+        log=None,
+        error_log=logger,
+        backlog=512,
+    )
+
+
+def _serve(
+    egress: Egress, environ: dict[str, object], start_response: StartResponse
+) -> Iterable[bytes]:
+    clock = egress.blackboard.clock
+    started_at = clock.monotonic()
+    egress.requests_in_progress += 1
+    try:
+        call, outcome = _answer(egress, environ)
+    finally:
+        egress.requests_in_progress -= 1
+    seconds = clock.monotonic() - started_at
+    _record(egress, environ, call, outcome, seconds)
+    return _respond(egress, environ, outcome, start_response)
+
+
+def _answer(egress: Egress, environ: dict[str, object]) -> tuple[OutgoingCall | None, Outcome]:
+    try:
+        body = _read_body(environ, egress.settings.body_limit_bytes)
+    except (OSError, ValueError) as error:
+        return None, Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, f"body: {error}"))
+    if body is None:
+        detail = f"body exceeds {egress.settings.body_limit_bytes} bytes"
+        return None, Err(Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail))
+    classified = classify(
+        egress.blackboard,
+        environ["REQUEST_METHOD"],
+        environ[PATH_ENVIRON_KEY],
+        environ[HEADERS_ENVIRON_KEY],
+        body,
+        egress.settings.default_timeout,
+    )
+    if isinstance(classified, Err):
+        return None, classified
+    call = classified.ok_value
+    call.headers = [item for item in call.headers if item[0].lower() not in NOT_FORWARDED_HEADERS]
+    return call, _route_until_caller_leaves(egress, call, environ[SOCKET_ENVIRON_KEY])
+
+
+def _read_body(environ: dict[str, object], limit_bytes: int) -> bytes | None:
+    stream = environ["wsgi.input"]
+    length = environ.get("CONTENT_LENGTH")
+    is_chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+    if not length and not is_chunked:
+        return b""
+    if length and not is_chunked:
+        if int(length) > limit_bytes:
+            return None
+        body = stream.read(int(length))
+        if len(body) < int(length):
+            raise OSError("ended early")
+        return body
+    body = stream.read(limit_bytes + 1)
+    return body if len(body) <= limit_bytes else None
+
+
+def _route_until_caller_leaves(egress: Egress, call: OutgoingCall, sock: object) -> Outcome:
+    waiting = gevent.getcurrent()
+    watch = get_hub().loop.io(sock.fileno(), 1)
+
+    def on_readable() -> None:
+        watch.stop()
+        if is_disconnected(sock):
+            waiting.throw(RequestCancelledError)
+
+    watch.start(on_readable)
+    try:
+        return route(egress, call)
+    except RequestCancelledError:
+        return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.CANCELLED, "caller went away"))
+    finally:
+        watch.stop()
+        watch.close()
+
+
+def _record(
+    egress: Egress,
+    environ: dict[str, object],
+    call: OutgoingCall | None,
+    outcome: Outcome,
+    seconds: float,
+) -> None:
+    verdict = Verdict.RAN if outcome.is_ok() else outcome.err_value.verdict
+    service = "" if call is None else call.service
+    tenant = DEFAULT_TENANT if call is None else call.tenant
+    observe_request(egress.metrics, service, tenant, verdict, seconds)
+    if outcome.is_err() and logger.isEnabledFor(logging.INFO):
+        failure = outcome.err_value
+        logger.info(
+            "request failed",
+            extra={
+                "service": service,
+                "tenant": tenant,
+                "method": environ["REQUEST_METHOD"],
+                "path": environ[PATH_ENVIRON_KEY],
+                "verdict": verdict.header_value,
+                "refusal": failure.refusal.value,
+                "detail": failure.detail,
+            },
+        )
+
+
+def _respond(
+    egress: Egress,
+    environ: dict[str, object],
+    outcome: Outcome,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    match outcome:
+        case Ok(response):
+            status, headers, body = _format_response(response, environ["REQUEST_METHOD"])
+        case Err(failure):
+            status, headers, body = _format_failure(failure)
+    if egress.blackboard.is_draining:
+        headers.append(("Connection", "close"))
+    start_response(status, headers)
+    return [body] if body else []
+
+
+def _format_response(response: Response, method: str) -> tuple[str, Headers, bytes]:
+    headers = response.headers
+    if response.status in NO_BODY_STATUSES:
+        headers = [item for item in headers if item[0].lower() != "content-length"]
+    headers.append((HEADER_VERDICT, Verdict.RAN.header_value))
+    return f"{response.status} {response.reason}", headers, response.body
+
+
+def _format_failure(failure: Failure) -> tuple[str, Headers, bytes]:
+    body = f"{failure.refusal.value}: {failure.detail}\n".encode()
+    headers = [
+        ("Content-Type", "text/plain; charset=utf-8"),
+        ("Content-Length", str(len(body))),
+        (HEADER_VERDICT, failure.verdict.header_value),
+        (HEADER_REFUSAL, failure.refusal.value),
+    ]
+    if failure.status == 503:
+        headers.append(("Retry-After", RETRY_AFTER_SECONDS))
+    return f"{failure.status} {_REASONS[failure.status]}", headers, body
+
+
+_REASONS = {
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
--- /dev/null
+++ b/comfreyhitch/egress/probes.py
@@ -0,0 +1,56 @@
+"""Probe the load of targets, within the budget that operators set."""
+
+import gevent
+
+from comfreyhitch.egress.state import Egress
+from comfreyhitch.egress.views import get_view, take_report
+from comfreyhitch.utils.token_bucket import take
+from comfreyhitch.wire.connections import call_peer
+from comfreyhitch.wire.exceptions import PeerError
+
+PROBE_TIMEOUT_SECONDS = 0.5
+# A service that this daemon has not called for so long is not worth a probe.
+MIN_REPORT_AGE_SECONDS = 0.5
+
+
+def send_probes(egress: Egress) -> None:
+    """Probe targets of called services with old reports, as the budget allows."""
+    now = egress.blackboard.clock.monotonic()
+    rate = egress.blackboard.probe_rate
+    if rate is not None and rate != egress.probe_budget.rate:
+        egress.probe_budget.rate = rate
+        egress.probe_budget.capacity = max(1.0, rate)
+        egress.probe_budget.tokens = min(egress.probe_budget.tokens, egress.probe_budget.capacity)
+    for address in _find_stale_addresses(egress, now):
+        if not take(egress.probe_budget, now):
+            return
+        gevent.spawn(_probe, egress, address)
+
+
+def _find_stale_addresses(egress: Egress, now: float) -> list[str]:
+    views_by_address = egress.blackboard.views_by_address
+    stale = []
+    for service in egress.latency_seconds_by_service:
+        for candidate in egress.blackboard.candidates_by_service.get(service, []):
+            view = get_view(views_by_address, candidate.address)
+            if now - view.reported_at > MIN_REPORT_AGE_SECONDS:
+                stale.append(candidate.address)
+    egress.random.shuffle(stale)
+    # The targets that seem hot come first: only a probe tells that they recovered.
+    stale.sort(key=lambda address: now >= views_by_address[address].avoid_until)
+    return stale
+
+
+def _probe(egress: Egress, address: str) -> None:
+    view = get_view(egress.blackboard.views_by_address, address)
+    egress.metrics.egress.probes.inc({})
+    try:
+        greeting = call_peer(
+            egress.pool,
+            address,
+            PROBE_TIMEOUT_SECONDS,
+            lambda peer: peer.greet(egress.blackboard.own.address),
+        )
+    except PeerError:
+        return
+    take_report(view, greeting.load, egress.blackboard.clock.monotonic())
--- /dev/null
+++ b/comfreyhitch/egress/state.py
@@ -0,0 +1,66 @@
+"""State of the egress of one daemon."""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.egress.choice import Choose, make_load_aware_choice
+from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.utils.token_bucket import TokenBucket
+from comfreyhitch.wire.connections import PeerPool
+
+# Retries and hedges are earned by first tries; this many may be saved up.
+BUDGET_CAPACITY = 20.0
+LATENCY_WEIGHT = 0.05
+
+
+@dataclass(slots=True)
+class Egress:
+    """Hold what routes the requests of callers."""
+
+    settings: Settings
+    blackboard: Blackboard
+    pool: PeerPool
+    metrics: Metrics
+    choose: Choose
+    random: Random
+    retry_budget: TokenBucket
+    hedge_budget: TokenBucket
+    probe_budget: TokenBucket
+    latency_seconds_by_service: dict[str, float] = field(default_factory=dict)
+    request_numbers: Iterator[int] = field(default_factory=itertools.count)
+    requests_in_progress: int = 0
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, blackboard: Blackboard, pool: PeerPool, metrics: Metrics
+    ) -> "Egress":
+        """Return an egress that knows nothing of any load yet."""
+        random = Random(blackboard.own.boot_id)
+        now = blackboard.clock.monotonic()
+        probe_burst = max(1.0, settings.probe_rate)
+        return cls(
+            settings=settings,
+            blackboard=blackboard,
+            pool=pool,
+            metrics=metrics,
+            choose=make_load_aware_choice(blackboard.views_by_address, blackboard.own.zone, random),
+            random=random,
+            retry_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
+            hedge_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
+            probe_budget=TokenBucket.from_rate(settings.probe_rate, probe_burst, now),
+        )
+
+
+def make_request_id(egress: Egress) -> str:
+    """Return an id that no other request of any daemon has."""
+    return f"{egress.blackboard.own.boot_id}:{next(egress.request_numbers)}"
+
+
+def record_service_latency(egress: Egress, service: str, seconds: float) -> None:
+    """Follow how long requests of a service take."""
+    known = egress.latency_seconds_by_service.get(service, seconds)
+    egress.latency_seconds_by_service[service] = known + LATENCY_WEIGHT * (seconds - known)
--- /dev/null
+++ b/comfreyhitch/egress/views.py
@@ -0,0 +1,66 @@
+"""Keep what an egress knows of each target's load."""
+
+from comfreyhitch.egress.models import TargetView
+from comfreyhitch.wire.generated.ttypes import LoadReport
+
+REPORT_LIFETIME_SECONDS = 2.0
+ERROR_WEIGHT = 0.2
+FIRST_AVOIDANCE_SECONDS = 0.1
+MAX_AVOIDANCE_SECONDS = 5.0
+NOT_ACCEPTING_SECONDS = 1.0
+
+
+def get_view(views_by_address: dict[str, TargetView], address: str) -> TargetView:
+    """Return the view of a target, a new one if nothing is known of it."""
+    view = views_by_address.get(address)
+    if view is None:
+        view = views_by_address[address] = TargetView(address)
+    return view
+
+
+def record_sent(view: TargetView) -> None:
+    """Note that a request was sent to a target."""
+    view.own_in_flight += 1
+    view.sent_since_report += 1
+
+
+def record_ended(view: TargetView) -> None:
+    """Note that a request has ended, in whatever way."""
+    view.own_in_flight -= 1
+
+
+def take_report(view: TargetView, report: LoadReport, now: float) -> None:
+    """Take in a load report, which covers all that was sent before."""
+    view.reported_in_flight = report.in_flight
+    view.reported_queued = report.queued
+    view.reported_limit = max(1, report.limit)
+    view.latency_seconds = report.latency_seconds
+    view.reported_at = now
+    view.sent_since_report = 0
+    view.is_accepting = report.accepting
+    if not report.accepting:
+        view.avoid_until = max(view.avoid_until, now + NOT_ACCEPTING_SECONDS)
+
+
+def record_success(view: TargetView) -> None:
+    """Note a good answer."""
+    view.error_rate *= 1 - ERROR_WEIGHT
+    view.consecutive_failures = 0
+    view.avoid_until = 0.0
+
+
+def record_failure(view: TargetView, now: float) -> None:
+    """Note a failure, and avoid the target for longer with each one in a row."""
+    view.error_rate += ERROR_WEIGHT * (1 - view.error_rate)
+    view.consecutive_failures += 1
+    exponent = min(view.consecutive_failures - 1, 10)
+    avoidance_seconds = min(MAX_AVOIDANCE_SECONDS, FIRST_AVOIDANCE_SECONDS * 2**exponent)
+    view.avoid_until = now + avoidance_seconds
+
+
+def estimate_in_flight(view: TargetView, now: float) -> float:
+    """Return the requests that a target probably holds now."""
+    age_seconds = now - view.reported_at
+    freshness = max(0.0, 1.0 - age_seconds / REPORT_LIFETIME_SECONDS)
+    reported = (view.reported_in_flight + view.reported_queued) * freshness
+    return max(view.own_in_flight, reported + view.sent_since_report)
--- /dev/null
+++ b/comfreyhitch/idempotency/claims.py
@@ -0,0 +1,351 @@
+"""Acquire, settle and hand on claims at the registrars of a key."""
+
+import logging
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+import gevent
+from gevent.queue import Queue
+from result import Err
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
+from comfreyhitch.idempotency.registrars import RegistrarRing, choose_registrars, get_majority
+from comfreyhitch.idempotency.registry import (
+    MAX_ANSWER_BYTES,
+    Claim,
+    ClaimRegistry,
+    remove_claim,
+    write_claim,
+    write_outcome,
+)
+from comfreyhitch.ingress.models import make_answer, read_answer
+from comfreyhitch.wire.connections import PeerPool, call_peer
+from comfreyhitch.wire.exceptions import PeerError
+from comfreyhitch.wire.generated.ttypes import (
+    CallAnswer,
+    ClaimAnswer,
+    ClaimOutcome,
+    ClaimRequest,
+    ClaimState,
+    FenceAnswer,
+    FenceQuery,
+    FenceState,
+    LoadReport,
+)
+
+logger = logging.getLogger(__name__)
+
+CLAIM_TIMEOUT_SECONDS = 0.5
+OWNER_POLL_SECONDS = 0.1
+RING_MAX_AGE_SECONDS = 30.0
+SETTLE_ATTEMPTS = 3
+SETTLE_RETRY_SECONDS = 0.5
+HAND_ON_BATCH = 200
+MAX_TAKEOVERS = 2
+REPLAYED_HEADER = ("Comfreyhitch-Replayed", "true")
+
+_NO_LOAD = LoadReport(in_flight=0, queued=0, limit=0, latency_seconds=0.0, accepting=False)
+
+
+@dataclass(slots=True)
+class ClaimClient:
+    """Hold this daemon's registry and the way to the other registrars."""
+
+    blackboard: Blackboard
+    pool: PeerPool
+    registry: ClaimRegistry
+    retention: timedelta
+    rings_by_service: dict[str, tuple[int, float, RegistrarRing]] = field(default_factory=dict)
+    settling: int = 0
+
+    @classmethod
+    def from_retention(
+        cls, blackboard: Blackboard, pool: PeerPool, retention: timedelta
+    ) -> "ClaimClient":
+        """Return a client with an empty registry."""
+        registry = ClaimRegistry.from_retention(retention.total_seconds())
+        return cls(blackboard, pool, registry, retention)
+
+
+def make_claim(
+    client: ClaimClient, scope: str, service: str, claim_id: str, fingerprint: str
+) -> Claim:
+    """Return the claim of a request that this daemon is about to run."""
+    own = client.blackboard.own
+    now = client.blackboard.clock.monotonic()
+    return Claim(scope, service, claim_id, own.address, own.boot_id, fingerprint, now)
+
+
+def acquire_claim(client: ClaimClient, wanted: Claim, deadline: float) -> Outcome | None:
+    """Return None once a majority granted the claim, else the outcome for the caller."""
+    replaces = None
+    for _ in range(MAX_TAKEOVERS + 1):
+        registrars = _get_registrars(client, wanted)
+        answers = _ask_registrars(client, registrars, wanted, replaces)
+        granted = sum(answer.state == ClaimState.GRANTED for answer in answers)
+        conflict = _find_conflict(answers)
+        if conflict is None and granted >= get_majority(len(registrars)):
+            return None
+        release_claim(client, wanted)
+        if conflict is None:
+            detail = f"{granted} of {len(registrars)} registrars of the key can be reached"
+            return Err(Failure(Verdict.NOT_RUN, Refusal.NO_KEY_QUORUM, detail))
+        outcome = _resolve_conflict(client, wanted, conflict, deadline)
+        if outcome is not None:
+            return outcome
+        replaces = conflict.claim_id
+    return Err(Failure(Verdict.NOT_RUN, Refusal.KEY_HELD, "other requests claim the same key"))
+
+
+def settle_claim(client: ClaimClient, held: Claim, outcome: Outcome) -> None:
+    """Tell the registrars the outcome, without waiting for them."""
+    answer = make_answer(held.claim_id, outcome, _NO_LOAD)
+    kept = answer if len(answer.body) <= MAX_ANSWER_BYTES else None
+    client.settling += 1
+    gevent.spawn(_settle_everywhere, client, replace(held, answer=kept))
+
+
+def release_claim(client: ClaimClient, held: Claim) -> None:
+    """Give a claim back whose request is known not to have run."""
+    request = _make_request(held, None)
+    for address in _get_registrars(client, held):
+        if address == client.blackboard.own.address:
+            remove_claim(client.registry, held.scope, held.claim_id)
+        else:
+            gevent.spawn(_try_release, client, address, request)
+
+
+def answer_claim(client: ClaimClient, request: ClaimRequest) -> ClaimAnswer:
+    """Grant a claim as a registrar, or tell who holds the key."""
+    now = client.blackboard.clock.monotonic()
+    wanted = Claim(
+        scope=request.scope,
+        service=request.service_name,
+        claim_id=request.claim_id,
+        owner=request.owner,
+        owner_boot_id=request.owner_boot_id,
+        fingerprint=request.fingerprint,
+        claimed_at=now,
+    )
+    held = write_claim(client.registry, wanted, request.replaces)
+    if held is None:
+        return ClaimAnswer(state=ClaimState.REFUSED, age_seconds=0.0)
+    if held is wanted:
+        return ClaimAnswer(state=ClaimState.GRANTED, age_seconds=0.0)
+    return ClaimAnswer(
+        state=ClaimState.HELD if held.answer is None else ClaimState.FINISHED,
+        claim_id=held.claim_id,
+        owner=held.owner,
+        owner_boot_id=held.owner_boot_id,
+        fingerprint=held.fingerprint,
+        answer=held.answer,
+        age_seconds=now - held.claimed_at,
+    )
+
+
+def take_outcomes(client: ClaimClient, outcomes: list[ClaimOutcome]) -> None:
+    """Keep outcomes as a registrar, from their owners or from a daemon that leaves."""
+    now = client.blackboard.clock.monotonic()
+    for outcome in outcomes:
+        settled = Claim(
+            scope=outcome.scope,
+            service=outcome.service_name,
+            claim_id=outcome.claim_id,
+            owner=outcome.owner,
+            owner_boot_id=outcome.owner_boot_id,
+            fingerprint=outcome.fingerprint,
+            claimed_at=now - outcome.age_seconds,
+            answer=outcome.answer,
+        )
+        write_outcome(client.registry, settled)
+
+
+def hand_on_claims(client: ClaimClient) -> int:
+    """Give all claims to the registrars that remain after this daemon, and return their number."""
+    now = client.blackboard.clock.monotonic()
+    batches_by_address: dict[str, list[ClaimOutcome]] = {}
+    for held in list(client.registry.claims_by_scope.values()):
+        for address in _get_registrars(client, held):
+            if address != client.blackboard.own.address:
+                batches_by_address.setdefault(address, []).append(_make_outcome(held, now))
+    handed = 0
+    for address, outcomes in batches_by_address.items():
+        for start in range(0, len(outcomes), HAND_ON_BATCH):
+            batch = outcomes[start : start + HAND_ON_BATCH]
+            handed += _try_settle(client, address, batch) * len(batch)
+    return handed
+
+
+def _get_registrars(client: ClaimClient, held: Claim) -> list[str]:
+    ring = _get_ring(client, held.service)
+    return [member.address for member in choose_registrars(ring, held.scope)]
+
+
+def _get_ring(client: ClaimClient, service: str) -> RegistrarRing:
+    blackboard = client.blackboard
+    now = blackboard.clock.monotonic()
+    cached = client.rings_by_service.get(service)
+    if cached is not None:
+        revision, built_at, ring = cached
+        if revision == blackboard.members_revision and now - built_at < RING_MAX_AGE_SECONDS:
+            return ring
+    ring = RegistrarRing.from_members(
+        service, blackboard.members_by_address.values(), blackboard.clock.now(), client.retention
+    )
+    client.rings_by_service[service] = (blackboard.members_revision, now, ring)
+    return ring
+
+
+def _ask_registrars(
+    client: ClaimClient, registrars: list[str], wanted: Claim, replaces: str | None
+) -> list[ClaimAnswer]:
+    request = _make_request(wanted, replaces)
+    answers: Queue = Queue()
+    for address in registrars:
+        if address == client.blackboard.own.address:
+            answers.put(answer_claim(client, request))
+        else:
+            gevent.spawn(_ask_registrar, client, address, request, answers)
+    return _collect_answers(answers, len(registrars))
+
+
+def _collect_answers(answers: Queue, registrar_count: int) -> list[ClaimAnswer]:
+    collected: list[ClaimAnswer] = []
+    for _ in range(registrar_count):
+        answer = answers.get()
+        if answer is None:
+            continue
+        collected.append(answer)
+        granted = sum(item.state == ClaimState.GRANTED for item in collected)
+        if granted >= get_majority(registrar_count):
+            break
+    return collected
+
+
+def _ask_registrar(
+    client: ClaimClient, address: str, request: ClaimRequest, answers: Queue
+) -> None:
+    answer = None
+    try:
+        answer = call_peer(
+            client.pool, address, CLAIM_TIMEOUT_SECONDS, lambda peer: peer.claim(request)
+        )
+    except PeerError as error:
+        logger.info("registrar did not answer", extra={"peer": address, "error": str(error)})
+    finally:
+        answers.put(answer)
+
+
+def _find_conflict(answers: list[ClaimAnswer]) -> ClaimAnswer | None:
+    for state in (ClaimState.FINISHED, ClaimState.HELD):
+        for answer in answers:
+            if answer.state == state:
+                return answer
+    return None
+
+
+def _resolve_conflict(
+    client: ClaimClient, wanted: Claim, conflict: ClaimAnswer, deadline: float
+) -> Outcome | None:
+    if conflict.fingerprint != wanted.fingerprint:
+        detail = "the Idempotency-Key was used for a different request"
+        return Err(Failure(Verdict.NOT_RUN, Refusal.KEY_MISMATCH, detail))
+    if conflict.answer is not None:
+        return _replay(conflict.answer)
+    clock = client.blackboard.clock
+    while clock.monotonic() < deadline:
+        fenced = _fence_owner(client, conflict)
+        if fenced is None or fenced.state == FenceState.UNKNOWN:
+            break
+        if fenced.state == FenceState.NEVER_RAN:
+            return None
+        if fenced.state == FenceState.FINISHED:
+            return _replay(fenced.answer)
+        gevent.sleep(OWNER_POLL_SECONDS)
+    detail = "an earlier request with this key has no known outcome"
+    return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.KEY_UNSETTLED, detail))
+
+
+def _replay(answer: CallAnswer) -> Outcome:
+    outcome = read_answer(answer)
+    if outcome.is_ok():
+        outcome.ok_value.headers.append(REPLAYED_HEADER)
+    return outcome
+
+
+def _fence_owner(client: ClaimClient, conflict: ClaimAnswer) -> FenceAnswer | None:
+    query = FenceQuery(
+        request_id=conflict.claim_id,
+        boot_id=conflict.owner_boot_id,
+        age_seconds=conflict.age_seconds,
+    )
+    try:
+        return call_peer(
+            client.pool, conflict.owner, CLAIM_TIMEOUT_SECONDS, lambda peer: peer.fence(query)
+        )
+    except PeerError:
+        return None
+
+
+def _settle_everywhere(client: ClaimClient, settled: Claim) -> None:
+    try:
+        outcome = _make_outcome(settled, client.blackboard.clock.monotonic())
+        pending = _get_registrars(client, settled)
+        for attempt in range(SETTLE_ATTEMPTS):
+            pending = [
+                address for address in pending if not _try_settle(client, address, [outcome])
+            ]
+            if not pending:
+                return
+            gevent.sleep(SETTLE_RETRY_SECONDS * (attempt + 1))
+    finally:
+        client.settling -= 1
+
+
+def _try_settle(client: ClaimClient, address: str, outcomes: list[ClaimOutcome]) -> bool:
+    if address == client.blackboard.own.address:
+        take_outcomes(client, outcomes)
+        return True
+    try:
+        call_peer(
+            client.pool, address, CLAIM_TIMEOUT_SECONDS, lambda peer: peer.settle_claims(outcomes)
+        )
+    except PeerError:
+        return False
+    return True
+
+
+def _try_release(client: ClaimClient, address: str, request: ClaimRequest) -> None:
+    try:
+        call_peer(
+            client.pool, address, CLAIM_TIMEOUT_SECONDS, lambda peer: peer.release_claim(request)
+        )
+    except PeerError:
+        # The claim stays, and its owner's fence proves that it never ran.
+        logger.info("claim was not released", extra={"peer": address})
+
+
+def _make_request(held: Claim, replaces: str | None) -> ClaimRequest:
+    return ClaimRequest(
+        scope=held.scope,
+        claim_id=held.claim_id,
+        owner=held.owner,
+        owner_boot_id=held.owner_boot_id,
+        fingerprint=held.fingerprint,
+        replaces=replaces,
+        service_name=held.service,
+    )
+
+
+def _make_outcome(held: Claim, now: float) -> ClaimOutcome:
+    return ClaimOutcome(
+        scope=held.scope,
+        claim_id=held.claim_id,
+        fingerprint=held.fingerprint,
+        owner=held.owner,
+        owner_boot_id=held.owner_boot_id,
+        answer=held.answer,
+        age_seconds=now - held.claimed_at,
+        service_name=held.service,
+    )
--- /dev/null
+++ b/comfreyhitch/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""The side of a daemon that guards its target."""
--- /dev/null
+++ b/comfreyhitch/ingress/fence.py
@@ -0,0 +1,40 @@
+"""Answer what became of a request, and keep it from running if it has not run."""
+
+from comfreyhitch.ingress.models import make_answer
+from comfreyhitch.ingress.records import RecordState, RequestRecord, add_record, get_record
+from comfreyhitch.ingress.state import REQUEST_RECORD_RETENTION_SECONDS, Ingress, make_load_report
+from comfreyhitch.wire.generated.ttypes import FenceAnswer, FenceQuery, FenceState
+
+# Beyond this age a record may have expired, so that its absence proves nothing.
+MAX_FENCE_AGE_SECONDS = REQUEST_RECORD_RETENTION_SECONDS / 2
+
+
+def answer_fence(ingress: Ingress, query: FenceQuery) -> FenceAnswer:
+    """Return the fate of a request; one that is not known will never run here."""
+    if query.boot_id != ingress.blackboard.own.boot_id:
+        return FenceAnswer(state=FenceState.UNKNOWN)
+    record = get_record(ingress.records, query.request_id)
+    if record is None:
+        return _fence_unknown(ingress, query)
+    if record.state is RecordState.WAITING:
+        is_withdrawn = record.withdraw is not None and record.withdraw()
+        return FenceAnswer(state=FenceState.NEVER_RAN if is_withdrawn else FenceState.RUNNING)
+    if record.state in (RecordState.CLAIMING, RecordState.FENCED):
+        record.state = RecordState.FENCED
+        return FenceAnswer(state=FenceState.NEVER_RAN)
+    if record.state is RecordState.RUNNING:
+        return FenceAnswer(state=FenceState.RUNNING)
+    if record.outcome is None:
+        return FenceAnswer(state=FenceState.UNKNOWN)
+    answer = make_answer(query.request_id, record.outcome, make_load_report(ingress))
+    return FenceAnswer(state=FenceState.FINISHED, answer=answer)
+
+
+def _fence_unknown(ingress: Ingress, query: FenceQuery) -> FenceAnswer:
+    if query.age_seconds > MAX_FENCE_AGE_SECONDS:
+        return FenceAnswer(state=FenceState.UNKNOWN)
+    now = ingress.blackboard.clock.monotonic()
+    tombstone = RequestRecord(RecordState.FENCED, "", now)
+    if not add_record(ingress.records, query.request_id, tombstone):
+        return FenceAnswer(state=FenceState.UNKNOWN)
+    return FenceAnswer(state=FenceState.NEVER_RAN)
--- /dev/null
+++ b/comfreyhitch/ingress/models.py
@@ -0,0 +1,112 @@
+"""A call as the ingress handles it, and its translation from and to the wire."""
+
+from dataclasses import dataclass
+
+import gevent.socket
+from result import Err, Ok
+
+from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
+from comfreyhitch.sections.models import TrafficClass
+from comfreyhitch.wire.generated.ttypes import (
+    CallAnswer,
+    CallRequest,
+    Header,
+    LoadReport,
+    WireVerdict,
+)
+
+MAX_TIMEOUT_SECONDS = 60.0
+
+
+@dataclass(slots=True)
+class IncomingCall:
+    """Hold one call; `arrived_at` and `deadline` are monotonic seconds."""
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    deadline: float
+    tenant: str
+    traffic_class: TrafficClass
+    is_idempotent: bool
+    idempotency_key: str
+    fingerprint: str
+    route: str
+    attempt: int
+    cancel_socket: gevent.socket.socket | None = None
+
+    @classmethod
+    def from_wire(
+        cls, request: CallRequest, now: float, cancel_socket: gevent.socket.socket | None
+    ) -> "IncomingCall":
+        """Return the call in a message; raise `ValueError` if a field is out of range."""
+        timeout_seconds = min(request.timeout_seconds, MAX_TIMEOUT_SECONDS)
+        return cls(
+            request_id=request.request_id,
+            service=request.service_name,
+            method=request.method,
+            path=request.path,
+            headers=[(header.name, header.value) for header in request.headers],
+            body=request.body,
+            arrived_at=now,
+            deadline=now + timeout_seconds,
+            tenant=request.tenant,
+            traffic_class=TrafficClass(request.priority),
+            is_idempotent=request.idempotent,
+            idempotency_key=request.idempotency_key or "",
+            fingerprint=request.fingerprint,
+            route=request.route,
+            attempt=request.attempt,
+            cancel_socket=cancel_socket,
+        )
+
+
+def make_answer(request_id: str, outcome: Outcome, load: LoadReport) -> CallAnswer:
+    """Return the message that carries an outcome."""
+    match outcome:
+        case Ok(response):
+            return CallAnswer(
+                request_id=request_id,
+                verdict=WireVerdict.RAN,
+                status=response.status,
+                reason=response.reason,
+                headers=[Header(name, value) for name, value in response.headers],
+                body=response.body,
+                load=load,
+                version=response.version,
+            )
+        case Err(failure):
+            return CallAnswer(
+                request_id=request_id,
+                verdict=int(failure.verdict),
+                status=failure.status,
+                reason=failure.detail,
+                headers=[],
+                body=b"",
+                load=load,
+                refusal=failure.refusal.value,
+                version="",
+            )
+
+
+def read_answer(answer: CallAnswer) -> Outcome:
+    """Return the outcome in a message."""
+    if answer.refusal is None:
+        return Ok(
+            Response(
+                status=answer.status,
+                reason=answer.reason,
+                headers=[(header.name, header.value) for header in answer.headers],
+                body=answer.body,
+                version=answer.version,
+            )
+        )
+    try:
+        refusal = Refusal(answer.refusal)
+    except ValueError:
+        refusal = Refusal.PEER_FAILED
+    return Err(Failure(Verdict(answer.verdict), refusal, answer.reason))
--- /dev/null
+++ b/comfreyhitch/ingress/state.py
@@ -0,0 +1,114 @@
+"""State of the ingress of one daemon."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from comfreyhitch.admission.limiter import forget_baseline
+from comfreyhitch.admission.queue import AdmissionQueue
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.idempotency.claims import ClaimClient
+from comfreyhitch.ingress.records import RecordStore
+from comfreyhitch.ingress.target import TargetConnections
+from comfreyhitch.rollouts.evidence import EvidenceLog
+from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.utils.recent import RecentSet
+from comfreyhitch.utils.token_bucket import TokenBucket
+from comfreyhitch.wire.generated.ttypes import LoadReport
+
+REQUEST_RECORD_RETENTION_SECONDS = 180.0
+MAX_REQUEST_RECORDS = 50_000
+MAX_RECORD_BYTES = 8 * 1024 * 1024
+PROVEN_FINGERPRINTS = 2048
+LATENCY_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class Ingress:
+    """Hold what guards one target."""
+
+    settings: Settings
+    blackboard: Blackboard
+    queue: AdmissionQueue
+    records: RecordStore
+    claims: ClaimClient
+    evidence: EvidenceLog
+    metrics: Metrics
+    report_crash: Callable[[str], None]
+    target_probe_budget: TokenBucket
+    proven_fingerprints: RecentSet = field(
+        default_factory=lambda: RecentSet.from_capacity(PROVEN_FINGERPRINTS)
+    )
+    connections: TargetConnections | None = None
+    latency_seconds: float = 0.0
+    calls_in_progress: int = 0
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        blackboard: Blackboard,
+        claims: ClaimClient,
+        evidence: EvidenceLog,
+        metrics: Metrics,
+        report_crash: Callable[[str], None],
+    ) -> "Ingress":
+        """Return an ingress for a target that has just started."""
+        return cls(
+            settings=settings,
+            blackboard=blackboard,
+            queue=AdmissionQueue.from_slots(settings.slots),
+            records=RecordStore.from_retention(
+                REQUEST_RECORD_RETENTION_SECONDS, MAX_REQUEST_RECORDS, MAX_RECORD_BYTES
+            ),
+            claims=claims,
+            evidence=evidence,
+            metrics=metrics,
+            report_crash=report_crash,
+            target_probe_budget=TokenBucket.from_rate(
+                settings.target_probe_rate, 1.0, blackboard.clock.monotonic()
+            ),
+        )
+
+
+def attach_target(ingress: Ingress, host: str, port: int, slots: int) -> None:
+    """Take a newly announced target, which is cold."""
+    clock = ingress.blackboard.clock
+    ingress.connections = TargetConnections.from_address(host, port, clock)
+    ingress.queue.limit.slots = slots
+    forget_limit(ingress)
+
+
+def forget_limit(ingress: Ingress) -> None:
+    """Return the limit to that of a cold target."""
+    forget_baseline(ingress.queue.limit, ingress.blackboard.clock.monotonic())
+
+
+def make_load_report(ingress: Ingress) -> LoadReport:
+    """Return the load that travels on every answer."""
+    queue = ingress.queue
+    return LoadReport(
+        in_flight=queue.running,
+        queued=len(queue.waiting),
+        limit=queue.limit.limit,
+        latency_seconds=ingress.latency_seconds,
+        accepting=is_accepting(ingress),
+    )
+
+
+def is_accepting(ingress: Ingress) -> bool:
+    """Return whether new work may be admitted."""
+    blackboard = ingress.blackboard
+    if ingress.connections is None or blackboard.is_draining or blackboard.is_stale:
+        return False
+    if not blackboard.is_target_healthy or blackboard.own.draining:
+        return False
+    return blackboard.own.zone not in blackboard.zones_out
+
+
+def record_latency(ingress: Ingress, seconds: float) -> None:
+    """Follow the latency of the target's answers."""
+    if ingress.latency_seconds == 0.0:
+        ingress.latency_seconds = seconds
+        return
+    ingress.latency_seconds += LATENCY_WEIGHT * (seconds - ingress.latency_seconds)
--- /dev/null
+++ b/comfreyhitch/management/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/comfreyhitch/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/comfreyhitch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and the member list."""
--- /dev/null
+++ b/comfreyhitch/membership/detector.py
@@ -0,0 +1,295 @@
+"""SWIM-style failure detector over UDP."""
+
+import itertools
+import logging
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from math import log2
+from random import Random
+
+import gevent
+import gevent.socket
+from gevent.event import Event
+from result import Err, Ok
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.membership.models import Member, MemberStatus, encode_member
+from comfreyhitch.replication.broadcast import Broadcaster, send_facts, take_piggyback
+from comfreyhitch.replication.facts import (
+    FactKind,
+    FactStore,
+    StoredFact,
+    merge_facts,
+    read_facts,
+)
+from comfreyhitch.telemetry.metrics import ControlMetrics
+from comfreyhitch.wire.codec import decode, encode
+from comfreyhitch.wire.generated.ttypes import Datagram, DatagramKind, Fact, FactHead
+from comfreyhitch.wire.sockets import split_address
+
+logger = logging.getLogger(__name__)
+
+INDIRECT_PROBES = 3
+DIRECT_SHARE = 0.4
+SUSPICION_INTERVALS = 3
+UNREACHABLE_LIFETIME = timedelta(hours=6)
+LEFT_LIFETIME = timedelta(minutes=15)
+UNREACHABLE_PROBE_INTERVALS = 5
+MAX_DATAGRAM_BYTES = 65_535
+
+
+@dataclass(slots=True)
+class FailureDetector:
+    """Hold the probes under way and the members under suspicion."""
+
+    blackboard: Blackboard
+    store: FactStore
+    sock: gevent.socket.socket
+    interval: timedelta
+    random: Random
+    metrics: ControlMetrics
+    fetch: Callable[[str, list[FactHead]], None]
+    broadcaster: Broadcaster | None = None
+    sequences: Iterator[int] = field(default_factory=itertools.count)
+    acks_by_sequence: dict[int, Event] = field(default_factory=dict)
+    suspected_at_by_address: dict[str, float] = field(default_factory=dict)
+    probe_order: list[str] = field(default_factory=list)
+    rounds: int = 0
+
+
+def list_reachable_peers(blackboard: Blackboard) -> list[str]:
+    """Return the addresses of all other members that may be alive."""
+    own = blackboard.own.address
+    return [
+        member.address
+        for member in blackboard.members_by_address.values()
+        if member.is_reachable and member.address != own
+    ]
+
+
+def receive_datagrams(detector: FailureDetector) -> None:
+    """Handle datagrams until the socket is closed."""
+    while True:
+        data, _ = detector.sock.recvfrom(MAX_DATAGRAM_BYTES)
+        match decode(Datagram, data):
+            case Ok(datagram):
+                _handle_datagram(detector, datagram)
+            case Err(reason):
+                logger.warning("refused a datagram", extra={"reason": reason})
+
+
+def send_facts_datagram(
+    detector: FailureDetector, address: str, facts: list[Fact], heads: list[FactHead]
+) -> None:
+    """Send facts to a peer without asking for an answer."""
+    _send(detector, address, DatagramKind.ACK, -1, None, facts, heads)
+
+
+def run_round(detector: FailureDetector) -> None:
+    """Probe the next member, and declare those unreachable whose suspicion ran out."""
+    detector.rounds += 1
+    _expire_suspicions(detector)
+    address = _get_next_address(detector)
+    if address is not None:
+        gevent.spawn(_probe, detector, address)
+    if detector.rounds % UNREACHABLE_PROBE_INTERVALS == 0:
+        _probe_unreachable(detector)
+
+
+def publish_own(detector: FailureDetector, **changes: object) -> None:
+    """Change the daemon's own record, and spread it."""
+    own = detector.blackboard.own
+    held = detector.blackboard.members_by_address.get(own.address)
+    incarnation = own.incarnation
+    if held is not None:
+        incarnation = max(incarnation, held.incarnation)
+    now_ms = int(detector.blackboard.clock.now().timestamp() * 1000)
+    changed = replace(own, incarnation=max(incarnation + 1, now_ms), **changes)
+    detector.blackboard.own = changed
+    lifetime = LEFT_LIFETIME if changed.status is MemberStatus.LEFT else None
+    merge_facts(detector.store, [make_member_fact(detector, changed, lifetime)])
+
+
+def make_member_fact(
+    detector: FailureDetector, member: Member, lifetime: timedelta | None
+) -> StoredFact:
+    """Return the fact that carries a member record."""
+    expires_at = None if lifetime is None else detector.blackboard.clock.now() + lifetime
+    return StoredFact(
+        FactKind.MEMBER, member.address, member.fact_version, encode_member(member), expires_at
+    )
+
+
+def refute_if_needed(detector: FailureDetector, member: Member) -> None:
+    """Answer a record of this daemon that others hold and that is not its own."""
+    own = detector.blackboard.own
+    if member.address != own.address or own.status is MemberStatus.LEFT:
+        return
+    if member.fact_version > own.fact_version:
+        publish_own(detector)
+
+
+def clear_suspicion(detector: FailureDetector, member: Member) -> None:
+    """Start or end the suspicion of a member, as its newest record says."""
+    if member.status is MemberStatus.SUSPECT:
+        now = detector.blackboard.clock.monotonic()
+        detector.suspected_at_by_address.setdefault(member.address, now)
+    else:
+        detector.suspected_at_by_address.pop(member.address, None)
+
+
+def _handle_datagram(detector: FailureDetector, datagram: Datagram) -> None:
+    merge_facts(detector.store, read_facts(detector.store, datagram.facts))
+    if datagram.heads:
+        gevent.spawn(detector.fetch, datagram.sender, datagram.heads)
+    if datagram.kind == DatagramKind.PING:
+        _tell_own_record(detector, datagram.sender)
+        _send_piggybacked(detector, datagram.sender, DatagramKind.ACK, datagram.sequence)
+    elif datagram.kind == DatagramKind.ACK:
+        acknowledged = detector.acks_by_sequence.get(datagram.sequence)
+        if acknowledged is not None:
+            acknowledged.set()
+    elif datagram.kind == DatagramKind.PING_REQUEST and datagram.subject:
+        gevent.spawn(_probe_for_other, detector, datagram)
+
+
+def _tell_own_record(detector: FailureDetector, address: str) -> None:
+    """Send the record of this daemon to a peer that does not know it."""
+    if address in detector.blackboard.members_by_address or detector.broadcaster is None:
+        return
+    own = detector.store.facts_by_id.get((FactKind.MEMBER, detector.blackboard.own.address))
+    if own is not None:
+        send_facts(detector.broadcaster, address, [own])
+
+
+def _get_next_address(detector: FailureDetector) -> str | None:
+    while True:
+        if not detector.probe_order:
+            detector.probe_order = list_reachable_peers(detector.blackboard)
+            detector.random.shuffle(detector.probe_order)
+            if not detector.probe_order:
+                return None
+        address = detector.probe_order.pop()
+        member = detector.blackboard.members_by_address.get(address)
+        if member is not None and member.is_reachable:
+            return address
+
+
+def _probe(detector: FailureDetector, address: str) -> None:
+    started_at = detector.blackboard.clock.monotonic()
+    interval_seconds = detector.interval.total_seconds()
+    if _ping(detector, address, interval_seconds * DIRECT_SHARE):
+        return
+    peers = [item for item in list_reachable_peers(detector.blackboard) if item != address]
+    helpers = detector.random.sample(peers, min(INDIRECT_PROBES, len(peers)))
+    sequence, acknowledged = _expect_ack(detector)
+    for helper in helpers:
+        _send(detector, helper, DatagramKind.PING_REQUEST, sequence, address, [], [])
+    # The direct probe is repeated, since one datagram may simply be lost.
+    _send_piggybacked(detector, address, DatagramKind.PING, sequence)
+    is_alive = acknowledged.wait(interval_seconds)
+    detector.acks_by_sequence.pop(sequence, None)
+    if not is_alive and not _has_answered_since(detector, address, started_at):
+        _suspect(detector, address)
+
+
+def _probe_for_other(detector: FailureDetector, request: Datagram) -> None:
+    if _ping(detector, request.subject, detector.interval.total_seconds() * DIRECT_SHARE):
+        _send_piggybacked(detector, request.sender, DatagramKind.ACK, request.sequence)
+
+
+def _probe_unreachable(detector: FailureDetector) -> None:
+    unreachable = [
+        member
+        for member in detector.blackboard.members_by_address.values()
+        if member.status is MemberStatus.UNREACHABLE
+    ]
+    if not unreachable:
+        return
+    member = detector.random.choice(unreachable)
+    fact = detector.store.facts_by_id.get((FactKind.MEMBER, member.address))
+    if fact is not None and detector.broadcaster is not None:
+        # The member learns that it counts as unreachable, and refutes that.
+        send_facts(detector.broadcaster, member.address, [fact])
+    _send_piggybacked(detector, member.address, DatagramKind.PING, next(detector.sequences))
+
+
+def _ping(detector: FailureDetector, address: str, timeout_seconds: float) -> bool:
+    sequence, acknowledged = _expect_ack(detector)
+    _send_piggybacked(detector, address, DatagramKind.PING, sequence)
+    is_acknowledged = acknowledged.wait(timeout_seconds)
+    detector.acks_by_sequence.pop(sequence, None)
+    return is_acknowledged
+
+
+def _expect_ack(detector: FailureDetector) -> tuple[int, Event]:
+    sequence = next(detector.sequences)
+    acknowledged = detector.acks_by_sequence[sequence] = Event()
+    return sequence, acknowledged
+
+
+def _has_answered_since(detector: FailureDetector, address: str, since: float) -> bool:
+    view = detector.blackboard.views_by_address.get(address)
+    return view is not None and view.reported_at >= since
+
+
+def _suspect(detector: FailureDetector, address: str) -> None:
+    member = detector.blackboard.members_by_address.get(address)
+    if member is None or member.status is not MemberStatus.ALIVE:
+        return
+    logger.info("member is suspected", extra={"member": address})
+    suspected = replace(member, status=MemberStatus.SUSPECT)
+    merge_facts(detector.store, [make_member_fact(detector, suspected, None)])
+
+
+def _expire_suspicions(detector: FailureDetector) -> None:
+    now = detector.blackboard.clock.monotonic()
+    timeout_seconds = _get_suspicion_seconds(detector)
+    for address, suspected_at in list(detector.suspected_at_by_address.items()):
+        member = detector.blackboard.members_by_address.get(address)
+        if member is None or member.status is not MemberStatus.SUSPECT:
+            del detector.suspected_at_by_address[address]
+        elif _has_answered_since(detector, address, suspected_at):
+            continue
+        elif now - suspected_at > timeout_seconds:
+            _declare_unreachable(detector, member)
+
+
+def _get_suspicion_seconds(detector: FailureDetector) -> float:
+    scale = max(1.0, log2(len(detector.blackboard.members_by_address) + 1) / 2)
+    return SUSPICION_INTERVALS * scale * detector.interval.total_seconds()
+
+
+def _declare_unreachable(detector: FailureDetector, member: Member) -> None:
+    logger.warning("member is unreachable", extra={"member": member.address})
+    unreachable = replace(member, status=MemberStatus.UNREACHABLE)
+    fact = make_member_fact(detector, unreachable, UNREACHABLE_LIFETIME)
+    merge_facts(detector.store, [fact])
+
+
+def _send_piggybacked(detector: FailureDetector, address: str, kind: int, sequence: int) -> None:
+    facts, heads = ([], [])
+    if detector.broadcaster is not None:
+        facts, heads = take_piggyback(detector.broadcaster)
+    _send(detector, address, kind, sequence, None, facts, heads)
+
+
+def _send(
+    detector: FailureDetector,
+    address: str,
+    kind: int,
+    sequence: int,
+    subject: str | None,
+    facts: list[Fact],
+    heads: list[FactHead],
+) -> None:
+    sender = detector.blackboard.own.address
+    data = encode(Datagram(kind, sequence, sender, subject, facts, heads))
+    try:
+        detector.sock.sendto(data, split_address(address))
+    except OSError as error:
+        logger.debug("datagram was not sent", extra={"peer": address, "error": str(error)})
+        return
+    detector.metrics.datagrams.inc({})
+    detector.metrics.datagram_bytes.add({}, len(data))
--- /dev/null
+++ b/comfreyhitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/comfreyhitch/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Facts that daemons replicate by gossip."""
--- /dev/null
+++ b/comfreyhitch/replication/broadcast.py
@@ -0,0 +1,108 @@
+"""Spread new facts by datagrams: at once to a few peers, then along with probes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import ceil, log2
+from random import Random
+
+from comfreyhitch.replication.facts import (
+    FactId,
+    FactKind,
+    FactStore,
+    StoredFact,
+    make_head,
+    make_message,
+)
+from comfreyhitch.wire.generated.ttypes import Fact, FactHead
+
+FANOUT = 4
+# A datagram of this size is not split on any usual link.
+MAX_DATAGRAM_BYTES = 1200
+DATAGRAM_OVERHEAD_BYTES = 120
+FACT_OVERHEAD_BYTES = 48
+# Facts larger than this travel over TCP, and datagrams only announce them.
+MAX_INLINE_BYTES = 600
+TRANSMISSIONS_PER_LOG = 2
+MAX_PIGGYBACKED_FACTS = 16
+# Evidence goes straight to the daemons of one service instead.
+PIGGYBACKED_KINDS = frozenset(FactKind) - {FactKind.EVIDENCE}
+
+
+@dataclass(slots=True)
+class Broadcaster:
+    """Hold the facts still to be spread, and how often each was sent."""
+
+    store: FactStore
+    random: Random
+    send: Callable[[str, list[Fact], list[FactHead]], None]
+    list_peers: Callable[[], list[str]]
+    sent_counts_by_id: dict[FactId, int] = field(default_factory=dict)
+
+    @classmethod
+    def from_store(
+        cls,
+        store: FactStore,
+        random: Random,
+        send: Callable[[str, list[Fact], list[FactHead]], None],
+        list_peers: Callable[[], list[str]],
+    ) -> "Broadcaster":
+        """Return a broadcaster with nothing to spread."""
+        return cls(store, random, send, list_peers)
+
+
+def spread(broadcaster: Broadcaster, facts: list[StoredFact]) -> None:
+    """Send new facts to a few random peers, and keep them for later datagrams."""
+    spreading = [fact for fact in facts if fact.kind in PIGGYBACKED_KINDS]
+    if not spreading:
+        return
+    for fact in spreading:
+        broadcaster.sent_counts_by_id[fact.fact_id] = 0
+    peers = broadcaster.list_peers()
+    chosen = broadcaster.random.sample(peers, min(FANOUT, len(peers)))
+    for address in chosen:
+        send_facts(broadcaster, address, spreading)
+
+
+def send_facts(broadcaster: Broadcaster, address: str, facts: list[StoredFact]) -> None:
+    """Send facts to one peer in as many datagrams as they need."""
+    remaining = list(facts)
+    while remaining:
+        inline, heads, taken = _fill(broadcaster, remaining)
+        remaining = remaining[taken:]
+        broadcaster.send(address, inline, heads)
+
+
+def take_piggyback(broadcaster: Broadcaster) -> tuple[list[Fact], list[FactHead]]:
+    """Return the facts that the next datagram carries, the least sent ones first."""
+    counts = broadcaster.sent_counts_by_id
+    limit = TRANSMISSIONS_PER_LOG * ceil(log2(len(broadcaster.list_peers()) + 2))
+    facts = []
+    for fact_id in sorted(counts, key=counts.__getitem__)[:MAX_PIGGYBACKED_FACTS]:
+        fact = broadcaster.store.facts_by_id.get(fact_id)
+        if fact is not None:
+            facts.append(fact)
+    inline, heads, taken = _fill(broadcaster, facts)
+    for fact in facts[:taken]:
+        counts[fact.fact_id] += 1
+    for fact_id in [item for item, count in counts.items() if count >= limit]:
+        del counts[fact_id]
+    return inline, heads
+
+
+def _fill(
+    broadcaster: Broadcaster, facts: list[StoredFact]
+) -> tuple[list[Fact], list[FactHead], int]:
+    now = broadcaster.store.clock.now()
+    inline: list[Fact] = []
+    heads: list[FactHead] = []
+    size = DATAGRAM_OVERHEAD_BYTES
+    for index, fact in enumerate(facts):
+        is_inline = len(fact.value) <= MAX_INLINE_BYTES
+        size += FACT_OVERHEAD_BYTES + len(fact.key) + (len(fact.value) if is_inline else 0)
+        if size > MAX_DATAGRAM_BYTES and index > 0:
+            return inline, heads, index
+        if is_inline:
+            inline.append(make_message(fact, now))
+        else:
+            heads.append(make_head(fact))
+    return inline, heads, len(facts)
--- /dev/null
+++ b/comfreyhitch/replication/facts.py
@@ -0,0 +1,221 @@
+"""Replicated facts: for each kind and key the highest version wins."""
+
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from enum import StrEnum
+
+from result import Result
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.utils.hashing import hash_text
+from comfreyhitch.wire.generated.ttypes import BucketDigest, Fact, FactHead
+
+logger = logging.getLogger(__name__)
+
+BUCKET_COUNT = 64
+MAX_FACTS = 20_000
+# A fact this close to its end is not taken in again from a slower peer.
+MIN_REMAINING = timedelta(seconds=5)
+MAX_LIFETIME = timedelta(days=7)
+
+
+class FactKind(StrEnum):
+    """Name what a fact is about."""
+
+    MEMBER = "member"
+    SECTION = "section"
+    VETO = "veto"
+    COMPLETION = "completion"
+    CRASH = "crash"
+    EVIDENCE = "evidence"
+    STAGE = "stage"
+
+
+FactId = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredFact:
+    """Hold a fact, and until when it is kept."""
+
+    kind: FactKind
+    key: str
+    version: int
+    value: bytes
+    expires_at: datetime | None = None
+
+    @property
+    def fact_id(self) -> FactId:
+        """Return the kind and the key."""
+        return self.kind, self.key
+
+
+Validator = Callable[[str, int, bytes], Result[object, str]]
+Observer = Callable[[list[StoredFact]], None]
+
+
+@dataclass(slots=True)
+class FactStore:
+    """Hold facts by kind and key, with a checksum for each bucket of them."""
+
+    clock: Clock
+    validators_by_kind: dict[FactKind, Validator] = field(default_factory=dict)
+    observers: list[Observer] = field(default_factory=list)
+    facts_by_id: dict[FactId, StoredFact] = field(default_factory=dict)
+    ids_by_bucket: list[set[FactId]] = field(
+        default_factory=lambda: [set() for _ in range(BUCKET_COUNT)]
+    )
+    checksums: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
+
+    @classmethod
+    def from_clock(cls, clock: Clock) -> "FactStore":
+        """Return an empty store."""
+        return cls(clock)
+
+
+def merge_facts(store: FactStore, facts: Iterable[StoredFact]) -> list[StoredFact]:
+    """Take in the facts that are new, tell the observers, and return them."""
+    newer = [fact for fact in facts if _merge_fact(store, fact)]
+    if newer:
+        for observer in store.observers:
+            observer(newer)
+    return newer
+
+
+def read_facts(store: FactStore, messages: Iterable[Fact]) -> list[StoredFact]:
+    """Return the valid facts of peers' messages; refuse and log the others."""
+    facts = []
+    for message in messages:
+        fact = _read_fact(store, message)
+        if fact is not None:
+            facts.append(fact)
+    return facts
+
+
+def make_message(fact: StoredFact, now: datetime) -> Fact:
+    """Return the message that carries a fact."""
+    lifetime_seconds = None
+    if fact.expires_at is not None:
+        lifetime_seconds = (fact.expires_at - now).total_seconds()
+    return Fact(
+        kind=fact.kind,
+        key=fact.key,
+        version=fact.version,
+        value=fact.value,
+        lifetime_seconds=lifetime_seconds,
+    )
+
+
+def is_newer(store: FactStore, head: FactHead) -> bool:
+    """Return whether a peer's fact is newer than the one held here."""
+    held = store.facts_by_id.get((head.kind, head.key))
+    return held is None or head.version > held.version
+
+
+def find_facts(store: FactStore, heads: Iterable[FactHead]) -> list[StoredFact]:
+    """Return the held facts that heads ask for."""
+    found = (store.facts_by_id.get((head.kind, head.key)) for head in heads)
+    return [fact for fact in found if fact is not None]
+
+
+def expire_facts(store: FactStore) -> list[StoredFact]:
+    """Remove and return the facts past their end."""
+    now = store.clock.now()
+    expired = [
+        fact
+        for fact in store.facts_by_id.values()
+        if fact.expires_at is not None and fact.expires_at <= now
+    ]
+    for fact in expired:
+        _remove(store, fact)
+    return expired
+
+
+def make_digests(store: FactStore) -> list[BucketDigest]:
+    """Return the checksum of each bucket."""
+    return [BucketDigest(bucket, checksum) for bucket, checksum in enumerate(store.checksums)]
+
+
+def find_differing_buckets(store: FactStore, digests: Iterable[BucketDigest]) -> list[int]:
+    """Return the buckets whose checksums differ from a peer's."""
+    return [
+        digest.bucket
+        for digest in digests
+        if 0 <= digest.bucket < BUCKET_COUNT and store.checksums[digest.bucket] != digest.checksum
+    ]
+
+
+def get_bucket_facts(store: FactStore, buckets: Iterable[int]) -> list[StoredFact]:
+    """Return the facts in some buckets."""
+    return [
+        store.facts_by_id[fact_id]
+        for bucket in buckets
+        if 0 <= bucket < BUCKET_COUNT
+        for fact_id in store.ids_by_bucket[bucket]
+    ]
+
+
+def make_head(fact: StoredFact) -> FactHead:
+    """Return the kind, key and version of a fact."""
+    return FactHead(kind=fact.kind, key=fact.key, version=fact.version)
+
+
+def _read_fact(store: FactStore, message: Fact) -> StoredFact | None:
+    try:
+        kind = FactKind(message.kind)
+    except ValueError:
+        _log_refusal(message, "unknown kind")
+        return None
+    validate = store.validators_by_kind.get(kind)
+    checked = None if validate is None else validate(message.key, message.version, message.value)
+    if checked is not None and checked.is_err():
+        _log_refusal(message, checked.err_value)
+        return None
+    expires_at = None
+    if message.lifetime_seconds is not None:
+        lifetime = timedelta(seconds=min(message.lifetime_seconds, MAX_LIFETIME.total_seconds()))
+        expires_at = store.clock.now() + lifetime
+        if lifetime < MIN_REMAINING:
+            return None
+    return StoredFact(kind, message.key, message.version, message.value, expires_at)
+
+
+def _log_refusal(message: Fact, reason: object) -> None:
+    logger.warning(
+        "refused a fact of a peer",
+        extra={"kind": message.kind, "key": message.key, "reason": str(reason)},
+    )
+
+
+def _merge_fact(store: FactStore, fact: StoredFact) -> bool:
+    held = store.facts_by_id.get(fact.fact_id)
+    if held is not None:
+        # Equal versions with different values come only from a fault; the
+        # comparison of values makes every daemon settle on the same one.
+        if (fact.version, fact.value) <= (held.version, held.value):
+            return False
+        _remove(store, held)
+    elif len(store.facts_by_id) >= MAX_FACTS:
+        return False
+    store.facts_by_id[fact.fact_id] = fact
+    bucket = _get_bucket(fact)
+    store.ids_by_bucket[bucket].add(fact.fact_id)
+    store.checksums[bucket] ^= _get_checksum(fact)
+    return True
+
+
+def _remove(store: FactStore, fact: StoredFact) -> None:
+    del store.facts_by_id[fact.fact_id]
+    bucket = _get_bucket(fact)
+    store.ids_by_bucket[bucket].discard(fact.fact_id)
+    store.checksums[bucket] ^= _get_checksum(fact)
+
+
+def _get_bucket(fact: StoredFact) -> int:
+    return hash_text(fact.kind, fact.key) % BUCKET_COUNT
+
+
+def _get_checksum(fact: StoredFact) -> int:
+    return hash_text(fact.kind, fact.key, str(fact.version), fact.value.hex())
--- /dev/null
+++ b/comfreyhitch/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Version rollouts and their rollback."""
--- /dev/null
+++ b/comfreyhitch/rollouts/models.py
@@ -0,0 +1,78 @@
+"""Evidence about versions and the state of rollouts."""
+
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import StrEnum
+
+from comfreyhitch.wire.generated.ttypes import EvidenceRecord, RouteEvidence
+
+
+class RolloutPhase(StrEnum):
+    """Name how far a rollout has come."""
+
+    PENDING = "pending"
+    IN_PROGRESS = "in-progress"
+    FROZEN = "frozen"
+    DONE = "done"
+    ROLLED_BACK = "rolled-back"
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Hold what operators are told about a rollout."""
+
+    rollout_id: str
+    service: str
+    to_version: str
+    phase: RolloutPhase
+    share: float
+    reason: str
+    updated_at: datetime
+
+
+@dataclass(slots=True)
+class RouteCounts:
+    """Count answers of one version on one route, by latency bucket."""
+
+    requests: int = 0
+    failures: int = 0
+    latency_counts: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Hold what one daemon saw of its version in one window of a rollout."""
+
+    rollout_id: str
+    version: str
+    address: str
+    window: int
+    counts_by_route: dict[str, RouteCounts] = field(default_factory=dict)
+
+
+def make_evidence_record(evidence: Evidence) -> EvidenceRecord:
+    """Return the message that carries evidence."""
+    return EvidenceRecord(
+        rollout_id=evidence.rollout_id,
+        version=evidence.version,
+        address=evidence.address,
+        window=evidence.window,
+        routes=[
+            RouteEvidence(route, counts.requests, counts.failures, counts.latency_counts)
+            for route, counts in evidence.counts_by_route.items()
+        ],
+    )
+
+
+def read_evidence_record(record: EvidenceRecord) -> Evidence:
+    """Return the evidence in a message."""
+    return Evidence(
+        rollout_id=record.rollout_id,
+        version=record.version,
+        address=record.address,
+        window=record.window,
+        counts_by_route={
+            item.route: RouteCounts(item.requests, item.failures, list(item.latency_counts))
+            for item in record.routes
+        },
+    )
--- /dev/null
+++ b/comfreyhitch/sections/__init__.py
@@ -0,0 +1,1 @@
+"""Sections of the operators' document."""
--- /dev/null
+++ b/comfreyhitch/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/comfreyhitch/telemetry/metrics.py
@@ -0,0 +1,201 @@
+"""Metrics of a daemon, kept by aioprometheus."""
+
+from dataclasses import dataclass
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from comfreyhitch.core.verdicts import Verdict
+
+LATENCY_BUCKETS_SECONDS = [
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+]
+MAX_TENANTS = 200
+OTHER_TENANT = "other"
+
+
+@dataclass(slots=True)
+class EgressMetrics:
+    """Hold the metrics of requests that callers sent to this daemon."""
+
+    request_seconds: Histogram
+    requests: Counter
+    retries: Counter
+    hedges: Counter
+    fences: Counter
+    probes: Counter
+
+
+@dataclass(slots=True)
+class IngressMetrics:
+    """Hold the metrics of calls to this daemon's target."""
+
+    call_seconds: Histogram
+    refusals: Counter
+    limit: Gauge
+    in_flight: Gauge
+    queued: Gauge
+    target_probes: Counter
+    target_probe_seconds: Counter
+
+
+@dataclass(slots=True)
+class ControlMetrics:
+    """Hold the metrics of membership, configuration and rollouts."""
+
+    members: Gauge
+    section_generation: Gauge
+    platform_calls: Counter
+    datagrams: Counter
+    datagram_bytes: Counter
+    rollout_share: Gauge
+    vetoes: Gauge
+    probe_budget: Gauge
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Hold all metrics of a daemon and the registry that renders them."""
+
+    registry: Registry
+    egress: EgressMetrics
+    ingress: IngressMetrics
+    control: ControlMetrics
+    label_sets_by_key: dict[tuple[str, ...], dict[str, str]]
+    known_tenants: set[str]
+
+    @classmethod
+    def create(cls) -> "Metrics":
+        """Return new metrics in a registry of their own."""
+        registry = Registry()
+        return cls(
+            registry=registry,
+            egress=_make_egress_metrics(registry),
+            ingress=_make_ingress_metrics(registry),
+            control=_make_control_metrics(registry),
+            label_sets_by_key={},
+            known_tenants=set(),
+        )
+
+
+def observe_request(
+    metrics: Metrics, service: str, tenant: str, verdict: Verdict, seconds: float
+) -> None:
+    """Record a request that a caller sent."""
+    tenant = _bound_tenant(metrics, tenant)
+    labels = _get_labels(metrics, service, tenant, verdict.header_value)
+    metrics.egress.request_seconds.observe(labels, seconds)
+
+
+def observe_call(metrics: Metrics, tenant: str, traffic_class: str, seconds: float) -> None:
+    """Record a call that reached this daemon's target."""
+    key = ("call", _bound_tenant(metrics, tenant), traffic_class)
+    labels = metrics.label_sets_by_key.get(key)
+    if labels is None:
+        labels = {"tenant": key[1], "class": traffic_class}
+        metrics.label_sets_by_key[key] = labels
+    metrics.ingress.call_seconds.observe(labels, seconds)
+
+
+def render_metrics(metrics: Metrics) -> tuple[bytes, str]:
+    """Return all metrics in the text format, and its content type."""
+    content, headers = render(metrics.registry, ["text/plain"])
+    return content, headers["Content-Type"]
+
+
+def _get_labels(metrics: Metrics, service: str, tenant: str, verdict: str) -> dict[str, str]:
+    key = (service, tenant, verdict)
+    labels = metrics.label_sets_by_key.get(key)
+    if labels is None:
+        labels = {"service": service, "tenant": tenant, "verdict": verdict}
+        metrics.label_sets_by_key[key] = labels
+    return labels
+
+
+def _bound_tenant(metrics: Metrics, tenant: str) -> str:
+    if tenant in metrics.known_tenants:
+        return tenant
+    # Tenants come from callers, so their number has to be bounded here.
+    if len(metrics.known_tenants) >= MAX_TENANTS:
+        return OTHER_TENANT
+    metrics.known_tenants.add(tenant)
+    return tenant
+
+
+def _make_egress_metrics(registry: Registry) -> EgressMetrics:
+    return EgressMetrics(
+        request_seconds=Histogram(
+            "comfreyhitch_request_seconds",
+            "Time from request to response, by service, tenant and verdict.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        ),
+        requests=_make_counter(registry, "requests_total", "Requests of callers, by status."),
+        retries=_make_counter(registry, "retries_total", "Retries, by cause."),
+        hedges=_make_counter(registry, "hedges_total", "Hedged requests, by result."),
+        fences=_make_counter(registry, "fences_total", "Fences, by result."),
+        probes=_make_counter(registry, "probes_total", "Load probes to other daemons."),
+    )
+
+
+def _make_ingress_metrics(registry: Registry) -> IngressMetrics:
+    return IngressMetrics(
+        call_seconds=Histogram(
+            "comfreyhitch_call_seconds",
+            "Time of calls at the target, by tenant and class.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        ),
+        refusals=_make_counter(registry, "refusals_total", "Calls refused as not run, by cause."),
+        limit=_make_gauge(registry, "concurrency_limit", "Concurrency limit of the target."),
+        in_flight=_make_gauge(registry, "in_flight", "Calls that run at the target."),
+        queued=_make_gauge(registry, "queued", "Calls that wait for the target."),
+        target_probes=_make_counter(
+            registry, "target_probes_total", "Reads of the target's health endpoint."
+        ),
+        target_probe_seconds=_make_counter(
+            registry, "target_probe_seconds_total", "Time spent on reading the health endpoint."
+        ),
+    )
+
+
+def _make_control_metrics(registry: Registry) -> ControlMetrics:
+    return ControlMetrics(
+        members=_make_gauge(registry, "members", "Known daemons, by status."),
+        section_generation=_make_gauge(
+            registry, "section_generation", "Generation in force, by section."
+        ),
+        platform_calls=_make_counter(
+            registry, "platform_calls_total", "Calls to the platform's object API, by kind."
+        ),
+        datagrams=_make_counter(registry, "datagrams_total", "Gossip datagrams sent."),
+        datagram_bytes=_make_counter(
+            registry, "datagram_bytes_total", "Bytes of gossip datagrams sent."
+        ),
+        rollout_share=_make_gauge(
+            registry, "rollout_share", "Share of a new version, by service and version."
+        ),
+        vetoes=_make_gauge(registry, "vetoes", "Rollouts that were judged bad."),
+        probe_budget=_make_gauge(
+            registry, "probe_budget_per_second", "Load probes a second that are allowed."
+        ),
+    )
+
+
+def _make_counter(registry: Registry, name: str, doc: str) -> Counter:
+    return Counter(f"comfreyhitch_{name}", doc, registry=registry)
+
+
+def _make_gauge(registry: Registry, name: str, doc: str) -> Gauge:
+    return Gauge(f"comfreyhitch_{name}", doc, registry=registry)
--- /dev/null
+++ b/comfreyhitch/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for tests, the demo and benchmarks."""
--- /dev/null
+++ b/comfreyhitch/testing/fleet.py
@@ -0,0 +1,325 @@
+"""Run a fleet of daemons and stand-ins as separate processes on loopback."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import gevent
+from geventhttpclient import HTTPClient
+
+HTTP_PORT = 8080
+PEER_PORT = 8081
+ADMIN_PORT = 8082
+TARGET_PORT = 9000
+PLATFORM_PORT = 7000
+POLL_SECONDS = 0.02
+STOP_TIMEOUT_SECONDS = 10.0
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold a response as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """Return the value of the verdict header."""
+        return self.headers.get("comfreyhitch-verdict", "")
+
+    @property
+    def refusal(self) -> str:
+        """Return the value of the refusal header."""
+        return self.headers.get("comfreyhitch-refusal", "")
+
+    @property
+    def json(self) -> object:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+@dataclass(slots=True)
+class Instance:
+    """Hold one instance: a target and the daemon beside it."""
+
+    name: str
+    host: str
+    zone: str
+    service: str
+    version: str
+    environment: dict[str, str]
+    target_arguments: list[str]
+    relay_host: str = ""
+    daemon: subprocess.Popen | None = None
+    target: subprocess.Popen | None = None
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address that other daemons use."""
+        return f"{self.relay_host or self.host}:{PEER_PORT}"
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Hold the instances of a fleet on IP numbers of its own."""
+
+    folder: Path
+    prefix: str
+    settings: dict[str, str] = field(default_factory=dict)
+    instances_by_name: dict[str, Instance] = field(default_factory=dict)
+    platform: subprocess.Popen | None = None
+    relays: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    @classmethod
+    def from_folder(cls, folder: Path, settings: dict[str, str] | None = None) -> "Fleet":
+        """Return an empty fleet that logs into a folder."""
+        # Each process of tests gets loopback addresses of its own, so that
+        # several runs on one machine do not meet.
+        process_id = os.getpid()
+        prefix = f"127.{(process_id >> 8) % 250 + 1}.{process_id % 250 + 1}"
+        return cls(folder=folder, prefix=prefix, settings=dict(settings or {}))
+
+    @property
+    def platform_url(self) -> str:
+        """Return the base URL of the stand-in platform."""
+        return f"http://{self.prefix}.250:{PLATFORM_PORT}"
+
+
+def add_instance(
+    fleet: Fleet,
+    service: str,
+    zone: str,
+    *,
+    version: str = "v1",
+    slots: int = 10,
+    target_arguments: list[str] | None = None,
+    settings: dict[str, str] | None = None,
+    has_relay: bool = False,
+) -> Instance:
+    """Add an instance that is not started yet."""
+    number = len(fleet.instances_by_name) + 1
+    name = f"{service}-{number}"
+    instance = Instance(
+        name=name,
+        host=f"{fleet.prefix}.{number}",
+        zone=zone,
+        service=service,
+        version=version,
+        environment={**fleet.settings, **(settings or {})},
+        target_arguments=["--slots", str(slots), *(target_arguments or [])],
+        relay_host=f"{fleet.prefix}.{number + 100}" if has_relay else "",
+    )
+    fleet.instances_by_name[name] = instance
+    return instance
+
+
+def start_platform(fleet: Fleet) -> None:
+    """Start the stand-in platform."""
+    command = ["-m", "comfreyhitch.testing.platform", "--host", f"{fleet.prefix}.250"]
+    fleet.platform = _spawn(fleet, "platform", [*command, "--port", str(PLATFORM_PORT)], {})
+    fleet.settings["platform_url"] = fleet.platform_url
+    wait_until(lambda: _is_answering(f"{fleet.prefix}.250", PLATFORM_PORT), 10.0, "platform")
+
+
+def start_daemon(fleet: Fleet, instance: Instance) -> None:
+    """Start the daemon of an instance."""
+    first_peers = [
+        item.peer_address
+        for item in fleet.instances_by_name.values()
+        if item.daemon is not None and item is not instance
+    ]
+    values = {
+        "host": instance.host,
+        "http_port": str(HTTP_PORT),
+        "peer_port": str(PEER_PORT),
+        "admin_port": str(ADMIN_PORT),
+        "zone": instance.zone,
+        "peers": ",".join(first_peers[:3]),
+        **fleet.settings,
+        **instance.environment,
+    }
+    if instance.relay_host:
+        values["advertised_address"] = instance.peer_address
+        _start_relay(fleet, instance)
+    environment = {f"COMFREYHITCH_{name.upper()}": value for name, value in values.items()}
+    instance.daemon = _spawn(
+        fleet, f"{instance.name}-daemon", ["-m", "comfreyhitch.daemon"], environment
+    )
+
+
+def start_target(fleet: Fleet, instance: Instance) -> None:
+    """Start the target of an instance, which announces itself to its daemon."""
+    arguments = ["-m", "comfreyhitch.testing.target", "--host", instance.host]
+    arguments += ["--port", str(TARGET_PORT), "--admin", f"{instance.host}:{ADMIN_PORT}"]
+    arguments += ["--service", instance.service, "--version", instance.version]
+    arguments += instance.target_arguments
+    instance.target = _spawn(fleet, f"{instance.name}-target", arguments, {})
+
+
+def start_fleet(fleet: Fleet) -> None:
+    """Start all instances, and wait until every daemon knows every target."""
+    for instance in fleet.instances_by_name.values():
+        start_daemon(fleet, instance)
+        start_target(fleet, instance)
+    wait_until_joined(fleet)
+
+
+def wait_until_joined(fleet: Fleet, timeout_seconds: float = 30.0) -> None:
+    """Wait until every running daemon knows every running target."""
+    running = [
+        item
+        for item in fleet.instances_by_name.values()
+        if is_running(item.daemon) and is_running(item.target)
+    ]
+    expected = {item.peer_address for item in running}
+
+    def is_joined(instance: Instance) -> bool:
+        members = get_admin(instance, "/v1/members")
+        if members is None:
+            return False
+        known = {item["address"] for item in members if item["service"]}
+        return expected <= known
+
+    for instance in running:
+        wait_until(lambda instance=instance: is_joined(instance), timeout_seconds, instance.name)
+
+
+def get_admin(instance: Instance, path: str) -> object | None:
+    """Return what the admin port says, or None if it does not answer."""
+    try:
+        return request(instance.host, path, port=ADMIN_PORT).json
+    except (OSError, ValueError):
+        return None
+
+
+def get_target_state(instance: Instance) -> dict:
+    """Return what the stand-in target counted."""
+    return request(instance.host, "/_standin/state", port=TARGET_PORT).json
+
+
+def set_faults(instance: Instance, **faults: object) -> None:
+    """Change the faults of a running target."""
+    body = json.dumps(faults).encode()
+    request(instance.host, "/_standin/faults", method="POST", body=body, port=TARGET_PORT)
+
+
+def request(
+    host: str,
+    path: str,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    port: int = HTTP_PORT,
+    timeout_seconds: float = 15.0,
+) -> Answer:
+    """Send one request on a new connection; raise `OSError` without an answer."""
+    client = HTTPClient(
+        host, port, concurrency=1, connection_timeout=2.0, network_timeout=timeout_seconds
+    )
+    try:
+        response = client.request(method, path, body, headers or {})
+        content = response.read()
+        names = {name.lower(): value for name, value in response.headers}
+        return Answer(response.status_code, names, content)
+    finally:
+        client.close()
+
+
+def call_service(instance: Instance, service: str, path: str = "/", **options: object) -> Answer:
+    """Send one request for a service through the daemon of an instance."""
+    headers = {"Comfreyhitch-Service": service, **options.pop("headers", {})}
+    return request(instance.host, path, headers=headers, **options)
+
+
+def wait_until(condition: Callable[[], bool], timeout_seconds: float, what: str) -> float:
+    """Wait for a condition, and return the seconds it took; raise `TimeoutError` if too many."""
+    started_at = time.monotonic()
+    while True:
+        with suppress(OSError):
+            if condition():
+                return time.monotonic() - started_at
+        if time.monotonic() - started_at > timeout_seconds:
+            raise TimeoutError(f"{what}: not within {timeout_seconds} s")
+        gevent.sleep(POLL_SECONDS)
+
+
+def kill(process: subprocess.Popen | None) -> None:
+    """End a process at once."""
+    if process is not None and process.poll() is None:
+        process.kill()
+        process.wait()
+
+
+def freeze(process: subprocess.Popen) -> None:
+    """Stop a process without ending it."""
+    process.send_signal(signal.SIGSTOP)
+
+
+def resume(process: subprocess.Popen) -> None:
+    """Let a frozen process go on."""
+    process.send_signal(signal.SIGCONT)
+
+
+def stop_gracefully(process: subprocess.Popen) -> None:
+    """Ask a process to stop, without waiting for it."""
+    process.send_signal(signal.SIGTERM)
+
+
+def is_running(process: subprocess.Popen | None) -> bool:
+    """Return whether a process was started and has not ended."""
+    return process is not None and process.poll() is None
+
+
+def stop_fleet(fleet: Fleet) -> None:
+    """End every process of the fleet."""
+    processes = [fleet.platform, *fleet.relays.values()]
+    for instance in fleet.instances_by_name.values():
+        processes += [instance.daemon, instance.target]
+    for process in processes:
+        if is_running(process):
+            resume(process)
+        kill(process)
+
+
+def read_log(fleet: Fleet, name: str) -> list[dict]:
+    """Return the log lines of a process."""
+    lines = (fleet.folder / f"{name}.log").read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+def _start_relay(fleet: Fleet, instance: Instance) -> None:
+    if is_running(fleet.relays.get(instance.name)):
+        return
+    arguments = ["-m", "comfreyhitch.testing.relay", "--host", instance.relay_host]
+    arguments += ["--target", f"{instance.host}:{PEER_PORT}", "--admin-port", str(ADMIN_PORT)]
+    fleet.relays[instance.name] = _spawn(fleet, f"{instance.name}-relay", arguments, {})
+    wait_until(lambda: _is_answering(instance.relay_host, ADMIN_PORT), 10.0, "relay")
+
+
+def _spawn(
+    fleet: Fleet, name: str, arguments: list[str], environment: dict[str, str]
+) -> subprocess.Popen:
+    kept = {key: value for key, value in os.environ.items() if not key.startswith("COMFREYHITCH_")}
+    path = fleet.folder / f"{name}.log"
+    with path.open("ab") as log:
+        return subprocess.Popen(
+            [sys.executable, *arguments],
+            env={**kept, **environment},
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+        )
+
+
+def _is_answering(host: str, port: int) -> bool:
+    return request(host, "/healthz", port=port).status < 500
--- /dev/null
+++ b/comfreyhitch/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state of their own."""
--- /dev/null
+++ b/comfreyhitch/utils/token_bucket.py
@@ -0,0 +1,39 @@
+"""Token bucket on an injected clock."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Hold tokens up to a capacity; `rate` is tokens a second."""
+
+    rate: float
+    capacity: float
+    tokens: float
+    updated_at: float
+
+    @classmethod
+    def from_rate(cls, rate: float, capacity: float, now: float) -> "TokenBucket":
+        """Return a full bucket."""
+        return cls(rate=rate, capacity=capacity, tokens=capacity, updated_at=now)
+
+
+def refill(bucket: TokenBucket, now: float) -> None:
+    """Add the tokens earned since the last update."""
+    elapsed = max(0.0, now - bucket.updated_at)
+    bucket.tokens = min(bucket.capacity, bucket.tokens + elapsed * bucket.rate)
+    bucket.updated_at = now
+
+
+def take(bucket: TokenBucket, now: float, amount: float = 1.0) -> bool:
+    """Take tokens if there are enough, and return whether it did."""
+    refill(bucket, now)
+    if bucket.tokens < amount:
+        return False
+    bucket.tokens -= amount
+    return True
+
+
+def deposit(bucket: TokenBucket, amount: float) -> None:
+    """Add tokens earned by work rather than by time."""
+    bucket.tokens = min(bucket.capacity, bucket.tokens + amount)
--- /dev/null
+++ b/comfreyhitch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages and transports between daemons."""
--- /dev/null
+++ b/comfreyhitch/wire/codec.py
@@ -0,0 +1,40 @@
+"""Encode and decode thrift structs that travel inside datagrams and facts."""
+
+from typing import TypeVar
+
+from result import Err, Ok, Result
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+STRING_LIMIT_BYTES = 16 * 1024 * 1024
+CONTAINER_LIMIT_ENTRIES = 65_536
+
+Struct = TypeVar("Struct")
+
+
+def make_protocol(transport: object) -> TBinaryProtocolAccelerated:
+    """Return the bounded protocol used everywhere bytes come in."""
+    return TBinaryProtocolAccelerated(
+        transport,
+        string_length_limit=STRING_LIMIT_BYTES,
+        container_length_limit=CONTAINER_LIMIT_ENTRIES,
+        fallback=False,
+    )
+
+
+def encode(struct: object) -> bytes:
+    """Return the bytes of a thrift struct."""
+    buffer = TMemoryBuffer()
+    struct.write(make_protocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(struct_type: type[Struct], data: bytes) -> Result[Struct, str]:
+    """Return the struct in the bytes, or why they are not one."""
+    struct = struct_type()
+    try:
+        struct.read(make_protocol(TMemoryBuffer(data)))
+        struct.validate()
+    except Exception as error:  # The C decoder raises several unrelated types.
+        return Err(f"not a {struct_type.__name__}: {error!r}")
+    return Ok(struct)
--- /dev/null
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -0,0 +1,229 @@
+namespace py comfreyhitch.wire.generated
+
+/** Whether a request may have reached its target. */
+enum WireVerdict {
+  NOT_RUN = 0,
+  MAY_HAVE_RUN = 1,
+  RAN = 2,
+}
+
+/** Outcome of a fence query for one request. */
+enum FenceState {
+  NEVER_RAN = 0,
+  RUNNING = 1,
+  FINISHED = 2,
+  UNKNOWN = 3,
+}
+
+struct Header {
+  1: required string name,
+  2: required string value,
+}
+
+/** Load of a target as seen by its own daemon. */
+struct LoadReport {
+  1: required i32 in_flight,
+  2: required i32 queued,
+  3: required i32 limit,
+  4: required double latency_seconds,
+  5: required bool accepting,
+}
+
+struct CallRequest {
+  1: required string request_id,
+  2: required string service_name,
+  3: required string method,
+  4: required string path,
+  5: required list<Header> headers,
+  6: required binary body,
+  7: required double timeout_seconds,
+  8: required string tenant,
+  9: required i32 priority,
+  10: required bool idempotent,
+  11: optional string idempotency_key,
+  12: required string fingerprint,
+  13: required string route,
+  14: required i32 attempt,
+}
+
+struct CallAnswer {
+  1: required string request_id,
+  2: required WireVerdict verdict,
+  3: required i32 status,
+  4: required string reason,
+  5: required list<Header> headers,
+  6: required binary body,
+  7: required LoadReport load,
+  8: optional string refusal,
+  9: required string version,
+}
+
+struct Greeting {
+  1: required string boot_id,
+  2: required LoadReport load,
+}
+
+struct FenceQuery {
+  1: required string request_id,
+  2: required string boot_id,
+  3: required double age_seconds,
+}
+
+struct FenceAnswer {
+  1: required FenceState state,
+  2: optional CallAnswer answer,
+}
+
+enum ClaimState {
+  GRANTED = 0,
+  HELD = 1,
+  FINISHED = 2,
+  REFUSED = 3,
+}
+
+/** Request of the daemon `owner` to be the only one that runs a key. */
+struct ClaimRequest {
+  1: required string scope,
+  2: required string claim_id,
+  3: required string owner,
+  4: required string owner_boot_id,
+  5: required string fingerprint,
+  /** Claim that its owner has proved never to have run. */
+  6: optional string replaces,
+  7: required string service_name,
+}
+
+struct ClaimAnswer {
+  1: required ClaimState state,
+  2: optional string claim_id,
+  3: optional string owner,
+  4: optional string owner_boot_id,
+  5: optional string fingerprint,
+  6: optional CallAnswer answer,
+  7: required double age_seconds,
+}
+
+struct ClaimOutcome {
+  1: required string scope,
+  2: required string claim_id,
+  3: required string fingerprint,
+  4: required string owner,
+  5: required string owner_boot_id,
+  6: optional CallAnswer answer,
+  7: required double age_seconds,
+  8: required string service_name,
+}
+
+/** A replicated entry; the highest version of each kind and key wins. */
+struct Fact {
+  1: required string kind,
+  2: required string key,
+  3: required i64 version,
+  4: required binary value,
+  5: optional double lifetime_seconds,
+}
+
+struct BucketDigest {
+  1: required i32 bucket,
+  2: required i64 checksum,
+}
+
+struct FactHead {
+  1: required string kind,
+  2: required string key,
+  3: required i64 version,
+}
+
+struct SyncAnswer {
+  1: required list<i32> differing_buckets,
+}
+
+struct ExchangeAnswer {
+  1: required list<Fact> newer,
+  2: required list<FactHead> wanted,
+}
+
+enum DatagramKind {
+  PING = 0,
+  ACK = 1,
+  PING_REQUEST = 2,
+}
+
+/** Failure detector message with piggybacked facts. */
+struct Datagram {
+  1: required DatagramKind kind,
+  2: required i64 sequence,
+  3: required string sender,
+  4: optional string subject,
+  5: required list<Fact> facts,
+  6: required list<FactHead> heads,
+}
+
+service Peer {
+  Greeting greet(1: string caller),
+  CallAnswer call(1: CallRequest request),
+  FenceAnswer fence(1: FenceQuery query),
+  ClaimAnswer claim(1: ClaimRequest request),
+  void settle_claims(1: list<ClaimOutcome> outcomes),
+  void release_claim(1: ClaimRequest request),
+  SyncAnswer compare(1: list<BucketDigest> digests),
+  ExchangeAnswer exchange(1: list<i32> buckets, 2: list<FactHead> heads),
+  list<Fact> fetch(1: list<FactHead> heads),
+  void push(1: list<Fact> facts),
+}
+
+/** Announced state of one target and its daemon. */
+struct MemberRecord {
+  1: required string address,
+  2: required string http_address,
+  3: required string boot_id,
+  4: required i64 incarnation,
+  5: required i32 status,
+  6: required string zone,
+  7: required string region,
+  8: required string service_name,
+  9: required string version,
+  10: required i32 slots,
+  11: required bool draining,
+  12: required double started_at,
+}
+
+struct SectionRecord {
+  1: required string name,
+  2: required i64 generation,
+  3: required binary content,
+}
+
+struct VetoRecord {
+  1: required string rollout_id,
+  2: required string reason,
+  3: required double vetoed_at,
+}
+
+struct CompletionRecord {
+  1: required string rollout_id,
+  2: required double completed_at,
+}
+
+/** Evidence of one daemon about its version on one route. */
+struct RouteEvidence {
+  1: required string route,
+  2: required i64 requests,
+  3: required i64 failures,
+  4: required list<i64> latency_counts,
+}
+
+struct EvidenceRecord {
+  1: required string rollout_id,
+  2: required string version,
+  3: required string address,
+  4: required i64 window,
+  5: required list<RouteEvidence> routes,
+}
+
+/** A request whose target died while running it. */
+struct CrashRecord {
+  1: required string fingerprint,
+  2: required string target,
+  3: required double reported_at,
+}
--- /dev/null
+++ b/comfreyhitch/wire/connections.py
@@ -0,0 +1,207 @@
+"""Pooled connections to other daemons, one call at a time on each."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TypeVar
+
+import gevent.socket
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.wire.codec import make_protocol
+from comfreyhitch.wire.exceptions import PeerError, PeerTimeoutError
+from comfreyhitch.wire.generated import Peer
+from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Greeting
+from comfreyhitch.wire.sockets import connect, is_disconnected, split_address, wait_readable
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+MAX_IDLE = timedelta(seconds=20)
+MAX_IDLE_CONNECTIONS = 64
+
+Answer = TypeVar("Answer")
+
+
+@dataclass(slots=True)
+class PeerConnection:
+    """Hold one connection and the boot id of the daemon at its other end."""
+
+    address: str
+    sock: gevent.socket.socket
+    client: Peer.Client
+    opened_at: float
+    idle_since: float
+    greeting: Greeting | None = None
+    is_used: bool = False
+
+    @classmethod
+    def from_address(
+        cls, address: str, source_host: str, clock: Clock, timeout_seconds: float
+    ) -> "PeerConnection":
+        """Open a connection; raise `PeerError` if that fails."""
+        host, port = split_address(address)
+        try:
+            sock = connect(host, port, timeout_seconds, source_host)
+        except OSError as error:
+            raise PeerError(f"connect to {address}: {error}", sent=False) from error
+        transport = TSocket()
+        transport.setHandle(sock)
+        protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
+        now = clock.monotonic()
+        return cls(address, sock, Peer.Client(protocol), opened_at=now, idle_since=now)
+
+    def close(self) -> None:
+        """Close the connection, so that a late answer is never read."""
+        self.sock.close()
+
+    def set_timeout(self, seconds: float) -> None:
+        """Bound each blocking operation on the socket, in seconds."""
+        self.sock.settimeout(max(0.001, seconds))
+
+
+def send_call(connection: PeerConnection, request: CallRequest, timeout_seconds: float) -> None:
+    """Send a call; raise `PeerError` if it could not be sent whole."""
+    connection.set_timeout(timeout_seconds)
+    connection.is_used = True
+    try:
+        connection.client.send_call(request)
+    except (OSError, TException) as error:
+        # Part of the frame never left, and a daemon runs whole frames only.
+        connection.close()
+        raise PeerError(f"send to {connection.address}: {error}", sent=False) from error
+
+
+def receive_call(connection: PeerConnection, request_id: str, timeout_seconds: float) -> CallAnswer:
+    """Return the answer to the call sent last; raise `PeerError` without one."""
+    connection.set_timeout(timeout_seconds)
+    try:
+        answer = connection.client.recv_call()
+    except TimeoutError as error:
+        connection.close()
+        raise PeerTimeoutError(f"no answer from {connection.address}", sent=True) from error
+    except (OSError, TException, EOFError) as error:
+        connection.close()
+        raise PeerError(f"receive from {connection.address}: {error}", sent=True) from error
+    if answer.request_id != request_id:
+        connection.close()
+        raise PeerError(f"{connection.address} answered another request", sent=True)
+    return answer
+
+
+@dataclass(slots=True)
+class PeerPool:
+    """Keep idle connections to other daemons."""
+
+    own_address: str
+    source_host: str
+    clock: Clock
+    idle_by_address: dict[str, list[PeerConnection]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    distrusted_before_by_address: dict[str, float] = field(default_factory=dict)
+
+    @classmethod
+    def from_address(cls, own_address: str, source_host: str, clock: Clock) -> "PeerPool":
+        """Return an empty pool for the daemon at an address; connections leave from the host."""
+        return cls(own_address, source_host, clock)
+
+    def acquire(self, address: str, timeout_seconds: float) -> PeerConnection:
+        """Return an idle or a new connection; raise `PeerError` if none can be opened."""
+        idle = self.idle_by_address[address]
+        while idle:
+            connection = idle.pop()
+            if self._is_reusable(connection):
+                return connection
+            connection.close()
+        return self.open(address, timeout_seconds)
+
+    def open(self, address: str, timeout_seconds: float) -> PeerConnection:
+        """Return a new connection; raise `PeerError` if it can't be opened."""
+        limit = min(timeout_seconds, CONNECT_TIMEOUT.total_seconds())
+        connection = PeerConnection.from_address(address, self.source_host, self.clock, limit)
+        try:
+            connection.set_timeout(limit)
+            connection.greeting = connection.client.greet(self.own_address)
+        except (OSError, TException, EOFError) as error:
+            connection.close()
+            raise PeerError(f"greet {address}: {error}", sent=False) from error
+        return connection
+
+    def release(self, connection: PeerConnection) -> None:
+        """Take back a connection whose last call was answered whole."""
+        idle = self.idle_by_address[connection.address]
+        connection.idle_since = self.clock.monotonic()
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        idle.append(connection)
+
+    def distrust_older(self, address: str) -> None:
+        """Drop all connections to an address that were opened before now."""
+        self.distrusted_before_by_address[address] = self.clock.monotonic()
+        for connection in self.idle_by_address.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self.idle_by_address.values():
+            for connection in idle:
+                connection.close()
+        self.idle_by_address.clear()
+
+    def _is_reusable(self, connection: PeerConnection) -> bool:
+        idle_seconds = self.clock.monotonic() - connection.idle_since
+        if idle_seconds > MAX_IDLE.total_seconds():
+            return False
+        distrusted_before = self.distrusted_before_by_address.get(connection.address, 0.0)
+        if connection.opened_at < distrusted_before:
+            return False
+        return not is_disconnected(connection.sock)
+
+
+def wait_for_answer(connection: PeerConnection, timeout_seconds: float) -> bool:
+    """Wait until an answer starts to arrive, and return whether it did."""
+    return wait_readable(connection.sock, timeout_seconds)
+
+
+def call_peer(
+    pool: PeerPool, address: str, timeout_seconds: float, call: Callable[[Peer.Client], Answer]
+) -> Answer:
+    """Make an idempotent call, again on a new connection if a pooled one fails.
+
+    Raise `PeerError` if no answer comes.
+    """
+    connection = pool.acquire(address, timeout_seconds)
+    is_reused = connection.is_used
+    try:
+        answer = _call_once(connection, timeout_seconds, call)
+    except PeerError:
+        if not is_reused:
+            raise
+        pool.distrust_older(address)
+        connection = pool.open(address, timeout_seconds)
+        answer = _call_once(connection, timeout_seconds, call)
+    pool.release(connection)
+    return answer
+
+
+def _call_once(
+    connection: PeerConnection, timeout_seconds: float, call: Callable[[Peer.Client], Answer]
+) -> Answer:
+    connection.set_timeout(timeout_seconds)
+    connection.is_used = True
+    try:
+        return call(connection.client)
+    except TimeoutError as error:
+        connection.close()
+        raise PeerTimeoutError(f"no answer from {connection.address}", sent=True) from error
+    except (OSError, TException, EOFError) as error:
+        connection.close()
+        raise PeerError(f"call to {connection.address}: {error}", sent=True) from error
+    except BaseException:
+        connection.close()
+        raise
--- /dev/null
+++ b/comfreyhitch/wire/server.py
@@ -0,0 +1,44 @@
+"""Serve thrift calls of other daemons, one greenlet a connection."""
+
+import logging
+from collections.abc import Callable
+
+import gevent.socket
+from gevent.server import StreamServer
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from comfreyhitch.wire.codec import make_protocol
+from comfreyhitch.wire.connections import MAX_FRAME_BYTES
+from comfreyhitch.wire.generated import Peer
+from comfreyhitch.wire.sockets import tune_socket
+
+logger = logging.getLogger(__name__)
+
+HandlerFactory = Callable[[gevent.socket.socket], Peer.Iface]
+
+
+def make_peer_server(host: str, port: int, make_handler: HandlerFactory) -> StreamServer:
+    """Return a server that gives each connection a handler of its own."""
+
+    def serve(sock: gevent.socket.socket, peer_address: tuple[str, int]) -> None:
+        tune_socket(sock)
+        transport = TSocket()
+        transport.setHandle(sock)
+        protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
+        processor = Peer.Processor(make_handler(sock))
+        try:
+            while True:
+                processor.process(protocol, protocol)
+        except (TTransportException, EOFError, OSError):
+            pass
+        except (TException, ValueError, TypeError, MemoryError) as error:
+            logger.warning(
+                "peer sent a frame that can't be decoded",
+                extra={"peer": f"{peer_address[0]}:{peer_address[1]}", "error": repr(error)},
+            )
+        finally:
+            sock.close()
+
+    return StreamServer((host, port), serve, backlog=512)
--- /dev/null
+++ b/comfreyhitch/wire/sockets.py
@@ -0,0 +1,69 @@
+"""Options of the TCP sockets between daemons and towards callers."""
+
+import socket
+from datetime import timedelta
+
+import gevent.socket
+from gevent import Timeout
+from gevent.socket import wait_read
+
+# A peer that acknowledges nothing for this long is gone, even if its
+# connection was never reset.
+USER_TIMEOUT = timedelta(seconds=5)
+# The standard library of Python 3.11 does not name this Linux option.
+_IP_BIND_ADDRESS_NO_PORT = 24
+
+
+def tune_socket(sock: gevent.socket.socket) -> None:
+    """Disable Nagle's algorithm and bound how long sent data may go unacknowledged."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    timeout_ms = int(USER_TIMEOUT.total_seconds() * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def connect(
+    host: str, port: int, timeout_seconds: float, source_host: str = ""
+) -> gevent.socket.socket:
+    """Open a tuned connection; raise `OSError` if it can't be opened in time."""
+    sock = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        if source_host:
+            sock.setsockopt(socket.IPPROTO_IP, _IP_BIND_ADDRESS_NO_PORT, 1)
+            sock.bind((source_host, 0))
+        sock.settimeout(timeout_seconds)
+        sock.connect((host, port))
+        tune_socket(sock)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of a `host:port` address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def is_disconnected(sock: gevent.socket.socket) -> bool:
+    """Return whether the other end has closed the connection."""
+    try:
+        return sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def wait_readable(sock: gevent.socket.socket, timeout_seconds: float) -> bool:
+    """Wait for data or the end of the stream, and return whether it came in time."""
+    expired = Timeout(0)
+    try:
+        wait_read(sock.fileno(), timeout=timeout_seconds, timeout_exc=expired)
+    except Timeout as timeout:
+        if timeout is not expired:
+            raise
+        return False
+    finally:
+        expired.close()
+    return True
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,48 @@
+"""Set up and tear down what scenarios share."""
+
+import os
+import tempfile
+from pathlib import Path
+
+from hypothesis import HealthCheck, settings
+
+from comfreyhitch.testing.fleet import stop_fleet
+
+TEST_SEED_VARIABLE = "COMFREYHITCH_TEST_SEED"
+EXAMPLES = 200
+
+
+def before_all(context):
+    """Fix the seed, so that each run gives the same verdict."""
+    context.seed = int(os.environ.get(TEST_SEED_VARIABLE, "1"))
+    settings.register_profile(
+        "features",
+        max_examples=EXAMPLES,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    settings.load_profile("features")
+
+
+def before_scenario(context, scenario):
+    """Give each scenario a folder of its own."""
+    context.scratch = tempfile.TemporaryDirectory()
+    context.folder = Path(context.scratch.name)
+    context.fleet = None
+
+
+def after_scenario(context, scenario):
+    """End the processes of the scenario."""
+    if context.fleet is not None:
+        stop_fleet(context.fleet)
+        if scenario.status == "failed":
+            print_logs(context.folder)
+    context.scratch.cleanup()
+
+
+def print_logs(folder):
+    """Print the last lines of each process, for a failed scenario."""
+    for path in sorted(folder.glob("*.log")):
+        lines = path.read_text().splitlines()[-12:]
+        print(f"--- {path.name}", *lines, sep="\n")
--- /dev/null
+++ b/features/steps/whole_path_steps.py
@@ -0,0 +1,143 @@
+"""Steps for requests through the whole path."""
+
+import gevent
+import gevent.socket
+from behave import then, when
+
+from comfreyhitch.testing.fleet import HTTP_PORT, call_service, request
+from features.steps.fleet_steps import get_instance, list_instances
+
+SHORT_TIMEOUT_MS = "25"
+
+
+@when("the daemon beside catalogue is asked for payments with")
+def send_methods(context):
+    instance = get_instance(context, "catalogue")
+    context.exchanges = []
+    for row in context.table:
+        body = b"\x00\xff body" if row["method"] in ("POST", "PUT", "PATCH") else b""
+        headers = {"X-Custom": "a, b"}
+        answer = call_service(
+            instance, "payments", row["path"], method=row["method"], body=body, headers=headers
+        )
+        context.exchanges.append((row["method"], row["path"], body, answer))
+
+
+@then("each response is the target's own, with verdict ran")
+def check_methods(context):
+    for method, path, body, answer in context.exchanges:
+        assert answer.status == 200, (method, answer)
+        assert answer.verdict == "ran"
+        seen = answer.json
+        assert seen["service"] == "payments"
+        assert seen["method"] == method
+        assert seen["path"] == path.partition("?")[0]
+        assert seen["query"] == path.partition("?")[2]
+        assert seen["body"] == body.decode("latin-1")
+        assert seen["headers"]["HTTP_X_CUSTOM"] == "a, b"
+
+
+@then("statuses {codes} arrive with both X-Two headers")
+def check_statuses(context, codes):
+    instance = get_instance(context, "catalogue")
+    for code in codes.replace(" and ", ", ").split(", "):
+        headers = {"Comfreyhitch-Service": "payments", "Comfreyhitch-Attempt": "2"}
+        answer = _request_raw(instance, f"/status/{code}", headers)
+        assert answer.startswith(f"HTTP/1.1 {code} Stand-in\r\n"), answer
+        assert "X-Two: a\r\nX-Two: b\r\n" in answer, answer
+        assert "Comfreyhitch-Verdict: ran" in answer
+
+
+@then('a chunked answer arrives as "{text}"')
+def check_chunked(context, text):
+    answer = call_service(get_instance(context, "catalogue"), "payments", "/chunked")
+    assert answer.body.decode() == text
+
+
+@then("HEAD arrives without a body")
+def check_head(context):
+    answer = call_service(get_instance(context, "catalogue"), "payments", "/a", method="HEAD")
+    assert answer.status == 200
+    assert answer.body == b""
+
+
+@then("a body over the limit is refused with 413 and verdict not-run")
+def check_body_limit(context):
+    instance = get_instance(context, "catalogue")
+    body = b"x" * (4 * 1024 * 1024 + 1)
+    answer = call_service(instance, "catalogue", "/", method="POST", body=body)
+    assert (answer.status, answer.verdict) == (413, "not-run"), answer
+
+
+@then("an unknown service is refused with 404 and verdict not-run")
+def check_unknown_service(context):
+    answer = call_service(get_instance(context, "catalogue"), "no-such-service")
+    assert (answer.status, answer.verdict) == (404, "not-run"), answer
+
+
+@then("a deadline that is not a number is refused with 400 and verdict not-run")
+def check_bad_deadline(context):
+    headers = {"Comfreyhitch-Timeout-Ms": "soon"}
+    answer = call_service(get_instance(context, "catalogue"), "catalogue", headers=headers)
+    assert (answer.status, answer.verdict) == (400, "not-run"), answer
+    assert b"Comfreyhitch-Timeout-Ms" in answer.body
+
+
+@then("a request line that is not HTTP is refused with 400 and verdict not-run")
+def check_bad_request_line(context):
+    instance = get_instance(context, "catalogue")
+    text = _exchange_raw(instance, b"NONSENSE\r\n\r\n")
+    assert text.startswith("HTTP/1.1 400"), text
+    assert "Comfreyhitch-Verdict: not-run" in text
+
+
+@when(
+    "{count:d} requests with bodies of their own and short deadlines "
+    "are sent at once from {callers:d} callers"
+)
+def send_racing_requests(context, count, callers):
+    instances = list_instances(context, "payments")
+    context.answers = {}
+
+    def run_caller(caller):
+        for number in range(caller, count, callers):
+            body = f"request {number}".encode()
+            headers = {"Comfreyhitch-Service": "payments"}
+            if number % 2:
+                headers["Comfreyhitch-Timeout-Ms"] = SHORT_TIMEOUT_MS
+            instance = instances[number % len(instances)]
+            context.answers[number] = request(
+                instance.host, "/echo", method="PUT", body=body, headers=headers
+            )
+
+    gevent.joinall(
+        [gevent.spawn(run_caller, caller) for caller in range(callers)], raise_error=True
+    )
+
+
+@then("every answer that arrives belongs to its request")
+def check_answers_match(context):
+    matched = 0
+    for number, answer in context.answers.items():
+        if answer.status == 200:
+            assert answer.json["body"] == f"request {number}", (number, answer)
+            matched += 1
+        else:
+            assert answer.verdict in ("not-run", "may-have-run"), answer
+    assert matched > len(context.answers) / 4, matched
+
+
+def _request_raw(instance, path, headers):
+    lines = [f"GET {path} HTTP/1.1", "Host: a", "Connection: close"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return _exchange_raw(instance, ("\r\n".join(lines) + "\r\n\r\n").encode())
+
+
+def _exchange_raw(instance, data):
+    sock = gevent.socket.create_connection((instance.host, HTTP_PORT), 5)
+    sock.sendall(data)
+    received = b""
+    while chunk := sock.recv(65536):
+        received += chunk
+    sock.close()
+    return received.decode("latin-1")
--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,42 @@
+Feature: Every caller gets the whole answer to its own request
+
+  Scenario: A call goes through two separate daemon processes
+    Given a running fleet
+      | service   | zone |
+      | catalogue | za   |
+      | payments  | zb   |
+    When the daemon beside catalogue is asked for payments with
+      | method  | path                |
+      | GET     | /stock?item=d%20e&n |
+      | POST    | /deposits           |
+      | PUT     | /quotes/1           |
+      | PATCH   | /quotes/1           |
+      | DELETE  | /quotes/1           |
+      | OPTIONS | /quotes             |
+    Then each response is the target's own, with verdict ran
+
+  Scenario: Statuses, chunked answers, HEAD and repeated headers arrive unchanged
+    Given a running fleet
+      | service   | zone |
+      | catalogue | za   |
+      | payments  | zb   |
+    Then statuses 200, 201, 204, 304, 404, 418 and 599 arrive with both X-Two headers
+    And a chunked answer arrives as "one two three"
+    And HEAD arrives without a body
+
+  Scenario: Bad requests are refused as not run, with the reason
+    Given a running fleet
+      | service   | zone |
+      | catalogue | za   |
+    Then a body over the limit is refused with 413 and verdict not-run
+    And an unknown service is refused with 404 and verdict not-run
+    And a deadline that is not a number is refused with 400 and verdict not-run
+    And a request line that is not HTTP is refused with 400 and verdict not-run
+
+  Scenario: A late answer reaches nobody but its own caller
+    Given a running fleet
+      | service   | zone | target arguments                       |
+      | payments  | za   | --service-ms 30 --random-service-time  |
+      | payments  | zb   | --service-ms 30 --random-service-time  |
+    When 400 requests with bodies of their own and short deadlines are sent at once from 8 callers
+    Then every answer that arrives belongs to its request
