Add sections, rollouts, platform client, commands and demo

Cause: the path had no configuration, no version moves and no product shell.

Change: sections are read by two daemons a zone, accepted by a conditional update of their status and spread as facts; shares follow time and evidence; a judge on each daemon of a service vetoes; the outcome is kept once in the platform. Commands daemon, check, get, edit, apply, status, members, demo.

Ruled out: a lease for the recorder of outcomes; the conditional update in the platform already lets only the first outcome stand.

--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -25,6 +25,8 @@
     send_facts_datagram,
 )
 from comfreyhitch.membership.models import Member, MemberStatus
+from comfreyhitch.membership.registration import Registrar
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import Broadcaster, spread
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.replication.sync import fetch_facts
@@ -53,6 +55,8 @@
     metrics: Metrics
     detector: FailureDetector
     broadcaster: Broadcaster
+    platform: PlatformClient | None = None
+    registrar: Registrar | None = None
     stopping: Event = field(default_factory=Event)
     servers: list[StreamServer | WSGIServer] = field(default_factory=list)
     greenlets: list[gevent.Greenlet] = field(default_factory=list)
@@ -102,6 +106,7 @@
             metrics=metrics,
             detector=detector,
             broadcaster=broadcaster,
+            platform=_make_platform_client(settings, metrics),
         )
 
 
@@ -124,6 +129,16 @@
     )
 
 
+def _make_platform_client(settings: Settings, metrics: Metrics) -> PlatformClient | None:
+    if settings.platform_url is None:
+        return None
+
+    def count_call(verb: str) -> None:
+        metrics.control.platform_calls.inc({"verb": verb})
+
+    return PlatformClient.from_url(settings.platform_url, settings.namespace, count_call)
+
+
 def _open_gossip_socket(settings: Settings) -> gevent.socket.socket:
     sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
     sock.bind((str(settings.host), settings.peer_port))
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -11,14 +11,22 @@
 from comfreyhitch.egress.probes import send_probes
 from comfreyhitch.ingress.health import check_target
 from comfreyhitch.membership.detector import list_reachable_peers, run_round
-from comfreyhitch.replication.facts import expire_facts
+from comfreyhitch.membership.registration import Registrar, run_registration
+from comfreyhitch.platform.client import PlatformClient
+from comfreyhitch.replication.broadcast import send_facts
+from comfreyhitch.replication.facts import StoredFact, expire_facts
 from comfreyhitch.replication.sync import sync_with_peer
+from comfreyhitch.rollouts.controller import RolloutController, run_rollouts
+from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
+from comfreyhitch.sections.reader import SectionReader, is_reader, run_reader
 
 logger = logging.getLogger(__name__)
 
 PROBE_INTERVAL = timedelta(milliseconds=100)
 EXPIRY_INTERVAL = timedelta(seconds=5)
 JOIN_RETRY_INTERVAL = timedelta(seconds=1)
+REGISTRATION_INTERVAL = timedelta(seconds=60)
+ROLLOUT_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A tick that comes this late means that the process was frozen, not busy.
 PAUSE_THRESHOLD = timedelta(seconds=3)
@@ -38,9 +46,60 @@
     for interval, action in loops:
         daemon.greenlets.append(gevent.spawn(_repeat, interval, action))
     daemon.greenlets.append(gevent.spawn(_join, daemon))
+    _start_rollouts(daemon)
+    if daemon.platform is not None:
+        _start_platform_controllers(daemon, daemon.platform)
     daemon.greenlets.append(gevent.spawn(_watch_for_pauses, daemon))
 
 
+def _start_rollouts(daemon: Daemon) -> None:
+    rollouts = RolloutController(
+        blackboard=daemon.blackboard,
+        store=daemon.store,
+        evidence=daemon.evidence,
+        send_to_service=lambda service, facts: _send_to_service(daemon, service, facts),
+    )
+    recorder = OutcomeRecorder(daemon.blackboard, daemon.store, daemon.platform)
+    for action in (lambda: run_rollouts(rollouts), lambda: run_recorder(recorder)):
+        daemon.greenlets.append(gevent.spawn(_repeat, ROLLOUT_INTERVAL, action))
+
+
+def _start_platform_controllers(daemon: Daemon, client: PlatformClient) -> None:
+    reader = SectionReader(daemon.blackboard, daemon.store, client, daemon.detector.random)
+    daemon.greenlets.append(gevent.spawn(_keep_running, lambda: run_reader(reader)))
+    daemon.registrar = Registrar(
+        daemon.blackboard, daemon.store, daemon.pool, client, daemon.detector.random
+    )
+    daemon.greenlets.append(gevent.spawn(_register, daemon.registrar, daemon))
+
+
+def _register(registrar: Registrar, daemon: Daemon) -> None:
+    while True:
+        is_alone = not list_reachable_peers(daemon.blackboard)
+        # Only the readers look again and again, so that the number of calls
+        # follows the number of zones and not that of daemons.
+        if is_alone or registrar.is_registered or is_reader(daemon.blackboard):
+            run_registration(registrar)
+        interval = JOIN_RETRY_INTERVAL if is_alone else REGISTRATION_INTERVAL
+        gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
+
+
+def _send_to_service(daemon: Daemon, service: str, facts: list[StoredFact]) -> None:
+    for member in list(daemon.blackboard.members_by_address.values()):
+        is_peer = member.address != daemon.blackboard.own.address
+        if is_peer and member.service == service and member.is_reachable:
+            send_facts(daemon.broadcaster, member.address, facts)
+
+
+def _keep_running(action: Callable[[], None]) -> None:
+    while True:
+        try:
+            action()
+        except Exception:
+            logger.exception("controller failed; it is started again")
+        gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
+
+
 def _repeat(interval: timedelta, action: Callable[[], None]) -> None:
     while True:
         gevent.sleep(interval.total_seconds())
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -136,8 +136,10 @@
 
 def _apply_evidence(blackboard: Blackboard, fact: StoredFact) -> None:
     evidence = read_evidence_record(decode(EvidenceRecord, fact.value).unwrap())
-    windows = blackboard.evidence_by_rollout[evidence.rollout_id]
-    windows[(evidence.address, evidence.window)] = evidence
+    evidence_by_source = blackboard.evidence_by_rollout[evidence.rollout_id]
+    source = (evidence.address, evidence.window)
+    known = evidence_by_source.setdefault(source, evidence)
+    known.counts_by_route.update(evidence.counts_by_route)
 
 
 def _make_check(record_type: type) -> Validator:
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -10,6 +10,7 @@
 from comfreyhitch.idempotency.claims import hand_on_claims
 from comfreyhitch.membership.detector import list_reachable_peers, publish_own
 from comfreyhitch.membership.models import MemberStatus
+from comfreyhitch.membership.registration import unregister
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import FactKind
 
@@ -34,6 +35,8 @@
     handed_on = hand_on_claims(daemon.claims)
     publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
     _tell_everyone(daemon)
+    if daemon.registrar is not None:
+        unregister(daemon.registrar)
     for server in (frontend, peer_server, admin_server):
         server.stop(timeout=0)
     gevent.killall(daemon.greenlets)
--- /dev/null
+++ b/comfreyhitch/management/commands/apply.py
@@ -0,0 +1,83 @@
+"""Write sections of a document to the platform."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from result import Err, Ok
+
+from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.management.common import (
+    make_client,
+    make_platform_options,
+    report_errors,
+    report_failure,
+)
+from comfreyhitch.management.documents import check_document, read_document
+from comfreyhitch.management.editing import read_section, write_section
+from comfreyhitch.management.exit_codes import ExitCode
+
+
+class ApplyCommand(Command):
+    """Write each section of a document that differs from the platform's."""
+
+    name = "apply"
+    description = "Write the sections of a document by conditional update"
+    arguments: ClassVar = [argument("document", "path of a YAML document")]
+    options: ClassVar = [
+        *make_platform_options(),
+        option("if-generation", None, "write only over this generation", flag=False),
+    ]
+    help = """Sections that the document does not name are left alone.
+Exit code 3 means that another operator's edit came first.
+
+    comfreyhitch apply web-shop.yaml"""
+
+    def handle(self) -> int:
+        """Check the document, then write its sections one by one."""
+        path = self.argument("document")
+        read = read_document(Path(path))
+        if read.is_err():
+            return report_errors(self, read.err_value)
+        errors = check_document(path, read.ok_value)
+        if errors:
+            return report_errors(self, errors)
+        try:
+            client = make_client(self)
+            generation = _parse_generation(self.option("if-generation"))
+        except SettingsError as error:
+            return report_errors(self, [str(error)])
+        for name, content in read.ok_value.items():
+            code = self._apply_section(client, name, content, generation)
+            if code != ExitCode.OK:
+                return code
+        return ExitCode.OK
+
+    def _apply_section(self, client, name: str, content: dict, generation: int | None) -> int:
+        match read_section(client, name):
+            case Err(error):
+                return report_failure(self, name, error)
+            case Ok(base):
+                pass
+        if generation is not None and (base is None or base.metadata.generation != generation):
+            found = "missing" if base is None else f"at generation {base.metadata.generation}"
+            self.line_error(f"{name}: is {found}, not at generation {generation}; nothing written")
+            return ExitCode.CONFLICT
+        if base is not None and base.spec == content:
+            self.line(f"{name}: unchanged")
+            return ExitCode.OK
+        match write_section(client, name, content, base):
+            case Err(error):
+                return report_failure(self, name, error)
+            case Ok(item):
+                self.line(f"{name}: written as generation {item.metadata.generation}")
+                return ExitCode.OK
+
+
+def _parse_generation(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isdigit():
+        raise SettingsError(f"--if-generation: {text!r} is not a number; correct it")
+    return int(text)
--- /dev/null
+++ b/comfreyhitch/management/commands/check.py
@@ -0,0 +1,52 @@
+"""Check settings and a document without any daemon or platform."""
+
+import os
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+import comfreyhitch.conf.checks  # noqa: F401  Registers the checks.
+from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.conf.loader import load_settings
+from comfreyhitch.core.checks import run_checks
+from comfreyhitch.management.common import report_errors
+from comfreyhitch.management.documents import check_document, read_document
+from comfreyhitch.management.exit_codes import ExitCode
+
+
+class CheckCommand(Command):
+    """Check the settings in the environment and, if given, a document."""
+
+    name = "check"
+    description = "Check settings and a document, offline"
+    arguments: ClassVar = [argument("document", "path of a YAML document", optional=True)]
+    help = """Exit code 0 means that all is well, 2 that something has to be corrected.
+
+    comfreyhitch check document.yaml"""
+
+    def handle(self) -> int:
+        """Print every error with its place."""
+        errors = [*_check_settings(), *_check_document(self.argument("document"))]
+        if errors:
+            return report_errors(self, errors)
+        self.line("no errors")
+        return ExitCode.OK
+
+
+def _check_settings() -> list[str]:
+    try:
+        settings = load_settings(os.environ, {})
+    except SettingsError as error:
+        return str(error).splitlines()
+    return [str(error) for error in run_checks(settings)]
+
+
+def _check_document(path: str | None) -> list[str]:
+    if path is None:
+        return []
+    read = read_document(Path(path))
+    if read.is_err():
+        return read.err_value
+    return check_document(path, read.ok_value)
--- /dev/null
+++ b/comfreyhitch/membership/registration.py
@@ -0,0 +1,102 @@
+"""Find first peers through the platform, and register there for others."""
+
+import logging
+from dataclasses import dataclass
+from random import Random
+
+from result import Err, Ok
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.membership.models import MemberStatus
+from comfreyhitch.platform.client import (
+    DAEMONS,
+    PlatformClient,
+    create_object,
+    delete_object,
+    list_objects,
+)
+from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
+from comfreyhitch.platform.models import Metadata, PlatformObject
+from comfreyhitch.replication.facts import FactStore
+from comfreyhitch.replication.sync import sync_with_peer
+from comfreyhitch.sections.reader import is_reader
+from comfreyhitch.wire.connections import PeerPool
+
+logger = logging.getLogger(__name__)
+
+MAX_JOIN_PEERS = 5
+
+
+@dataclass(slots=True)
+class Registrar:
+    """Hold whether this daemon is registered."""
+
+    blackboard: Blackboard
+    store: FactStore
+    pool: PeerPool
+    client: PlatformClient
+    random: Random
+    is_registered: bool = False
+
+
+def run_registration(registrar: Registrar) -> None:
+    """Keep the readers registered, and nobody else; sync with unknown registrations."""
+    match list_objects(registrar.client, DAEMONS):
+        case Err(error):
+            logger.info("registrations can't be read", extra={"error": str(error)})
+            return
+        case Ok(listed):
+            addresses = [str(item.spec.get("address", "")) for item in listed.items]
+    _join(registrar, addresses)
+    _forget_gone(registrar, addresses)
+    own = registrar.blackboard.own.address
+    registrar.is_registered = own in addresses
+    if is_reader(registrar.blackboard) and not registrar.is_registered:
+        _register(registrar, own)
+    elif registrar.is_registered and not is_reader(registrar.blackboard):
+        unregister(registrar)
+
+
+def unregister(registrar: Registrar) -> None:
+    """Remove the registration of this daemon."""
+    if registrar.is_registered:
+        _delete(registrar, registrar.blackboard.own.address)
+        registrar.is_registered = False
+
+
+def _join(registrar: Registrar, addresses: list[str]) -> None:
+    known = registrar.blackboard.members_by_address
+    unknown = [address for address in addresses if address and address not in known]
+    registrar.random.shuffle(unknown)
+    for address in unknown[:MAX_JOIN_PEERS]:
+        if not sync_with_peer(registrar.store, registrar.pool, address):
+            # Nobody knows this address and it does not answer: it was replaced.
+            _delete(registrar, address)
+
+
+def _forget_gone(registrar: Registrar, addresses: list[str]) -> None:
+    for address in addresses:
+        member = registrar.blackboard.members_by_address.get(address)
+        if member is not None and member.status is MemberStatus.LEFT:
+            _delete(registrar, address)
+
+
+def _register(registrar: Registrar, address: str) -> None:
+    own = registrar.blackboard.own
+    item = PlatformObject(
+        metadata=Metadata(name=_make_name(address)),
+        spec={"address": address, "zone": own.zone, "region": own.region},
+    )
+    match create_object(registrar.client, DAEMONS, item):
+        case Ok(_) | Err(PlatformError(failure=PlatformFailure.CONFLICT)):
+            registrar.is_registered = True
+        case Err(error):
+            logger.info("registration failed", extra={"error": str(error)})
+
+
+def _delete(registrar: Registrar, address: str) -> None:
+    delete_object(registrar.client, DAEMONS, _make_name(address))
+
+
+def _make_name(address: str) -> str:
+    return address.replace(".", "-").replace(":", "-")
--- a/comfreyhitch/replication/broadcast.py
+++ b/comfreyhitch/replication/broadcast.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from comfreyhitch.replication.facts import (
+    EPHEMERAL_KINDS,
     FactId,
-    FactKind,
     FactStore,
     StoredFact,
     make_head,
@@ -24,8 +24,6 @@
 MAX_INLINE_BYTES = 600
 TRANSMISSIONS_PER_LOG = 2
 MAX_PIGGYBACKED_FACTS = 16
-# Evidence goes straight to the daemons of one service instead.
-PIGGYBACKED_KINDS = frozenset(FactKind) - {FactKind.EVIDENCE}
 
 
 @dataclass(slots=True)
@@ -52,7 +50,7 @@
 
 def spread(broadcaster: Broadcaster, facts: list[StoredFact]) -> None:
     """Send new facts to a few random peers, and keep them for later datagrams."""
-    spreading = [fact for fact in facts if fact.kind in PIGGYBACKED_KINDS]
+    spreading = [fact for fact in facts if fact.kind not in EPHEMERAL_KINDS]
     if not spreading:
         return
     for fact in spreading:
--- a/comfreyhitch/replication/facts.py
+++ b/comfreyhitch/replication/facts.py
@@ -33,6 +33,10 @@
     STAGE = "stage"
 
 
+# These facts are only of use for a moment, so they are not kept or synced.
+EPHEMERAL_KINDS = frozenset({FactKind.EVIDENCE})
+
+
 FactId = tuple[str, str]
 
 
@@ -190,6 +194,8 @@
 
 
 def _merge_fact(store: FactStore, fact: StoredFact) -> bool:
+    if fact.kind in EPHEMERAL_KINDS:
+        return True
     held = store.facts_by_id.get(fact.fact_id)
     if held is not None:
         # Equal versions with different values come only from a fault; the
--- /dev/null
+++ b/comfreyhitch/rollouts/controller.py
@@ -0,0 +1,211 @@
+"""Move traffic between versions, veto bad ones, and publish evidence."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from datetime import datetime, timedelta
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
+from comfreyhitch.rollouts.evidence import (
+    KEPT_WINDOWS,
+    WINDOW_SECONDS,
+    EvidenceLog,
+    get_window,
+    get_window_evidence,
+)
+from comfreyhitch.rollouts.judge import Judgement, judge
+from comfreyhitch.rollouts.models import (
+    Evidence,
+    RolloutPhase,
+    RolloutStatus,
+    make_evidence_record,
+)
+from comfreyhitch.rollouts.schedule import (
+    get_active_freeze_start,
+    get_share,
+    get_stage,
+    is_judged,
+)
+from comfreyhitch.sections.models import RolloutPlan, ServicePolicy
+from comfreyhitch.wire.codec import encode
+from comfreyhitch.wire.generated.ttypes import CompletionRecord, VetoRecord
+
+logger = logging.getLogger(__name__)
+
+EVIDENCE_LIFETIME = timedelta(seconds=WINDOW_SECONDS * KEPT_WINDOWS)
+OUTCOME_LIFETIME = timedelta(days=7)
+
+
+@dataclass(slots=True)
+class RolloutController:
+    """Hold what a daemon has published about rollouts of its own service."""
+
+    blackboard: Blackboard
+    store: FactStore
+    evidence: EvidenceLog
+    send_to_service: Callable[[str, list[StoredFact]], None]
+    published_window_by_rollout: dict[str, int] = field(default_factory=dict)
+
+
+def run_rollouts(controller: RolloutController) -> None:
+    """Recompute all shares, and judge the rollout of the own service."""
+    blackboard = controller.blackboard
+    now = blackboard.clock.now()
+    for policy in blackboard.services_by_name.values():
+        plan = policy.rollout
+        if plan is not None and policy.name == blackboard.own.service:
+            _run_own(controller, plan, now)
+        _apply_shares(blackboard, policy, now)
+    _forget_old_evidence(blackboard, get_window(blackboard.clock))
+    for service in blackboard.shares_by_service.keys() - blackboard.services_by_name.keys():
+        del blackboard.shares_by_service[service]
+
+
+def publish_veto(store: FactStore, plan: RolloutPlan, reason: str, now: datetime) -> None:
+    """Keep a version from all traffic, for good."""
+    record = VetoRecord(plan.rollout_id, reason, now.timestamp())
+    fact = StoredFact(
+        FactKind.VETO, plan.rollout_id, 1, encode(record), plan.finish_by + OUTCOME_LIFETIME
+    )
+    merge_facts(store, [fact])
+
+
+def publish_completion(store: FactStore, plan: RolloutPlan, now: datetime) -> None:
+    """Give a version all traffic, once the platform keeps that its rollout is done."""
+    record = CompletionRecord(plan.rollout_id, now.timestamp())
+    fact = StoredFact(
+        FactKind.COMPLETION, plan.rollout_id, 1, encode(record), plan.finish_by + OUTCOME_LIFETIME
+    )
+    merge_facts(store, [fact])
+
+
+def collect_evidence(controller: RolloutController, plan: RolloutPlan) -> list[Evidence]:
+    """Return the evidence of all daemons of the service, the own current window included."""
+    blackboard = controller.blackboard
+    known = list(blackboard.evidence_by_rollout.get(plan.rollout_id, {}).values())
+    current = get_window_evidence(
+        controller.evidence,
+        get_window(blackboard.clock),
+        plan.rollout_id,
+        blackboard.own.version,
+        blackboard.own.address,
+    )
+    return known if current is None else [*known, current]
+
+
+def _run_own(controller: RolloutController, plan: RolloutPlan, now: datetime) -> None:
+    blackboard = controller.blackboard
+    is_ended = (
+        plan.rollout_id in blackboard.vetoes_by_rollout
+        or plan.rollout_id in blackboard.completed_at_by_rollout
+    )
+    if is_ended or now < plan.starts_at:
+        return
+    _publish_evidence(controller, plan)
+    if not is_judged(plan, now):
+        return
+    judgement = judge(collect_evidence(controller, plan), plan.to_version)
+    if judgement.finding is not None:
+        publish_veto(controller.store, plan, judgement.finding, now)
+    else:
+        _advance_stage(controller, plan, judgement)
+
+
+def _publish_evidence(controller: RolloutController, plan: RolloutPlan) -> None:
+    blackboard = controller.blackboard
+    own = blackboard.own
+    current = get_window(blackboard.clock)
+    since = controller.published_window_by_rollout.get(plan.rollout_id, current - 2)
+    facts = []
+    for window in range(since + 1, current):
+        evidence = get_window_evidence(
+            controller.evidence, window, plan.rollout_id, own.version, own.address
+        )
+        if evidence is not None:
+            facts.extend(_make_evidence_facts(blackboard, evidence))
+    controller.published_window_by_rollout[plan.rollout_id] = current - 1
+    if facts:
+        merge_facts(controller.store, facts)
+        controller.send_to_service(plan.service, facts)
+
+
+def _make_evidence_facts(blackboard: Blackboard, evidence: Evidence) -> list[StoredFact]:
+    """Return one fact for each route, so that each fits into a datagram."""
+    expires_at = blackboard.clock.now() + EVIDENCE_LIFETIME
+    facts = []
+    for route, counts in evidence.counts_by_route.items():
+        part = replace(evidence, counts_by_route={route: counts})
+        key = f"{evidence.rollout_id}@{evidence.address}@{evidence.window}@{route}"
+        value = encode(make_evidence_record(part))
+        facts.append(StoredFact(FactKind.EVIDENCE, key, evidence.window, value, expires_at))
+    return facts
+
+
+def _advance_stage(controller: RolloutController, plan: RolloutPlan, judgement: Judgement) -> None:
+    if judgement.is_suspicious:
+        return
+    stage = get_stage(judgement.requests)
+    if stage <= controller.blackboard.stages_by_rollout.get(plan.rollout_id, 0):
+        return
+    expires_at = plan.finish_by + OUTCOME_LIFETIME
+    fact = StoredFact(FactKind.STAGE, plan.rollout_id, stage, b"", expires_at)
+    merge_facts(controller.store, [fact])
+
+
+def _apply_shares(blackboard: Blackboard, policy: ServicePolicy, now: datetime) -> None:
+    plan = policy.rollout
+    if plan is None:
+        if policy.version is None:
+            blackboard.shares_by_service.pop(policy.name, None)
+        else:
+            blackboard.shares_by_service[policy.name] = {policy.version: 1.0}
+        return
+    share = get_share(
+        plan,
+        now,
+        stage=blackboard.stages_by_rollout.get(plan.rollout_id, 0),
+        is_vetoed=plan.rollout_id in blackboard.vetoes_by_rollout,
+        is_completed=plan.rollout_id in blackboard.completed_at_by_rollout,
+        freezes=blackboard.freezes,
+    )
+    blackboard.shares_by_service[policy.name] = {
+        plan.from_version: 1.0 - share,
+        plan.to_version: share,
+    }
+    status = _make_status(blackboard, plan, share, now)
+    blackboard.rollout_statuses_by_id[plan.rollout_id] = status
+
+
+def _make_status(
+    blackboard: Blackboard, plan: RolloutPlan, share: float, now: datetime
+) -> RolloutStatus:
+    phase, reason = _get_phase(blackboard, plan, now)
+    return RolloutStatus(
+        plan.rollout_id, plan.service, plan.to_version, phase, round(share, 3), reason, now
+    )
+
+
+def _get_phase(
+    blackboard: Blackboard, plan: RolloutPlan, now: datetime
+) -> tuple[RolloutPhase, str]:
+    if plan.rollout_id in blackboard.completed_at_by_rollout:
+        return RolloutPhase.DONE, "the new version was as good as the old one"
+    veto = blackboard.vetoes_by_rollout.get(plan.rollout_id)
+    if veto is not None:
+        return RolloutPhase.ROLLED_BACK, veto.reason
+    if now < plan.starts_at:
+        return RolloutPhase.PENDING, f"starts at {plan.starts_at.isoformat()}"
+    if get_active_freeze_start(blackboard.freezes, now) is not None:
+        return RolloutPhase.FROZEN, "a change freeze is in force"
+    return RolloutPhase.IN_PROGRESS, f"finishes by {plan.finish_by.isoformat()}"
+
+
+def _forget_old_evidence(blackboard: Blackboard, current_window: int) -> None:
+    for rollout_id, evidence_by_source in list(blackboard.evidence_by_rollout.items()):
+        for source in [
+            key for key in evidence_by_source if key[1] <= current_window - KEPT_WINDOWS
+        ]:
+            del evidence_by_source[source]
+        if not evidence_by_source:
+            del blackboard.evidence_by_rollout[rollout_id]
--- /dev/null
+++ b/comfreyhitch/rollouts/judge.py
@@ -0,0 +1,167 @@
+"""Compare a new version with the old one over the same time."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from math import exp, log
+
+from comfreyhitch.rollouts.evidence import add_counts
+from comfreyhitch.rollouts.models import Evidence, RouteCounts
+
+# Chance of a finding about a healthy version, for each look at it.
+ALPHA = 1e-6
+# A rollout goes no further while chance explains its evidence this badly.
+SUSPICION_ALPHA = 1e-2
+MIN_FAILURE_SHARE = 0.01
+MIN_SLOW_SHARE = 0.02
+FAILURE_MARGIN = 0.02
+SLOW_MARGIN = 0.15
+SLOW_QUANTILE_SHARE = 0.1
+MIN_OLD_REQUESTS = 20
+MIN_FAILING_WINDOWS = 2
+MIN_SLOW_WINDOWS = 3
+MIN_WINDOW_REQUESTS = 2
+FAST_MIN_REQUESTS = 10
+FAST_FAILURE_SHARE = 0.5
+ALL_ROUTES = "all routes"
+
+
+@dataclass(slots=True)
+class Sample:
+    """Hold the counts of one version by route and window."""
+
+    counts_by_route: dict[str, dict[int, RouteCounts]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(RouteCounts))
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """Hold what was found of the new version."""
+
+    requests: int
+    finding: str | None
+    is_suspicious: bool
+
+
+def judge(evidence: Iterable[Evidence], new_version: str) -> Judgement:
+    """Return whether the new version is worse than the old one beyond chance."""
+    old, new = _split(evidence, new_version)
+    findings = []
+    is_suspicious = False
+    for route in list(new.counts_by_route):
+        comparison = _Comparison(
+            list(new.counts_by_route[route].values()), _sum(old.counts_by_route.get(route))
+        )
+        for finding, suspicion in _compare(comparison):
+            is_suspicious |= suspicion
+            if finding is not None:
+                findings.append(f"{finding} on {route}")
+    requests = _sum(new.counts_by_route.get(ALL_ROUTES)).requests
+    return Judgement(requests, findings[0] if findings else None, is_suspicious)
+
+
+@dataclass(frozen=True, slots=True)
+class _Comparison:
+    new_windows: list[RouteCounts]
+    old: RouteCounts
+
+
+def _split(evidence: Iterable[Evidence], new_version: str) -> tuple[Sample, Sample]:
+    old = Sample()
+    new = Sample()
+    for item in evidence:
+        sample = new if item.version == new_version else old
+        for route, counts in item.counts_by_route.items():
+            for name in (ALL_ROUTES, route):
+                add_counts(sample.counts_by_route[name][item.window], counts)
+    return old, new
+
+
+def _sum(windows: dict[int, RouteCounts] | None) -> RouteCounts:
+    total = RouteCounts()
+    for counts in (windows or {}).values():
+        add_counts(total, counts)
+    return total
+
+
+def _compare(comparison: _Comparison) -> Iterator[tuple[str | None, bool]]:
+    yield _compare_failures(comparison)
+    if comparison.old.requests >= MIN_OLD_REQUESTS:
+        yield _compare_latency(comparison)
+
+
+def _compare_failures(comparison: _Comparison) -> tuple[str | None, bool]:
+    windows = comparison.new_windows
+    requests = sum(counts.requests for counts in windows)
+    failures = sum(counts.failures for counts in windows)
+    expected = _get_expected_share(comparison.old.failures, comparison.old.requests)
+    expected = max(MIN_FAILURE_SHARE, expected)
+    chance = bound_tail(failures, requests, expected)
+    if requests == 0 or failures / requests <= expected + FAILURE_MARGIN:
+        return None, False
+    failing_windows = sum(counts.failures > 0 for counts in windows)
+    is_clear = failing_windows >= MIN_FAILING_WINDOWS or _is_failing_fast(windows)
+    if chance < ALPHA and is_clear:
+        return f"{failures} of {requests} requests failed, against {expected:.1%} expected", True
+    return None, chance < SUSPICION_ALPHA
+
+
+def _is_failing_fast(windows: list[RouteCounts]) -> bool:
+    return any(
+        counts.requests >= FAST_MIN_REQUESTS
+        and counts.failures > counts.requests * FAST_FAILURE_SHARE
+        for counts in windows
+    )
+
+
+def _compare_latency(comparison: _Comparison) -> tuple[str | None, bool]:
+    threshold = _find_slow_bucket(comparison.old)
+    old_slow = _count_slow(comparison.old, threshold)
+    expected = max(MIN_SLOW_SHARE, _get_expected_share(old_slow, comparison.old.requests))
+    windows = comparison.new_windows
+    requests = sum(counts.requests for counts in windows)
+    slow = sum(_count_slow(counts, threshold) for counts in windows)
+    if requests == 0 or slow / requests <= expected + SLOW_MARGIN:
+        return None, False
+    chance = bound_tail(slow, requests, expected)
+    # A slow moment of one instance fills a window or two, a slow version all.
+    slow_windows = sum(_is_slow_window(counts, threshold, expected) for counts in windows)
+    if chance < ALPHA and slow_windows >= MIN_SLOW_WINDOWS:
+        return f"{slow} of {requests} requests were slow, against {expected:.1%} expected", True
+    return None, chance < SUSPICION_ALPHA
+
+
+def _is_slow_window(counts: RouteCounts, threshold: int, expected: float) -> bool:
+    if counts.requests < MIN_WINDOW_REQUESTS:
+        return False
+    return _count_slow(counts, threshold) / counts.requests > expected + SLOW_MARGIN
+
+
+def _find_slow_bucket(counts: RouteCounts) -> int:
+    above = counts.requests
+    for bucket, count in enumerate(counts.latency_counts):
+        above -= count
+        if above <= counts.requests * SLOW_QUANTILE_SHARE:
+            return bucket
+    return len(counts.latency_counts)
+
+
+def _count_slow(counts: RouteCounts, threshold: int) -> int:
+    return sum(counts.latency_counts[threshold + 1 :])
+
+
+def _get_expected_share(count: int, total: int) -> float:
+    # The rule of succession keeps a small sample from proving a share of zero.
+    return (count + 1) / (total + 2)
+
+
+def bound_tail(count: int, total: int, share: float) -> float:
+    """Return a bound on the chance of so many hits or more (Chernoff)."""
+    if total == 0 or count <= total * share:
+        return 1.0
+    seen = count / total
+    divergence = seen * log(seen / share)
+    if seen < 1.0:
+        divergence += (1 - seen) * log((1 - seen) / (1 - share))
+    return exp(-total * divergence)
--- /dev/null
+++ b/comfreyhitch/rollouts/recorder.py
@@ -0,0 +1,164 @@
+"""Decide how a rollout ends, and keep exactly one outcome in the platform."""
+
+import logging
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from result import Err, Ok
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.platform.client import SECTIONS, PlatformClient, get_object, update_object
+from comfreyhitch.replication.facts import FactStore
+from comfreyhitch.rollouts.controller import publish_completion, publish_veto
+from comfreyhitch.rollouts.models import RolloutPhase
+from comfreyhitch.rollouts.schedule import FINAL_STAGE, get_active_freeze_start
+from comfreyhitch.sections.acceptance import dump_status, read_status
+from comfreyhitch.sections.models import RolloutPlan, Section
+from comfreyhitch.utils.hashing import rank_by_rendezvous
+
+logger = logging.getLogger(__name__)
+
+RECORDERS = 2
+SECOND_RECORDER_DELAY = timedelta(seconds=3)
+RETRY_INTERVAL = timedelta(seconds=2)
+TERMINAL_PHASES = frozenset({RolloutPhase.DONE.value, RolloutPhase.ROLLED_BACK.value})
+
+
+@dataclass(slots=True)
+class OutcomeRecorder:
+    """Hold which outcomes are kept, and when the next try is due."""
+
+    blackboard: Blackboard
+    store: FactStore
+    client: PlatformClient | None
+    recorded: set[str] = field(default_factory=set)
+    told_in_progress: set[str] = field(default_factory=set)
+    next_try_by_rollout: dict[str, datetime] = field(default_factory=dict)
+
+
+def run_recorder(recorder: OutcomeRecorder) -> None:
+    """End the rollouts that are due, if this daemon is one that records them."""
+    blackboard = recorder.blackboard
+    now = blackboard.clock.now()
+    for section in list(blackboard.sections_by_name.values()):
+        for service in section.services:
+            plan = service.rollout
+            if plan is not None and plan.rollout_id not in recorder.recorded:
+                _run_for_plan(recorder, section, plan, now)
+
+
+def _run_for_plan(
+    recorder: OutcomeRecorder, section: Section, plan: RolloutPlan, now: datetime
+) -> None:
+    rank = _get_rank(recorder.blackboard, plan)
+    if rank >= RECORDERS or now < plan.starts_at:
+        return
+    if now < recorder.next_try_by_rollout.get(plan.rollout_id, now):
+        return
+    _veto_if_due(recorder, plan, now, rank)
+    outcome = _get_outcome(recorder.blackboard, plan, now)
+    if outcome is None:
+        if plan.rollout_id not in recorder.told_in_progress and rank == 0:
+            phase = RolloutPhase.IN_PROGRESS
+            if _write(recorder, section, plan, phase, "the rollout has begun", now):
+                recorder.told_in_progress.add(plan.rollout_id)
+        return
+    phase, reason, due_at = outcome
+    if rank > 0 and now < due_at + SECOND_RECORDER_DELAY:
+        return
+    if _write(recorder, section, plan, phase, reason, now):
+        recorder.recorded.add(plan.rollout_id)
+
+
+def _get_rank(blackboard: Blackboard, plan: RolloutPlan) -> int:
+    addresses = [
+        member.address
+        for member in blackboard.members_by_address.values()
+        if member.is_reachable and not member.draining
+    ]
+    ranked = rank_by_rendezvous(f"recorder {plan.rollout_id}", addresses)
+    own = blackboard.own.address
+    return ranked.index(own) if own in ranked else len(ranked)
+
+
+def _veto_if_due(recorder: OutcomeRecorder, plan: RolloutPlan, now: datetime, rank: int) -> None:
+    blackboard = recorder.blackboard
+    rollout_id = plan.rollout_id
+    if (
+        rollout_id in blackboard.vetoes_by_rollout
+        or rollout_id in blackboard.completed_at_by_rollout
+    ):
+        return
+    patience = SECOND_RECORDER_DELAY * rank
+    frozen_since = get_active_freeze_start(blackboard.freezes, now)
+    if frozen_since is not None and plan.starts_at < frozen_since <= now - patience:
+        publish_veto(recorder.store, plan, "a change freeze began before it was done", now)
+    elif now >= plan.finish_by + patience and not _is_proven(blackboard, plan):
+        publish_veto(recorder.store, plan, "too few requests by its deadline to prove it good", now)
+
+
+def _is_proven(blackboard: Blackboard, plan: RolloutPlan) -> bool:
+    return blackboard.stages_by_rollout.get(plan.rollout_id, 0) >= FINAL_STAGE
+
+
+def _get_outcome(
+    blackboard: Blackboard, plan: RolloutPlan, now: datetime
+) -> tuple[RolloutPhase, str, datetime] | None:
+    if plan.rollout_id in blackboard.completed_at_by_rollout:
+        return RolloutPhase.DONE, "the new version was as good as the old one", plan.finish_by
+    veto = blackboard.vetoes_by_rollout.get(plan.rollout_id)
+    if veto is not None:
+        return RolloutPhase.ROLLED_BACK, veto.reason, veto.vetoed_at
+    if now >= plan.finish_by:
+        return RolloutPhase.DONE, "the new version was as good as the old one", plan.finish_by
+    return None
+
+
+def _write(
+    recorder: OutcomeRecorder,
+    section: Section,
+    plan: RolloutPlan,
+    phase: RolloutPhase,
+    reason: str,
+    now: datetime,
+) -> bool:
+    """Write an outcome unless another stands, follow the one that is kept."""
+    if recorder.client is None:
+        _follow(recorder, plan, phase.value, reason, now)
+        return True
+    recorder.next_try_by_rollout[plan.rollout_id] = now + RETRY_INTERVAL
+    match get_object(recorder.client, SECTIONS, section.name):
+        case Err(error):
+            logger.warning("outcome was not recorded", extra={"error": str(error)})
+            return False
+        case Ok(item):
+            pass
+    status = read_status(item)
+    kept = status.rollouts.get(plan.rollout_id)
+    if kept is not None and (kept.get("phase") in TERMINAL_PHASES or kept.get("phase") == phase):
+        _follow(recorder, plan, kept["phase"], str(kept.get("reason", "")), now)
+        return True
+    entry = {
+        "phase": phase.value,
+        "service": plan.service,
+        "to": plan.to_version,
+        "reason": reason,
+        "at": now.isoformat(),
+    }
+    status.rollouts[plan.rollout_id] = entry
+    updated = item.model_copy(update={"status": dump_status(status)})
+    if update_object(recorder.client, SECTIONS, updated, subresource="/status").is_err():
+        # A lost answer or a race: the next try reads what is kept.
+        return False
+    _follow(recorder, plan, phase.value, reason, now)
+    return True
+
+
+def _follow(
+    recorder: OutcomeRecorder, plan: RolloutPlan, phase: str, reason: str, now: datetime
+) -> None:
+    logger.info("rollout outcome is kept", extra={"rollout": plan.rollout_id, "phase": phase})
+    if phase == RolloutPhase.DONE:
+        publish_completion(recorder.store, plan, now)
+    elif phase == RolloutPhase.ROLLED_BACK:
+        publish_veto(recorder.store, plan, reason, now)
--- /dev/null
+++ b/comfreyhitch/sections/acceptance.py
@@ -0,0 +1,74 @@
+"""Decide whether an edited section is accepted; the decision is kept in its status."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok
+
+from comfreyhitch.platform.models import PlatformObject
+from comfreyhitch.sections.merging import find_clashes
+from comfreyhitch.sections.models import Section
+from comfreyhitch.sections.parsing import parse_section
+
+
+class AcceptedModel(BaseModel):
+    """Validate the accepted content in a status."""
+
+    generation: int
+    content: dict[str, Any]
+
+
+class SectionStatus(BaseModel):
+    """Validate the status of a section."""
+
+    model_config = ConfigDict(populate_by_name=True)
+
+    observed_generation: int = Field(0, alias="observedGeneration")
+    accepted: AcceptedModel | None = None
+    errors: list[str] = []
+    rollouts: dict[str, dict[str, Any]] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold the status that a section should have, and whether it has to be written."""
+
+    status: SectionStatus
+    is_changed: bool
+
+
+def read_status(item: PlatformObject) -> SectionStatus:
+    """Return the status of a section, an empty one if it can't be read."""
+    try:
+        return SectionStatus.model_validate(item.status)
+    except ValidationError:
+        return SectionStatus()
+
+
+def dump_status(status: SectionStatus) -> dict[str, Any]:
+    """Return the JSON content of a status."""
+    return status.model_dump(by_alias=True, exclude_none=True)
+
+
+def decide(item: PlatformObject, accepted_sections: list[Section]) -> Decision:
+    """Accept a valid edit; an invalid one leaves the accepted content in force."""
+    status = read_status(item)
+    generation = item.metadata.generation
+    if status.observed_generation >= generation:
+        return Decision(status, is_changed=False)
+    changes: dict[str, Any] = {"observed_generation": generation}
+    match parse_section(item.metadata.name, generation, item.spec):
+        case Err(errors):
+            changes["errors"] = errors
+        case Ok(section):
+            changes["errors"] = find_clashes(section, accepted_sections)
+    if not changes["errors"]:
+        changes["accepted"] = AcceptedModel(generation=generation, content=item.spec)
+    return Decision(status.model_copy(update=changes), is_changed=True)
+
+
+def encode_content(accepted: AcceptedModel) -> bytes:
+    """Return the bytes of accepted content, the same in every process."""
+    return json.dumps(accepted.content, sort_keys=True, separators=(",", ":")).encode()
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -208,9 +208,9 @@
 /** Evidence of one daemon about its version on one route. */
 struct RouteEvidence {
   1: required string route,
-  2: required i64 requests,
-  3: required i64 failures,
-  4: required list<i64> latency_counts,
+  2: required i32 requests,
+  3: required i32 failures,
+  4: required list<i32> latency_counts,
 }
 
 struct EvidenceRecord {
--- a/features/steps/__init__.py
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the features."""
