--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of comfreyhitch on loopback, printed as JSON lines."""
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,82 @@
+"""Load generators: open loop at a rate, and closed loop with callers."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from comfreyhitch.testing.fleet import HTTP_PORT
+
+MAX_CONNECTIONS = 200
+TIMEOUT_SECONDS = 15.0
+
+
+@dataclass(slots=True)
+class Sample:
+    """Hold what callers saw."""
+
+    seconds: list[float] = field(default_factory=list)
+    statuses: dict[int, int] = field(default_factory=dict)
+    errors: int = 0
+
+
+@dataclass(slots=True)
+class Caller:
+    """Hold a pool of kept connections to one address."""
+
+    client: HTTPClient
+    headers: dict[str, str]
+    sample: Sample
+
+    @classmethod
+    def from_address(cls, host: str, port: int, headers: dict[str, str]) -> "Caller":
+        """Return a caller of one address."""
+        client = HTTPClient(
+            host, port, concurrency=MAX_CONNECTIONS, network_timeout=TIMEOUT_SECONDS
+        )
+        return cls(client, headers, Sample())
+
+
+def make_service_caller(host: str, service: str) -> Caller:
+    """Return a caller of a service through the daemon on a host."""
+    return Caller.from_address(host, HTTP_PORT, {"Comfreyhitch-Service": service})
+
+
+def send(caller: Caller, path: str = "/", due_at: float | None = None) -> None:
+    """Send one request, and count its time from when it was due."""
+    started_at = time.monotonic() if due_at is None else due_at
+    sample = caller.sample
+    try:
+        response = caller.client.request("GET", path, b"", caller.headers)
+        response.read()
+    except (OSError, HTTPParseError):
+        sample.errors += 1
+        return
+    sample.seconds.append(time.monotonic() - started_at)
+    status = response.status_code
+    sample.statuses[status] = sample.statuses.get(status, 0) + 1
+
+
+def run_open_loop(
+    pick: Callable[[], Caller], rate: float, duration_seconds: float, seed: int
+) -> None:
+    """Send requests at a rate with random gaps, however long responses take."""
+    random = Random(seed)
+    due_at = time.monotonic()
+    ends_at = due_at + duration_seconds
+    pending = []
+    while due_at < ends_at:
+        due_at += random.expovariate(rate)
+        gevent.sleep(max(0.0, due_at - time.monotonic()))
+        pending.append(gevent.spawn(send, pick(), "/", due_at))
+    gevent.joinall(pending, timeout=TIMEOUT_SECONDS)
+
+
+def run_closed_loop(caller: Caller, requests: int) -> None:
+    """Send requests one after the other."""
+    for _ in range(requests):
+        send(caller)
--- a/comfreyhitch/admission/queue.py
+++ b/comfreyhitch/admission/queue.py
@@ -63,7 +63,7 @@
         _mark_held(queue, ticket)
         _mark_running(queue, ticket)
         return Decision.RUN, None
-    if len(queue.waiting) >= get_queue_capacity(queue) and not _shed_lower_class(queue, ticket):
+    if len(queue.waiting) >= get_queue_capacity(queue) and not _make_room(queue, ticket):
         return Decision.REFUSE, Refusal.OVERLOADED
     _mark_held(queue, ticket)
     queue.waiting.append(ticket)
@@ -116,12 +116,19 @@
     return held >= max(1, int(queue.limit.limit * share))
 
 
-def _shed_lower_class(queue: AdmissionQueue, ticket: Ticket) -> bool:
+def _make_room(queue: AdmissionQueue, ticket: Ticket) -> bool:
+    """Shed a waiting request of a lower class, or of a tenant that holds far more."""
     lowest = queue.waiting[-1]
-    if lowest.traffic_class >= ticket.traffic_class:
-        return False
-    _settle_refused(queue, lowest, Refusal.OVERLOADED)
-    return True
+    if lowest.traffic_class < ticket.traffic_class:
+        _settle_refused(queue, lowest, Refusal.OVERLOADED)
+        return True
+    held = queue.held_by_tenant
+    greediest = max(reversed(queue.waiting), key=lambda waiting: held[waiting.tenant])
+    is_same_class = greediest.traffic_class == ticket.traffic_class
+    if is_same_class and held[greediest.tenant] > held[ticket.tenant] + 1:
+        _settle_refused(queue, greediest, Refusal.TENANT_SHARE)
+        return True
+    return False
 
 
 def _settle_refused(queue: AdmissionQueue, ticket: Ticket, refusal: Refusal) -> None:
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -33,6 +33,7 @@
     version: Name
     port: Port
     slots: Annotated[int, Field(ge=1, le=10_000)] = 10
+    incarnation: Annotated[str, Field(max_length=128)] = ""
     draining: bool = False
 
 
@@ -52,7 +53,9 @@
         return "200 OK", content_type, content
 
     def get_readiness() -> AdminResponse:
-        is_ready = not blackboard.is_draining and not blackboard.is_stale
+        is_ready = not (
+            blackboard.is_draining or blackboard.is_stale or ingress.claims.is_recovering
+        )
         status = "200 OK" if is_ready else "503 Service Unavailable"
         return _make_json(status, {"ready": is_ready, "accepting": is_accepting(ingress)})
 
--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -19,9 +19,11 @@
         connections.port == announcement.port
         and own.service == announcement.service
         and own.version == announcement.version
+        and ingress.target_incarnation == announcement.incarnation
     )
     if not is_same:
         attach_target(ingress, str(daemon.settings.host), announcement.port, announcement.slots)
+    ingress.target_incarnation = announcement.incarnation
     ingress.queue.limit.slots = announcement.slots
     is_changed = not is_same or own.slots != announcement.slots
     if is_changed or own.draining != announcement.draining:
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -9,6 +9,7 @@
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.observers import forget_expired
 from comfreyhitch.egress.probes import send_probes
+from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
 from comfreyhitch.membership.detector import list_reachable_peers, run_round
 from comfreyhitch.membership.registration import Registrar, run_registration
@@ -45,10 +46,10 @@
     ]
     for interval, action in loops:
         daemon.greenlets.append(gevent.spawn(_repeat, interval, action))
-    daemon.greenlets.append(gevent.spawn(_join, daemon))
     _start_rollouts(daemon)
     if daemon.platform is not None:
         _start_platform_controllers(daemon, daemon.platform)
+    daemon.greenlets.append(gevent.spawn(_join, daemon))
     daemon.greenlets.append(gevent.spawn(_watch_for_pauses, daemon))
 
 
@@ -75,6 +76,7 @@
 
 def _register(registrar: Registrar, daemon: Daemon) -> None:
     while True:
+        gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
         is_alone = not list_reachable_peers(daemon.blackboard)
         # Only the readers look again and again, so that the number of calls
         # follows the number of zones and not that of daemons.
@@ -110,14 +112,21 @@
 
 
 def _join(daemon: Daemon) -> None:
-    """Sync with a first peer until one answers."""
-    while daemon.settings.peers:
-        answered = [
-            sync_with_peer(daemon.store, daemon.pool, address) for address in daemon.settings.peers
-        ]
-        if any(answered):
-            return
+    """Sync with first peers until one answers, then recover what a restart lost."""
+    while not _has_joined(daemon):
         gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
+    recover_claims(daemon.claims)
+
+
+def _has_joined(daemon: Daemon) -> bool:
+    answered = [
+        sync_with_peer(daemon.store, daemon.pool, address) for address in daemon.settings.peers
+    ]
+    is_registry_read = daemon.registrar is None or run_registration(daemon.registrar)
+    if list_reachable_peers(daemon.blackboard):
+        return True
+    # A daemon that was told of peers but reaches none may be cut off from them.
+    return is_registry_read and not answered
 
 
 def _sync_with_random_peer(daemon: Daemon) -> None:
--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -9,6 +9,7 @@
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
 from comfreyhitch.idempotency.claims import ClaimClient, answer_claim, take_outcomes
+from comfreyhitch.idempotency.recovery import list_claims_of
 from comfreyhitch.idempotency.registry import remove_claim
 from comfreyhitch.ingress.fence import answer_fence
 from comfreyhitch.ingress.gate import handle_call
@@ -92,6 +93,10 @@
         """Remove a claim whose request did not run."""
         remove_claim(self._services.claims.registry, request.scope, request.claim_id)
 
+    def list_claims(self, registrar: str, offset: int) -> list[ClaimOutcome]:
+        """Return a page of the claims that a registrar should hold."""
+        return list_claims_of(self._services.claims, registrar, offset)
+
     def compare(self, digests: list[BucketDigest]) -> SyncAnswer:
         """Return the buckets that differ."""
         return SyncAnswer(find_differing_buckets(self._services.store, digests))
--- a/comfreyhitch/idempotency/claims.py
+++ b/comfreyhitch/idempotency/claims.py
@@ -38,10 +38,8 @@
 
 CLAIM_TIMEOUT_SECONDS = 0.5
 OWNER_POLL_SECONDS = 0.1
-RING_MAX_AGE_SECONDS = 30.0
 SETTLE_ATTEMPTS = 3
 SETTLE_RETRY_SECONDS = 0.5
-HAND_ON_BATCH = 200
 MAX_TAKEOVERS = 2
 REPLAYED_HEADER = ("Comfreyhitch-Replayed", "true")
 
@@ -55,9 +53,9 @@
     blackboard: Blackboard
     pool: PeerPool
     registry: ClaimRegistry
-    retention: timedelta
-    rings_by_service: dict[str, tuple[int, float, RegistrarRing]] = field(default_factory=dict)
+    rings_by_service: dict[str, tuple[int, RegistrarRing]] = field(default_factory=dict)
     settling: int = 0
+    is_recovering: bool = True
 
     @classmethod
     def from_retention(
@@ -65,7 +63,7 @@
     ) -> "ClaimClient":
         """Return a client with an empty registry."""
         registry = ClaimRegistry.from_retention(retention.total_seconds())
-        return cls(blackboard, pool, registry, retention)
+        return cls(blackboard, pool, registry)
 
 
 def make_claim(
@@ -81,7 +79,7 @@
     """Return None once a majority granted the claim, else the outcome for the caller."""
     replaces = None
     for _ in range(MAX_TAKEOVERS + 1):
-        registrars = _get_registrars(client, wanted)
+        registrars = get_registrars(client, wanted)
         answers = _ask_registrars(client, registrars, wanted, replaces)
         granted = sum(answer.state == ClaimState.GRANTED for answer in answers)
         conflict = _find_conflict(answers)
@@ -109,7 +107,7 @@
 def release_claim(client: ClaimClient, held: Claim) -> None:
     """Give a claim back whose request is known not to have run."""
     request = _make_request(held, None)
-    for address in _get_registrars(client, held):
+    for address in get_registrars(client, held):
         if address == client.blackboard.own.address:
             remove_claim(client.registry, held.scope, held.claim_id)
         else:
@@ -118,6 +116,10 @@
 
 def answer_claim(client: ClaimClient, request: ClaimRequest) -> ClaimAnswer:
     """Grant a claim as a registrar, or tell who holds the key."""
+    if client.is_recovering:
+        # Until it knows the claims of its predecessor, a registrar could
+        # grant a key that another request holds.
+        return ClaimAnswer(state=ClaimState.REFUSED, age_seconds=0.0)
     now = client.blackboard.clock.monotonic()
     wanted = Claim(
         scope=request.scope,
@@ -161,39 +163,19 @@
         write_outcome(client.registry, settled)
 
 
-def hand_on_claims(client: ClaimClient) -> int:
-    """Give all claims to the registrars that remain after this daemon, and return their number."""
-    now = client.blackboard.clock.monotonic()
-    batches_by_address: dict[str, list[ClaimOutcome]] = {}
-    for held in list(client.registry.claims_by_scope.values()):
-        for address in _get_registrars(client, held):
-            if address != client.blackboard.own.address:
-                batches_by_address.setdefault(address, []).append(_make_outcome(held, now))
-    handed = 0
-    for address, outcomes in batches_by_address.items():
-        for start in range(0, len(outcomes), HAND_ON_BATCH):
-            batch = outcomes[start : start + HAND_ON_BATCH]
-            handed += _try_settle(client, address, batch) * len(batch)
-    return handed
-
-
-def _get_registrars(client: ClaimClient, held: Claim) -> list[str]:
+def get_registrars(client: ClaimClient, held: Claim) -> list[str]:
+    """Return the addresses of the registrars of a claim."""
     ring = _get_ring(client, held.service)
     return [member.address for member in choose_registrars(ring, held.scope)]
 
 
 def _get_ring(client: ClaimClient, service: str) -> RegistrarRing:
     blackboard = client.blackboard
-    now = blackboard.clock.monotonic()
     cached = client.rings_by_service.get(service)
-    if cached is not None:
-        revision, built_at, ring = cached
-        if revision == blackboard.members_revision and now - built_at < RING_MAX_AGE_SECONDS:
-            return ring
-    ring = RegistrarRing.from_members(
-        service, blackboard.members_by_address.values(), blackboard.clock.now(), client.retention
-    )
-    client.rings_by_service[service] = (blackboard.members_revision, now, ring)
+    if cached is not None and cached[0] == blackboard.members_revision:
+        return cached[1]
+    ring = RegistrarRing.from_members(service, blackboard.members_by_address.values())
+    client.rings_by_service[service] = (blackboard.members_revision, ring)
     return ring
 
 
@@ -290,12 +272,10 @@
 
 def _settle_everywhere(client: ClaimClient, settled: Claim) -> None:
     try:
-        outcome = _make_outcome(settled, client.blackboard.clock.monotonic())
-        pending = _get_registrars(client, settled)
+        outcome = make_outcome(settled, client.blackboard.clock.monotonic())
+        pending = get_registrars(client, settled)
         for attempt in range(SETTLE_ATTEMPTS):
-            pending = [
-                address for address in pending if not _try_settle(client, address, [outcome])
-            ]
+            pending = [address for address in pending if not try_settle(client, address, [outcome])]
             if not pending:
                 return
             gevent.sleep(SETTLE_RETRY_SECONDS * (attempt + 1))
@@ -303,7 +283,8 @@
         client.settling -= 1
 
 
-def _try_settle(client: ClaimClient, address: str, outcomes: list[ClaimOutcome]) -> bool:
+def try_settle(client: ClaimClient, address: str, outcomes: list[ClaimOutcome]) -> bool:
+    """Tell a registrar outcomes, and return whether it took them."""
     if address == client.blackboard.own.address:
         take_outcomes(client, outcomes)
         return True
@@ -338,7 +319,8 @@
     )
 
 
-def _make_outcome(held: Claim, now: float) -> ClaimOutcome:
+def make_outcome(held: Claim, now: float) -> ClaimOutcome:
+    """Return the message that carries a claim and its answer."""
     return ClaimOutcome(
         scope=held.scope,
         claim_id=held.claim_id,
--- /dev/null
+++ b/comfreyhitch/idempotency/recovery.py
@@ -0,0 +1,95 @@
+"""Keep claims alive when registrars leave, restart or join."""
+
+import logging
+
+from gevent.pool import Pool
+
+from comfreyhitch.idempotency.claims import (
+    CLAIM_TIMEOUT_SECONDS,
+    ClaimClient,
+    get_registrars,
+    make_outcome,
+    take_outcomes,
+    try_settle,
+)
+from comfreyhitch.membership.detector import list_reachable_peers
+from comfreyhitch.wire.connections import call_peer
+from comfreyhitch.wire.exceptions import PeerError
+from comfreyhitch.wire.generated.ttypes import ClaimOutcome
+
+logger = logging.getLogger(__name__)
+
+PAGE_CLAIMS = 200
+PARALLEL_PULLS = 16
+RECOVERY_TIMEOUT_SECONDS = 5.0
+
+
+def recover_claims(client: ClaimClient) -> None:
+    """Read the claims that this daemon should hold from all peers, then grant claims.
+
+    A claim stands at two registrars or more, so one that this daemon lost by
+    a restart is still held by another.
+    """
+    peers = list_reachable_peers(client.blackboard)
+    pool = Pool(PARALLEL_PULLS)
+    for address in peers:
+        pool.spawn(_pull_claims, client, address)
+    is_complete = pool.join(timeout=RECOVERY_TIMEOUT_SECONDS)
+    client.is_recovering = False
+    logger.info(
+        "claims recovered",
+        extra={
+            "claims": len(client.registry.claims_by_scope),
+            "peers": len(peers),
+            "complete": is_complete,
+        },
+    )
+
+
+def list_claims_of(client: ClaimClient, registrar: str, offset: int) -> list[ClaimOutcome]:
+    """Return a page of the claims held here that a registrar should hold as well."""
+    now = client.blackboard.clock.monotonic()
+    held = list(client.registry.claims_by_scope.values())[offset:]
+    page: list[ClaimOutcome] = []
+    for claim in held:
+        if registrar in get_registrars(client, claim):
+            page.append(make_outcome(claim, now))
+            if len(page) == PAGE_CLAIMS:
+                break
+    return page
+
+
+def hand_on_claims(client: ClaimClient) -> int:
+    """Give all claims to the registrars that remain after this daemon, and return their number."""
+    now = client.blackboard.clock.monotonic()
+    batches_by_address: dict[str, list[ClaimOutcome]] = {}
+    for held in list(client.registry.claims_by_scope.values()):
+        for address in get_registrars(client, held):
+            if address != client.blackboard.own.address:
+                batches_by_address.setdefault(address, []).append(make_outcome(held, now))
+    handed = 0
+    for address, outcomes in batches_by_address.items():
+        for start in range(0, len(outcomes), PAGE_CLAIMS):
+            batch = outcomes[start : start + PAGE_CLAIMS]
+            handed += try_settle(client, address, batch) * len(batch)
+    return handed
+
+
+def _pull_claims(client: ClaimClient, address: str) -> None:
+    own = client.blackboard.own.address
+    offset = 0
+    while True:
+        try:
+            page = call_peer(
+                client.pool,
+                address,
+                CLAIM_TIMEOUT_SECONDS,
+                lambda peer, offset=offset: peer.list_claims(own, offset),
+            )
+        except PeerError as error:
+            logger.info("claims not read", extra={"peer": address, "error": str(error)})
+            return
+        take_outcomes(client, page)
+        if len(page) < PAGE_CLAIMS:
+            return
+        offset += PAGE_CLAIMS
--- a/comfreyhitch/idempotency/registrars.py
+++ b/comfreyhitch/idempotency/registrars.py
@@ -4,14 +4,11 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import datetime, timedelta
 
 from comfreyhitch.membership.models import Member, MemberStatus
 from comfreyhitch.utils.hashing import hash_text
 
 REGISTRAR_COUNT = 3
-# Daemons that started together with the oldest one have missed no claim.
-FLEET_START_WINDOW = timedelta(seconds=60)
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,21 +19,17 @@
     members: tuple[Member, ...] = ()
 
     @classmethod
-    def from_members(
-        cls, service: str, members: Iterable[Member], now: datetime, retention: timedelta
-    ) -> "RegistrarRing":
-        """Return the ring of the members that have been up for long enough.
+    def from_members(cls, service: str, members: Iterable[Member]) -> "RegistrarRing":
+        """Return the ring of all members in the region where the service runs.
 
         Unreachable members count, since an unreachable registrar may be alive
         on the other side of a cut. So any two majorities for a key meet.
         """
         present = [member for member in members if member.status is not MemberStatus.LEFT]
         region = _get_home_region(service, present)
-        local = [member for member in present if member.region == region]
-        seasoned = _select_seasoned(local, now, retention)
         by_point = sorted(
-            ((hash_text(member.address), member) for member in seasoned),
-            key=lambda item: (item[0], item[1].address),
+            ((hash_text(item.address), item) for item in present if item.region == region),
+            key=lambda pair: (pair[0], pair[1].address),
         )
         points = tuple(point for point, _ in by_point)
         return cls(points, tuple(member for _, member in by_point))
@@ -71,16 +64,3 @@
     if not counts:
         counts = Counter(member.region for member in members)
     return min(counts, key=lambda region: (-counts[region], region), default="")
-
-
-def _select_seasoned(members: list[Member], now: datetime, retention: timedelta) -> list[Member]:
-    by_age = sorted(members, key=lambda member: (member.started_at, member.address))
-    if len(by_age) <= REGISTRAR_COUNT:
-        return by_age
-    oldest_start = by_age[0].started_at
-    latest_start = max(
-        oldest_start + FLEET_START_WINDOW.total_seconds(),
-        now.timestamp() - retention.total_seconds(),
-    )
-    seasoned = [member for member in by_age if member.started_at <= latest_start]
-    return seasoned if len(seasoned) >= REGISTRAR_COUNT else by_age[:REGISTRAR_COUNT]
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -40,6 +40,7 @@
         default_factory=lambda: RecentSet.from_capacity(PROVEN_FINGERPRINTS)
     )
     connections: TargetConnections | None = None
+    target_incarnation: str = ""
     latency_seconds: float = 0.0
     calls_in_progress: int = 0
 
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -1,7 +1,7 @@
 """Find first peers through the platform, and register there for others."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from result import Err, Ok
@@ -25,6 +25,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_JOIN_PEERS = 5
+MAX_FAILED_JOINS = 5
 
 
 @dataclass(slots=True)
@@ -37,17 +38,21 @@
     client: PlatformClient
     random: Random
     is_registered: bool = False
+    failed_joins: dict[str, int] = field(default_factory=dict)
 
 
-def run_registration(registrar: Registrar) -> None:
-    """Keep the readers registered, and nobody else; sync with unknown registrations."""
+def run_registration(registrar: Registrar) -> bool:
+    """Keep the readers registered, and sync with unknown registrations.
+
+    Return whether the platform answered, and each daemon registered there.
+    """
     match list_objects(registrar.client, DAEMONS):
         case Err(error):
             logger.info("registrations can't be read", extra={"error": str(error)})
-            return
+            return False
         case Ok(listed):
             addresses = [str(item.spec.get("address", "")) for item in listed.items]
-    _join(registrar, addresses)
+    is_joined = _join(registrar, addresses)
     _forget_gone(registrar, addresses)
     own = registrar.blackboard.own.address
     registrar.is_registered = own in addresses
@@ -55,6 +60,7 @@
         _register(registrar, own)
     elif registrar.is_registered and not is_reader(registrar.blackboard):
         unregister(registrar)
+    return is_joined
 
 
 def unregister(registrar: Registrar) -> None:
@@ -64,14 +70,21 @@
         registrar.is_registered = False
 
 
-def _join(registrar: Registrar, addresses: list[str]) -> None:
+def _join(registrar: Registrar, addresses: list[str]) -> bool:
     known = registrar.blackboard.members_by_address
     unknown = [address for address in addresses if address and address not in known]
     registrar.random.shuffle(unknown)
+    is_joined = True
     for address in unknown[:MAX_JOIN_PEERS]:
-        if not sync_with_peer(registrar.store, registrar.pool, address):
+        if sync_with_peer(registrar.store, registrar.pool, address):
+            registrar.failed_joins.pop(address, None)
+            continue
+        is_joined = False
+        registrar.failed_joins[address] = registrar.failed_joins.get(address, 0) + 1
+        if registrar.failed_joins[address] >= MAX_FAILED_JOINS:
             # Nobody knows this address and it does not answer: it was replaced.
             _delete(registrar, address)
+    return is_joined
 
 
 def _forget_gone(registrar: Registrar, addresses: list[str]) -> None:
--- a/comfreyhitch/rollouts/models.py
+++ b/comfreyhitch/rollouts/models.py
@@ -17,6 +17,9 @@
     ROLLED_BACK = "rolled-back"
 
 
+TERMINAL_PHASES = frozenset({RolloutPhase.DONE.value, RolloutPhase.ROLLED_BACK.value})
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutStatus:
     """Hold what operators are told about a rollout."""
--- a/comfreyhitch/rollouts/recorder.py
+++ b/comfreyhitch/rollouts/recorder.py
@@ -10,7 +10,7 @@
 from comfreyhitch.platform.client import SECTIONS, PlatformClient, get_object, update_object
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.rollouts.controller import publish_completion, publish_veto
-from comfreyhitch.rollouts.models import RolloutPhase
+from comfreyhitch.rollouts.models import TERMINAL_PHASES, RolloutPhase
 from comfreyhitch.rollouts.schedule import FINAL_STAGE, get_active_freeze_start
 from comfreyhitch.sections.acceptance import dump_status, read_status
 from comfreyhitch.sections.models import RolloutPlan, Section
@@ -21,7 +21,6 @@
 RECORDERS = 2
 SECOND_RECORDER_DELAY = timedelta(seconds=3)
 RETRY_INTERVAL = timedelta(seconds=2)
-TERMINAL_PHASES = frozenset({RolloutPhase.DONE.value, RolloutPhase.ROLLED_BACK.value})
 
 
 @dataclass(slots=True)
--- a/comfreyhitch/sections/acceptance.py
+++ b/comfreyhitch/sections/acceptance.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from comfreyhitch.platform.models import PlatformObject
+from comfreyhitch.rollouts.models import TERMINAL_PHASES
 from comfreyhitch.sections.merging import find_clashes
 from comfreyhitch.sections.models import Section
 from comfreyhitch.sections.parsing import parse_section
@@ -66,9 +67,19 @@
             changes["errors"] = find_clashes(section, accepted_sections)
     if not changes["errors"]:
         changes["accepted"] = AcceptedModel(generation=generation, content=item.spec)
+        changes["rollouts"] = _keep_ended(status.rollouts)
     return Decision(status.model_copy(update=changes), is_changed=True)
 
 
+def _keep_ended(rollouts: dict[str, dict[str, Any]]) -> dict[str, dict[str, Any]]:
+    """Return the rollouts with an outcome; an edit replaces those that have none."""
+    return {
+        rollout_id: entry
+        for rollout_id, entry in rollouts.items()
+        if entry.get("phase") in TERMINAL_PHASES
+    }
+
+
 def encode_content(accepted: AcceptedModel) -> bytes:
     """Return the bytes of accepted content, the same in every process."""
     return json.dumps(accepted.content, sort_keys=True, separators=(",", ":")).encode()
--- a/comfreyhitch/sections/reader.py
+++ b/comfreyhitch/sections/reader.py
@@ -52,9 +52,18 @@
 def run_reader(reader: SectionReader) -> None:
     """List and watch sections for as long as this daemon is one of the readers."""
     while True:
+        gevent.sleep(CHECK_SECONDS)
         if not is_reader(reader.blackboard):
-            gevent.sleep(CHECK_SECONDS)
             continue
+        reading = gevent.spawn(_read_until_failure, reader)
+        while is_reader(reader.blackboard) and not reading.ready():
+            gevent.sleep(CHECK_SECONDS)
+        # A daemon that is no longer a reader gives up its waiting call at once.
+        reading.kill()
+
+
+def _read_until_failure(reader: SectionReader) -> None:
+    while True:
         error = _read_once(reader)
         if error is None:
             reader.failures = 0
@@ -119,7 +128,7 @@
         for item in listed.items:
             take_object(reader, item)
         since = listed.resource_version
-        while is_reader(reader.blackboard):
+        while True:
             since, error = _watch_once(reader, since)
             if error is not None and error.failure is PlatformFailure.EXPIRED:
                 return None
@@ -127,7 +136,6 @@
                 return error
     except PlatformUnavailableError as error:
         return error.error
-    return None
 
 
 def _watch_once(reader: SectionReader, since: str) -> tuple[str, PlatformError | None]:
--- a/comfreyhitch/testing/fleet.py
+++ b/comfreyhitch/testing/fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -161,6 +162,7 @@
     arguments = ["-m", "comfreyhitch.testing.target", "--host", instance.host]
     arguments += ["--port", str(TARGET_PORT), "--admin", f"{instance.host}:{ADMIN_PORT}"]
     arguments += ["--service", instance.service, "--version", instance.version]
+    arguments += ["--run-log", str(fleet.folder / "runs")]
     arguments += instance.target_arguments
     instance.target = _spawn(fleet, f"{instance.name}-target", arguments, {})
 
@@ -184,7 +186,8 @@
 
     def is_joined(instance: Instance) -> bool:
         members = get_admin(instance, "/v1/members")
-        if members is None:
+        readiness = get_admin(instance, "/readyz")
+        if members is None or readiness is None or not readiness["ready"]:
             return False
         known = {item["address"] for item in members if item["service"]}
         return expected <= known
@@ -206,12 +209,31 @@
     return request(instance.host, "/_standin/state", port=TARGET_PORT).json
 
 
+def count_runs(fleet: Fleet) -> Counter[str]:
+    """Return how often each X-Run-Id ran at any target, killed ones included."""
+    path = fleet.folder / "runs"
+    return Counter(path.read_text().split()) if path.exists() else Counter()
+
+
 def set_faults(instance: Instance, **faults: object) -> None:
     """Change the faults of a running target."""
     body = json.dumps(faults).encode()
     request(instance.host, "/_standin/faults", method="POST", body=body, port=TARGET_PORT)
 
 
+def set_relay(instance: Instance, **changes: object) -> None:
+    """Cut or silence what crosses the relay in front of an instance's daemon."""
+    body = json.dumps(changes).encode()
+    request(instance.relay_host, "/_standin/relay", method="POST", body=body, port=ADMIN_PORT)
+
+
+def set_platform_faults(fleet: Fleet, **faults: object) -> None:
+    """Change the faults of the running platform."""
+    body = json.dumps(faults).encode()
+    host = fleet.platform_url.removeprefix("http://").partition(":")[0]
+    request(host, "/_standin/faults", method="POST", body=body, port=PLATFORM_PORT)
+
+
 def request(
     host: str,
     path: str,
--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -9,15 +9,18 @@
 from dataclasses import dataclass, field
 
 import gevent
+import gevent.socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from comfreyhitch.platform.client import API_PREFIX
-from comfreyhitch.testing.target import QuietHandler
+from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
+from comfreyhitch.wire.sockets import is_disconnected
 
 KEPT_EVENTS = 1000
 MAX_OBJECT_BYTES = 1024 * 1024
 MAX_WATCH_SECONDS = 300.0
+DISCONNECT_CHECK_SECONDS = 0.5
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 ObjectId = tuple[str, str, str]
@@ -104,7 +107,7 @@
     query = _parse_query(environ["QUERY_STRING"])
     if method == "GET" and query.get("watch") == "true":
         state.calls_by_verb["watch"] += 1
-        return _start_watch(state, namespace, kind, query, start_response)
+        return _start_watch(state, namespace, kind, query, environ, start_response)
     verb = "list" if method == "GET" and name is None else method.lower()
     state.calls_by_verb[verb] += 1
     content = _call(state, method, (namespace, kind, name or ""), is_status, environ)
@@ -199,6 +202,7 @@
     namespace: str,
     kind: str,
     query: dict[str, str],
+    environ: dict[str, object],
     start_response: StartResponse,
 ) -> Iterator[bytes]:
     since = int(query.get("resourceVersion", "0"))
@@ -207,23 +211,29 @@
         raise ApiError("410 Gone", f"version {since} is too old")
     seconds = min(MAX_WATCH_SECONDS, float(query.get("timeoutSeconds", "60")))
     start_response("200 OK", [("Content-Type", "application/json")])
-    return _watch(state, namespace, kind, since, seconds)
+    sock = environ[SOCKET_ENVIRON_KEY]
+    return _watch(state, namespace, kind, since, seconds, sock)
 
 
 def _watch(
-    state: PlatformState, namespace: str, kind: str, since: int, seconds: float
+    state: PlatformState,
+    namespace: str,
+    kind: str,
+    since: int,
+    seconds: float,
+    sock: gevent.socket.socket,
 ) -> Iterator[bytes]:
     state.watches += 1
     state.max_watches = max(state.max_watches, state.watches)
     try:
         with gevent.Timeout(seconds, False):
-            while not state.faults.is_down:
+            while not state.faults.is_down and not is_disconnected(sock):
                 changed = state.changed
                 for version, object_id, event, content in list(state.events):
                     if version > since and object_id[:2] == (namespace, kind):
                         yield json.dumps({"type": event, "object": content}).encode() + b"\n"
                 since = max(since, state.version)
-                changed.wait()
+                changed.wait(DISCONNECT_CHECK_SECONDS)
     finally:
         state.watches -= 1
 
--- /dev/null
+++ b/comfreyhitch/testing/relay.py
@@ -0,0 +1,151 @@
+"""Relay in front of a daemon's peer port, to cut and silence what crosses it."""
+
+import argparse
+import json
+import sys
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import gevent
+import gevent.socket
+from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
+
+from comfreyhitch.testing.target import QuietHandler
+from comfreyhitch.wire.sockets import connect, split_address, tune_socket
+
+BLOCK_BYTES = 65_536
+CONNECT_TIMEOUT_SECONDS = 2.0
+ALL_SOURCES = "*"
+BLACKHOLE_SECONDS = 30.0
+BLOCK_POLL_SECONDS = 0.1
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """Hold one relayed connection."""
+
+    source: str
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class RelayState:
+    """Hold the connections, and whose traffic is dropped."""
+
+    target: str
+    blocked_sources: set[str] = field(default_factory=set)
+    links: set[Link] = field(default_factory=set)
+    dropped_bytes: int = 0
+
+
+def serve_connection(
+    state: RelayState, sock: gevent.socket.socket, address: tuple[str, int]
+) -> None:
+    """Relay one connection until either end closes it."""
+    link = Link(address[0])
+    if _is_blocked(state, link):
+        # A cut drops packets, so nobody is told that the connection is dead.
+        gevent.sleep(BLACKHOLE_SECONDS)
+        sock.close()
+        return
+    host, port = split_address(state.target)
+    try:
+        onward = connect(host, port, CONNECT_TIMEOUT_SECONDS)
+    except OSError:
+        sock.close()
+        return
+    tune_socket(sock)
+    state.links.add(link)
+    forward = gevent.spawn(_copy, state, link, sock, onward)
+    backward = gevent.spawn(_copy, state, link, onward, sock)
+    gevent.joinall([forward, backward], count=1)
+    while _is_blocked(state, link):
+        gevent.sleep(BLOCK_POLL_SECONDS)
+    gevent.killall([forward, backward])
+    state.links.discard(link)
+    sock.close()
+    onward.close()
+
+
+def _copy(
+    state: RelayState, link: Link, source: gevent.socket.socket, sink: gevent.socket.socket
+) -> None:
+    while True:
+        try:
+            data = source.recv(BLOCK_BYTES)
+            if not data:
+                return
+            if _is_blocked(state, link):
+                state.dropped_bytes += len(data)
+                link.is_silent = True
+                continue
+            sink.sendall(data)
+        except OSError:
+            return
+
+
+def _is_blocked(state: RelayState, link: Link) -> bool:
+    if link.is_silent or ALL_SOURCES in state.blocked_sources:
+        return True
+    return link.source in state.blocked_sources
+
+
+def relay_datagrams(state: RelayState, sock: gevent.socket.socket) -> None:
+    """Relay datagrams one way; answers go straight to the sender's own address."""
+    target = split_address(state.target)
+    while True:
+        data, address = sock.recvfrom(BLOCK_BYTES)
+        if not _is_blocked(state, Link(address[0])):
+            sock.sendto(data, target)
+
+
+def make_application(
+    state: RelayState,
+) -> Callable[[dict[str, object], StartResponse], Iterable[bytes]]:
+    """Return the WSGI application that changes the relay."""
+
+    def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
+        if environ["REQUEST_METHOD"] == "POST":
+            changes = json.loads(environ["wsgi.input"].read())
+            if "blocked_sources" in changes:
+                state.blocked_sources = set(changes["blocked_sources"])
+            if changes.get("silence"):
+                for link in state.links:
+                    link.is_silent = True
+        start_response("200 OK", [("Content-Type", "application/json")])
+        described = {"links": len(state.links), "dropped_bytes": state.dropped_bytes}
+        return [json.dumps(described).encode()]
+
+    return application
+
+
+def main() -> int:
+    """Run a relay until it is ended."""
+    parser = argparse.ArgumentParser(description="Relay in front of a daemon")
+    parser.add_argument("--host", required=True)
+    parser.add_argument("--target", required=True, help="peer address of the daemon")
+    parser.add_argument("--admin-port", type=int, required=True)
+    arguments = parser.parse_args()
+    state = RelayState(arguments.target)
+    port = split_address(arguments.target)[1]
+    datagrams = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+    datagrams.bind((arguments.host, port))
+    gevent.spawn(relay_datagrams, state, datagrams)
+    WSGIServer(
+        (arguments.host, arguments.admin_port),
+        make_application(state),
+        handler_class=QuietHandler,
+        log=None,
+    ).start()
+    server = StreamServer(
+        (arguments.host, port), lambda sock, address: serve_connection(state, sock, address)
+    )
+    server.serve_forever()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/comfreyhitch/testing/target.py
+++ b/comfreyhitch/testing/target.py
@@ -17,7 +17,7 @@
 
 OVERLOAD_EXIT_CODE = 7
 CRASH_EXIT_CODE = 9
-MAX_KEPT_RUNS = 100_000
+SOCKET_ENVIRON_KEY = "standin.socket"
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
@@ -38,6 +38,7 @@
 class TargetState:
     """Hold the state of a stand-in target."""
 
+    host: str
     service: str
     version: str
     slots: int
@@ -53,8 +54,9 @@
     max_cold_in_flight: int = 0
     overloads: int = 0
     health_reads: int = 0
-    runs_by_id: dict[str, int] = field(default_factory=dict)
+    run_log: int | None = None
     requests: int = 0
+    is_draining: bool = False
     faults: Faults = field(default_factory=Faults)
 
 
@@ -65,6 +67,10 @@
         tune_socket(sock)
         super().__init__(sock, address, server)
 
+    def get_environ(self) -> dict[str, object]:
+        """Return the WSGI environment with the caller's socket."""
+        return {**super().get_environ(), SOCKET_ENVIRON_KEY: self.socket}
+
     def log_request(self) -> None:
         """Log nothing."""
 
@@ -97,8 +103,9 @@
         os._exit(CRASH_EXIT_CODE)
     state.requests += 1
     run_id = environ.get("HTTP_X_RUN_ID")
-    if run_id is not None and len(state.runs_by_id) < MAX_KEPT_RUNS:
-        state.runs_by_id[run_id] = state.runs_by_id.get(run_id, 0) + 1
+    if run_id is not None and state.run_log is not None:
+        # One write call a run, so that a killed target loses no line.
+        os.write(state.run_log, f"{run_id}\n".encode())
     state.in_flight += 1
     try:
         _note_load(state)
@@ -162,6 +169,7 @@
     answer = {
         "service": state.service,
         "version": state.version,
+        "host": state.host,
         "method": environ["REQUEST_METHOD"],
         "path": environ["PATH_INFO"],
         "query": environ["QUERY_STRING"],
@@ -185,7 +193,6 @@
             "max_cold_in_flight": state.max_cold_in_flight,
             "overloads": state.overloads,
             "health_reads": state.health_reads,
-            "runs": state.runs_by_id,
             "version": state.version,
         }
     ).encode()
@@ -197,6 +204,7 @@
     if changes.pop("turn_cold", False):
         state.started_at = now
         state.max_cold_in_flight = 0
+    state.is_draining = changes.pop("is_draining", state.is_draining)
     if "slow_seconds" in changes:
         state.faults.slow_until = now + changes.pop("slow_seconds")
     for name, value in changes.items():
@@ -212,7 +220,8 @@
         "version": state.version,
         "port": port,
         "slots": state.slots,
-        "draining": draining,
+        "incarnation": f"{os.getpid()}-{state.started_at}",
+        "draining": draining or state.is_draining,
     }
     try:
         response = client.request("PUT", "/v1/announcement", json.dumps(content).encode())
@@ -226,7 +235,7 @@
 def _keep_announcing(admin_address: str, state: TargetState, port: int) -> None:
     while True:
         announced = announce(admin_address, state, port)
-        gevent.sleep(2.0 if announced else 0.1)
+        gevent.sleep(0.5 if announced else 0.1)
 
 
 def _parse_arguments() -> argparse.Namespace:
@@ -242,6 +251,7 @@
     parser.add_argument("--warm-up-seconds", type=float, default=0.0)
     parser.add_argument("--cold-slots", type=int, default=2)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--run-log", help="file that each X-Run-Id is appended to")
     parser.add_argument("--faults", default="{}", help="faults from the start, as JSON")
     return parser.parse_args()
 
@@ -251,6 +261,7 @@
     arguments = _parse_arguments()
     clock = Clock.from_system()
     state = TargetState(
+        host=arguments.host,
         service=arguments.service,
         version=arguments.version,
         slots=arguments.slots,
@@ -262,6 +273,9 @@
         random=Random(arguments.seed),
         started_at=clock.monotonic(),
     )
+    if arguments.run_log:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        state.run_log = os.open(arguments.run_log, flags, 0o600)
     for name, value in json.loads(arguments.faults).items():
         setattr(state.faults, name, value)
     server = WSGIServer(
--- /dev/null
+++ b/comfreyhitch/testing/traffic.py
@@ -0,0 +1,89 @@
+"""Steady traffic of callers, with what each of them saw."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+from geventhttpclient.response import HTTPParseError
+
+from comfreyhitch.testing.fleet import Instance, call_service
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Hold what one caller saw; times are monotonic seconds."""
+
+    started_at: float
+    ended_at: float
+    status: int
+    verdict: str
+    host: str
+    version: str
+    refusal: str = ""
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Hold running callers and what they saw."""
+
+    entrances: list[Instance]
+    service: str
+    random: Random
+    options: dict = field(default_factory=dict)
+    pause_seconds: float = 0.01
+    seen: list[Seen] = field(default_factory=list)
+    callers: list[gevent.Greenlet] = field(default_factory=list)
+
+
+def start_traffic(traffic: Traffic, caller_count: int) -> None:
+    """Start callers that send one request after the other."""
+    traffic.callers = [gevent.spawn(_call_forever, traffic) for _ in range(caller_count)]
+
+
+def stop_traffic(traffic: Traffic) -> None:
+    """End the callers between two of their requests."""
+    traffic.pause_seconds = -1.0
+    gevent.joinall(traffic.callers, timeout=20.0)
+
+
+def run_traffic(traffic: Traffic, caller_count: int, seconds: float) -> None:
+    """Run callers for a time."""
+    start_traffic(traffic, caller_count)
+    gevent.sleep(seconds)
+    stop_traffic(traffic)
+
+
+def select_seen(traffic: Traffic, condition: Callable[[Seen], bool]) -> list[Seen]:
+    """Return what callers saw that meets a condition."""
+    return [item for item in traffic.seen if condition(item)]
+
+
+def send_one(traffic: Traffic) -> Seen:
+    """Send one request, and note what came of it."""
+    entrance = traffic.random.choice(traffic.entrances)
+    started_at = time.monotonic()
+    try:
+        answer = call_service(entrance, traffic.service, **traffic.options)
+    except (OSError, HTTPParseError) as error:
+        seen = Seen(started_at, time.monotonic(), 0, "no answer", "", "", str(error))
+    else:
+        content = answer.json if answer.status == 200 else {}
+        seen = Seen(
+            started_at,
+            time.monotonic(),
+            answer.status,
+            answer.verdict,
+            content.get("host", ""),
+            content.get("version", ""),
+            answer.refusal,
+        )
+    traffic.seen.append(seen)
+    return seen
+
+
+def _call_forever(traffic: Traffic) -> None:
+    while traffic.pause_seconds >= 0:
+        send_one(traffic)
+        gevent.sleep(max(0.0, traffic.pause_seconds))
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -166,6 +166,7 @@
   ClaimAnswer claim(1: ClaimRequest request),
   void settle_claims(1: list<ClaimOutcome> outcomes),
   void release_claim(1: ClaimRequest request),
+  list<ClaimOutcome> list_claims(1: string registrar, 2: i32 offset),
   SyncAnswer compare(1: list<BucketDigest> digests),
   ExchangeAnswer exchange(1: list<i32> buckets, 2: list<FactHead> heads),
   list<Fact> fetch(1: list<FactHead> heads),
--- a/features/environment.py
+++ b/features/environment.py
@@ -4,6 +4,7 @@
 import tempfile
 from pathlib import Path
 
+import gevent
 from hypothesis import HealthCheck, settings
 
 from comfreyhitch.testing.fleet import stop_fleet
@@ -30,10 +31,15 @@
     context.scratch = tempfile.TemporaryDirectory()
     context.folder = Path(context.scratch.name)
     context.fleet = None
+    context.fleet_settings = {}
+    context.traffic = None
 
 
 def after_scenario(context, scenario):
     """End the processes of the scenario."""
+    if context.traffic is not None:
+        context.traffic.pause_seconds = -1.0
+        gevent.killall(context.traffic.callers)
     if context.fleet is not None:
         stop_fleet(context.fleet)
         if scenario.status == "failed":
--- /dev/null
+++ b/features/graceful_shutdown.feature
@@ -0,0 +1,17 @@
+Feature: A planned stop is a graceful shutdown: it cuts no request in flight
+
+  Scenario: A daemon stops while requests run through both of its sides
+    Given a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 3     | --service-ms 400 |
+    When 12 requests are in flight and the first daemon of catalogue is asked to stop
+    Then all of them get their response, and the daemon has ended within 10 seconds
+
+  Scenario: All daemons of a service are replaced one after the other
+    Given a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 3     | --service-ms 10  |
+      | shop      | za   | 1     |                  |
+    And steady traffic to catalogue through shop
+    When each daemon of catalogue is stopped and started again in turn
+    Then every request of the steady traffic ran
--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,34 @@
+Feature: A target that is leaving gets no new work after a few seconds
+
+  Scenario: A target announces that it drains
+    Given a running fleet
+      | service   | zone | count |
+      | catalogue | za   | 3     |
+    And steady traffic to catalogue
+    When the first target of catalogue announces that it drains
+    Then that target gets no new work after 2 seconds
+    And every request of the steady traffic ran
+
+  Scenario: A target is killed without warning and its instance replaced at the same address
+    Given a running fleet
+      | service   | zone | count |
+      | catalogue | za   | 3     |
+    When an instance of catalogue is killed and started again
+    Then every daemon knows its new incarnation within 10 seconds
+
+  Scenario: A paused member is suspected and comes back
+    Given a running fleet
+      | service   | zone | count |
+      | catalogue | za   | 4     |
+    When a daemon is frozen until others count it as unreachable, and resumed
+    Then every daemon counts it as alive within 10 seconds
+
+  Scenario: A daemon that others can't reach one way, and a cut that heals
+    Given a running fleet behind relays
+      | service   | zone | count |
+      | catalogue | za   | 2     |
+      | catalogue | zb   | 2     |
+    When the two zones are cut from each other until each counts the other as unreachable
+    Then requests still run in each zone
+    When the cut heals
+    Then every daemon counts all others as alive within 15 seconds
--- /dev/null
+++ b/features/not_run.feature
@@ -0,0 +1,20 @@
+Feature: When a request is refused as "not run", it truly did not run
+
+  Scenario: Many deposits under kills, freezes and silent connections
+    Given a running fleet behind relays
+      | service  | zone | count | target arguments |
+      | payments | za   | 2     | --service-ms 20  |
+      | payments | zb   | 2     | --service-ms 20  |
+      | payments | zc   | 2     | --service-ms 20  |
+      | shop     | za   | 2     |                  |
+    When 1500 deposits are sent by 12 callers while targets and daemons fail in turn
+    Then no deposit ran twice, and none that was told not-run has run
+
+  Scenario: A deposit withdrawn from a queue runs elsewhere, once
+    Given a running fleet
+      | service  | zone | count | target arguments  | slots |
+      | payments | za   | 1     | --service-ms 1500 | 1     |
+      | payments | zb   | 1     | --service-ms 5    | 10    |
+      | shop     | za   | 1     |                   |       |
+    When the slow target of payments is busy and 20 deposits follow
+    Then every deposit ran once, and none took a second
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,6 +1,7 @@
 """Steps that start fleets and change them."""
 
 import shlex
+import time
 
 from behave import given
 
@@ -11,7 +12,9 @@
 
 def make_fleet(context, table, **options):
     """Add the instances of a table to a new fleet."""
-    context.fleet = Fleet.from_folder(context.folder, FAST_SETTINGS)
+    settings = {**FAST_SETTINGS, **context.fleet_settings}
+    context.fleet = Fleet.from_folder(context.folder, settings)
+    context.started_at = time.monotonic()
     if options.get("has_platform"):
         start_platform(context.fleet)
     for row in table:
--- /dev/null
+++ b/features/steps/rollout_steps.py
@@ -0,0 +1,214 @@
+"""Steps for version rollouts."""
+
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+import gevent
+from behave import then, when
+
+from comfreyhitch.platform.client import SECTIONS, get_object
+from comfreyhitch.rollouts.evidence import (
+    EvidenceLog,
+    get_window,
+    get_window_evidence,
+    record_outcome,
+)
+from comfreyhitch.rollouts.judge import judge
+from comfreyhitch.sections.acceptance import read_status
+from comfreyhitch.testing.fleet import get_target_state, set_faults, set_platform_faults, wait_until
+from comfreyhitch.testing.traffic import select_seen
+from features.steps.configuration_steps import apply_section, get_client
+from features.steps.fleet_steps import list_instances
+from features.steps.property_steps import FakeClock
+
+HEALTHY_TRIALS = 300
+BAD_TRIALS = 40
+TRIAL_SECONDS = 60
+REQUESTS_PER_SECOND = 20
+SETTLE_SECONDS = 1.0
+
+
+def list_version(context, version):
+    """Return the workshop instances of a version."""
+    return [item for item in list_instances(context, "workshop") if item.version == version]
+
+
+def count_version(context, version):
+    """Return how many requests reached a version."""
+    return sum(get_target_state(item)["requests"] for item in list_version(context, version))
+
+
+def start_move(context, seconds, freezes=()):
+    """Write a section that moves workshop from v1 to v2."""
+    context.move_start = datetime.now(UTC)
+    context.move_end = context.move_start + timedelta(seconds=seconds)
+    rollout = {
+        "to": "v2",
+        "start": context.move_start.isoformat(),
+        "finish_by": context.move_end.isoformat(),
+    }
+    context.section = {
+        "services": {"workshop": {"version": "v1", "rollout": rollout}},
+        "freezes": list(freezes),
+    }
+    apply_section(context, "workshop", {"services": {"workshop": {"version": "v1"}}, "freezes": []})
+    gevent.sleep(SETTLE_SECONDS)
+    context.requests_before = count_version(context, "v2")
+    apply_section(context, "workshop", context.section)
+
+
+def get_outcomes(context):
+    """Return the outcomes of moves in the status of the section."""
+    item = get_object(get_client(context), SECTIONS, "workshop").unwrap()
+    return list(read_status(item).rollouts.values())
+
+
+def wait_for_outcome(context, seconds):
+    """Return the outcome of the move, once there is one."""
+    found = []
+
+    def has_ended():
+        found[:] = [item for item in get_outcomes(context) if item["phase"] != "in-progress"]
+        return bool(found)
+
+    wait_until(has_ended, seconds, "outcome of the move")
+    return found[0]
+
+
+@when("workshop is to move from v1 to v2 within {seconds:g} seconds")
+def move_version(context, seconds):
+    start_move(context, seconds)
+
+
+@then("the move ends as done by its time, and all traffic goes to v2")
+def check_done(context):
+    remaining = (context.move_end - datetime.now(UTC)).total_seconds()
+    outcome = wait_for_outcome(context, remaining + 5)
+    assert outcome["phase"] == "done", outcome
+    gevent.sleep(3.0)
+    before = count_version(context, "v1")
+    gevent.sleep(2.0)
+    assert count_version(context, "v1") == before
+    failed = select_seen(context.traffic, lambda item: item.verdict != "ran")
+    assert not failed, failed[:5]
+
+
+@then(
+    "the move ends as rolled-back, v2 got less than {share:g} in 100 requests, and gets none after"
+)
+def check_rolled_back(context, share):
+    outcome = wait_for_outcome(context, 40)
+    assert outcome["phase"] == "rolled-back", outcome
+    gevent.sleep(2.0)
+    count = count_version(context, "v2")
+    total = len(context.traffic.seen)
+    assert count - context.requests_before < total * share / 100, (count, total)
+    gevent.sleep(2.0)
+    assert count_version(context, "v2") == count
+
+
+@when("the platform goes down and v2 fails from the second 10 on")
+def fail_later(context):
+    gevent.sleep(5.0)
+    set_platform_faults(context.fleet, is_down=True)
+    gevent.sleep(5.0)
+    for instance in list_version(context, "v2"):
+        set_faults(instance, failure_share=0.8)
+
+
+@then("v2 gets no request within {seconds:g} seconds")
+def check_share_zero(context, seconds):
+    gevent.sleep(seconds)
+    before = count_version(context, "v2")
+    gevent.sleep(2.0)
+    assert count_version(context, "v2") == before
+
+
+@when("the platform comes back and loses the next 2 answers")
+def restore_platform(context):
+    set_platform_faults(context.fleet, is_down=False, lost_answers=2)
+
+
+@then("the move ends as rolled-back, and exactly one outcome is kept")
+def check_one_outcome(context):
+    outcome = wait_for_outcome(context, 40)
+    assert outcome["phase"] == "rolled-back", outcome
+    gevent.sleep(6.0)
+    outcomes = get_outcomes(context)
+    assert len(outcomes) == 1, outcomes
+    assert outcomes[0] == outcome
+
+
+@when("workshop is to move from v1 to v2 although a freeze has begun meanwhile")
+def move_into_freeze(context):
+    start_move(context, 3600)
+    gevent.sleep(3.0)
+    # The start is moved before the freeze, which begins with the current hour.
+    now = datetime.now(UTC)
+    weekday = now.strftime("%A").lower()
+    rollout = context.section["services"]["workshop"]["rollout"]
+    hour_start = now.replace(minute=0, second=0, microsecond=0)
+    rollout["start"] = (hour_start - timedelta(minutes=5)).isoformat()
+    rollout["finish_by"] = (now + timedelta(hours=3)).isoformat()
+    freeze = {"weekday": weekday, "from_hour": now.hour, "until_hour": 24}
+    context.section["freezes"] = [freeze]
+    apply_section(context, "workshop", context.section)
+
+
+def run_trial(random, new_failure, new_slowness, route_failure=0.0, noise=None):
+    """Judge one simulated move each second, and return whether it was taken back."""
+    clock = FakeClock()
+    logs = {name: EvidenceLog.from_clock(clock.make()) for name in ("old1", "old2", "old3", "new1")}
+    evidence = {}
+    next_look = 1.0
+    while clock.seconds < TRIAL_SECONDS:
+        clock.seconds += random.expovariate(REQUESTS_PER_SECOND)
+        share = 0.05 if clock.seconds < 15 else 0.3
+        name = "new1" if random.random() < share else f"old{random.randrange(1, 4)}"
+        route = random.choice(["/", "/", "/", "/quotes"])
+        seconds = 0.01 * random.expovariate(1.0)
+        failure = 0.005
+        if noise is not None:
+            seconds, failure = noise(random, clock.seconds, name, seconds, failure)
+        if name == "new1":
+            seconds *= new_slowness
+            failure = max(failure, new_failure, route_failure if route == "/quotes" else 0.0)
+        is_failure = random.random() < failure
+        record_outcome(logs[name], route, seconds, is_failure=is_failure)
+        window = get_window(clock.make())
+        version = "v2" if name == "new1" else "v1"
+        evidence[(name, window)] = get_window_evidence(logs[name], window, "id", version, name)
+        if clock.seconds < next_look:
+            continue
+        next_look += 1.0
+        if judge(evidence.values(), "v2").finding is not None:
+            return True
+    return False
+
+
+def add_slow_moments(random, now, name, seconds, failure):
+    """Slow one instance at a time tenfold, for 200 ms of each second."""
+    is_slow = int(now) % 4 == ("old1", "old2", "old3", "new1").index(name) and now % 1 < 0.2
+    return (seconds * 10 if is_slow else seconds), failure
+
+
+def add_shared_failures(random, now, name, seconds, failure):
+    """Let all versions fail now and then, as a shared dependency does."""
+    return seconds, (0.2 if 20 < now < 30 else failure)
+
+
+@then("the judge takes back at most 1 in 100 healthy versions, over noise of three kinds")
+def check_false_alarms(context):
+    for noise in (None, add_slow_moments, add_shared_failures):
+        random = Random(context.seed)
+        count = HEALTHY_TRIALS // 3
+        alarms = sum(run_trial(random, 0.0, 1.0, noise=noise) for _ in range(count))
+        assert alarms <= count / 100, (noise, alarms)
+
+
+@then("the judge finds versions that fail, are slow, or fail on a single route")
+def check_findings(context):
+    for failure, slowness, route in ((0.5, 1.0, 0.0), (0.0, 4.0, 0.0), (0.0, 1.0, 0.6)):
+        random = Random(context.seed)
+        found = sum(run_trial(random, failure, slowness, route) for _ in range(BAD_TRIALS))
+        assert found >= BAD_TRIALS * 0.95, (failure, slowness, route, found)
--- /dev/null
+++ b/features/zones.feature
@@ -0,0 +1,24 @@
+Feature: An availability zone we have taken out gets no new work after a few seconds
+
+  Scenario: A zone is taken out and brought back
+    Given a running fleet with a platform
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 1     | --service-ms 5   |
+      | catalogue | zb   | 1     | --service-ms 5   |
+      | catalogue | zc   | 1     | --service-ms 5   |
+    And steady traffic to catalogue
+    When the section zones says that zb is out
+    Then zb gets no new work after 5 seconds
+    When the platform goes down and a daemon of za restarts
+    Then zb gets no new work after 5 seconds
+    When the platform comes back and the section zones says that zb is in
+    Then zb gets new work within 5 seconds
+    And every request of the steady traffic ran
+
+  Scenario: A daemon frozen since before the zone was taken out
+    Given a running fleet with a platform
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 1     | --service-ms 5   |
+      | catalogue | zb   | 1     | --service-ms 5   |
+    When the daemon of zb is frozen, the zone taken out, and the daemon resumed after 4 seconds
+    Then the daemon of zb refuses new work from its first second on
