--- /dev/null
+++ b/.ci/show_red.py
@@ -0,0 +1,260 @@
+"""Show that each promise's proof fails when the mechanism behind it is taken out.
+
+Copies the tree, changes a line or two of it, runs one scenario, and expects it
+to fail. Prints one line for each mechanism.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SEED = "20261204"
+TIMEOUT_SECONDS = 180
+REASON_PREFIXES = ("ASSERT", "TimeoutError", "AssertionError")
+
+
+@dataclass(frozen=True)
+class Removal:
+    """Hold which text is replaced where, and which scenario has to fail then."""
+
+    mechanism: str
+    scenario: str
+    edits: tuple[tuple[str, str, str], ...]
+
+
+REMOVALS = (
+    Removal(
+        "probe budget",
+        "Budgets hold for any times between probes",
+        (("utils/token_bucket.py", "if bucket.tokens < amount:", "if False:"),),
+    ),
+    Removal(
+        "concurrency limit",
+        "All targets start cold at once while callers outnumber their slots",
+        (
+            (
+                "admission/queue.py",
+                "queue.running < queue.limit.limit and",
+                "queue.running < queue.limit.slots and",
+            ),
+        ),
+    ),
+    Removal(
+        "growth by one after a full window",
+        "The limit and the queue keep their bounds",
+        (("admission/limiter.py", "state.limit + 1)", "state.limit + 3)"),),
+    ),
+    Removal(
+        "tenant's bounded share",
+        "One tenant cannot take a busy target from another, and the lowest class is shed first",
+        (
+            ("admission/queue.py", "return held >= max(1", "return False and held >= max(1"),
+            ("admission/queue.py", "if is_same_class and", "if False and"),
+        ),
+    ),
+    Removal(
+        "zone taken out of the choice and refused at the gate",
+        "A zone is taken out and brought back",
+        (
+            ("egress/eligibility.py", "if member.zone in blackboard.zones_out:", "if False:"),
+            ("ingress/gate.py", "if own.zone in blackboard.zones_out:", "if False:"),
+        ),
+    ),
+    Removal(
+        "veto",
+        "A version that fails is taken back",
+        (("rollouts/controller.py", "if judgement.finding is not None:", "if False:"),),
+    ),
+    Removal(
+        "one outcome in the platform",
+        "The platform is down while a version turns bad",
+        (
+            (
+                "rollouts/recorder.py",
+                'entry = {\n        "phase"',
+                'entry = {\n        "try": str(now),\n        "phase"',
+            ),
+            ("rollouts/recorder.py", "if kept is not None and", "if False and"),
+            ("rollouts/recorder.py", "recorder.recorded.add(plan.rollout_id)", "pass"),
+        ),
+    ),
+    Removal(
+        "change freeze",
+        "A change freeze begins before the move is done",
+        (("rollouts/schedule.py", "if is_day and freeze", "if False and freeze"),),
+    ),
+    Removal(
+        "closing a connection whose answer is late, and matching ids",
+        "A late answer reaches nobody but its own caller",
+        (
+            (
+                "egress/router.py",
+                "        for item in attempts:\n            abandon_attempt(item)\n    if failure",
+                "        for item in attempts:\n            egress.pool.release(item.connection)\n"
+                "    if failure",
+            ),
+            ("wire/connections.py", "if answer.request_id != request_id:", "if False:"),
+        ),
+    ),
+    Removal(
+        "fence that tells running from never seen",
+        "Many deposits under kills, freezes and silent connections",
+        (
+            (
+                "ingress/fence.py",
+                "return FenceAnswer(state=FenceState.RUNNING)\n    if record.outcome",
+                "return FenceAnswer(state=FenceState.NEVER_RAN)\n    if record.outcome",
+            ),
+        ),
+    ),
+    Removal(
+        "fence on a new connection",
+        "A connection goes silent while a deposit runs",
+        (("egress/router.py", "    answer = fence_attempt(egress, attempt)", "    answer = None"),),
+    ),
+    Removal(
+        "claims on keys",
+        "Resends of a deposit through the same and another daemon",
+        (("ingress/gate.py", "if record is None or not call.idempotency_key:", "if True:"),),
+    ),
+    Removal(
+        "claims that outlive their owner",
+        "The daemon dies while its target runs a deposit",
+        (("ingress/gate.py", "if record is None or not call.idempotency_key:", "if True:"),),
+    ),
+    Removal(
+        "quarantine",
+        "A request that crashes each target that runs it stops after two",
+        (("core/blackboard.py", "QUARANTINE_TARGETS = 2", "QUARANTINE_TARGETS = 200"),),
+    ),
+    Removal(
+        "draining taken out of the choice and refused at the gate",
+        "A target announces that it drains",
+        (
+            ("egress/eligibility.py", "or member.draining or", "or"),
+            ("ingress/gate.py", "if blackboard.is_draining or own.draining:", "if False:"),
+        ),
+    ),
+    Removal(
+        "waiting for requests in flight",
+        "A daemon stops while requests run through both of its sides",
+        (
+            ("daemon/shutdown.py", "LINGER_SECONDS = 0.5", "LINGER_SECONDS = 0.0"),
+            ("daemon/shutdown.py", "        if _is_idle(daemon):", "        if True:"),
+        ),
+    ),
+    Removal(
+        "refutation of suspicion",
+        "A paused member is suspected and comes back",
+        (
+            (
+                "membership/detector.py",
+                "    if member.fact_version > own.fact_version:",
+                "    if False:",
+            ),
+        ),
+    ),
+    Removal(
+        "highest version wins",
+        "Merging facts",
+        (
+            (
+                "replication/facts.py",
+                "if (fact.version, fact.value) <= (held.version, held.value):",
+                "if False:",
+            ),
+        ),
+    ),
+    Removal(
+        "validation before acceptance",
+        "An edit is in force everywhere, and an invalid one changes nothing",
+        (("sections/acceptance.py", 'changes["errors"] = find_clashes', "_ = find_clashes"),),
+    ),
+    Removal(
+        "few readers for each zone",
+        "Few daemons wait on the platform",
+        (("sections/reader.py", "READERS_PER_ZONE = 2", "READERS_PER_ZONE = 200"),),
+    ),
+    Removal(
+        "writer's mark",
+        "Two operators edit the same section",
+        (
+            (
+                "management/editing.py",
+                "if item is not None and item.metadata",
+                "if False and item.metadata",
+            ),
+        ),
+    ),
+)
+
+
+def main() -> int:
+    """Run all removals, or those whose mechanism holds a word that is given."""
+    words = sys.argv[1:]
+    chosen = [
+        item for item in REMOVALS if not words or any(word in item.mechanism for word in words)
+    ]
+    green = 0
+    for removal in chosen:
+        is_red, detail = show(removal)
+        green += not is_red
+        print(
+            f"{'red' if is_red else 'STILL GREEN'}: without {removal.mechanism}: {detail}",
+            flush=True,
+        )
+    print(f"{len(chosen) - green} passed, {green} failed")
+    return 1 if green else 0
+
+
+def show(removal: Removal) -> tuple[bool, str]:
+    """Return whether the scenario fails without the mechanism, and how."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "tree"
+        ignored = shutil.ignore_patterns(".git", ".venv", "__pycache__", ".ruff_cache")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        for name, old, new in removal.edits:
+            path = copy / "comfreyhitch" / name
+            text = path.read_text()
+            if old not in text:
+                return False, f"{name} no longer holds {old!r}"
+            path.write_text(text.replace(old, new))
+        command = [sys.executable, "-m", "behave", "--no-color", "--no-capture", "--stop"]
+        command += ["--format", "progress3"]
+        try:
+            finished = subprocess.run(
+                [*command, "--name", f"^{removal.scenario}$"],
+                cwd=copy,
+                env={**os.environ, "COMFREYHITCH_TEST_SEED": SEED},
+                capture_output=True,
+                text=True,
+                timeout=TIMEOUT_SECONDS,
+                check=False,
+            )
+        except subprocess.TimeoutExpired:
+            return True, "no end in time"
+    return finished.returncode != 0, find_reason(finished.stdout)
+
+
+def find_reason(output: str) -> str:
+    """Return the line of a test's output that says why it failed."""
+    lines = output.splitlines()
+    for position, line in enumerate(lines):
+        if line.startswith(("FAILURE in step", "ERROR in step")):
+            following = [
+                item
+                for item in lines[position:]
+                if item.startswith(("ASSERT", "TimeoutError", "Assertion"))
+            ]
+            reason = following[0] if following else ""
+            return f"{line.partition(' in step ')[2]} {reason}"[:200]
+    return "passed"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,237 @@
+"""Slopes of state, messages, processor time and memory behind docs/CAPACITY.md."""
+
+import json
+import time
+from collections.abc import Callable, Iterator
+from functools import partial
+
+import gevent
+import gevent.socket
+
+from benchmarks.choice import read_metric
+from benchmarks.reporting import get_cpu_seconds, get_resident_mb
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.membership.models import Member, MemberStatus, encode_member
+from comfreyhitch.replication.facts import FactKind, StoredFact, make_message
+from comfreyhitch.sections.merging import make_section_fact
+from comfreyhitch.testing.fleet import (
+    PLATFORM_PORT,
+    Fleet,
+    Instance,
+    add_instance,
+    get_admin,
+    request,
+    start_daemon,
+    start_platform,
+    wait_until,
+)
+from comfreyhitch.wire.codec import decode, encode
+from comfreyhitch.wire.connections import PeerPool, call_peer
+from comfreyhitch.wire.generated.ttypes import Datagram, DatagramKind, Fact
+
+FLEET_SIZES = (10, 30, 100)
+RECORD_COUNTS = (0, 600, 1800)
+SECTION_COUNTS = 200
+SECTIONS_IN_FORCE = 130
+SECTION_BYTES = 2000
+MEASURED_SECONDS = 15.0
+STAND_IN_PORT = 8181
+PUSH_TIMEOUT_SECONDS = 30.0
+PUSH_BATCH = 300
+SERVICES = 130
+ZONES = 7
+
+
+def measure_fleet(size: int, fleet: Fleet) -> Iterator[dict[str, object]]:
+    """Measure what an idle daemon spends on a fleet of separate processes."""
+    start_platform(fleet)
+    instances = [add_instance(fleet, f"s{n % 10}", f"z{n % 3}") for n in range(size)]
+    for instance in instances:
+        start_daemon(fleet, instance)
+        gevent.sleep(0.05)
+    wait_until(lambda: _know_all(instances, size), 90.0, "fleet")
+    gevent.sleep(10.0)
+    sample = instances[:: max(1, size // 10)]
+    before = [_read(instance) for instance in sample]
+    calls_before = _read_platform(fleet)
+    gevent.sleep(MEASURED_SECONDS)
+    after = [_read(instance) for instance in sample]
+    calls_after = _read_platform(fleet)
+    yield {
+        "case": "idle fleet of processes",
+        "daemons": size,
+        **_compare(before, after),
+        "resident_mb_max": max(get_resident_mb(item.daemon.pid) for item in instances),
+        "platform_calls_per_second": round(
+            (sum(calls_after["calls"].values()) - sum(calls_before["calls"].values()))
+            / MEASURED_SECONDS,
+            2,
+        ),
+        "open_watches": calls_after["watches"],
+        "calls_by_verb_since_start": calls_after["calls"],
+    }
+    yield _measure_spread(instances)
+
+
+def measure_records(count: int, fleet: Fleet) -> Iterator[dict[str, object]]:
+    """Measure one daemon that holds many records of members, fed by a stand-in peer."""
+    instance = add_instance(fleet, "s0", "z0", settings={"gossip_interval": "1"})
+    start_daemon(fleet, instance)
+    wait_until(lambda: get_admin(instance, "/v1/status") is not None, 20.0, "daemon")
+    answering = gevent.spawn(_answer_probes)
+    base_mb = get_resident_mb(instance.daemon.pid)
+    cpu_before = get_cpu_seconds(instance.daemon.pid)
+    _push(instance, [make_message(fact, Clock.from_system().now()) for fact in _make_facts(count)])
+    merge_cpu = get_cpu_seconds(instance.daemon.pid) - cpu_before
+    gevent.sleep(5.0)
+    before = [_read(instance)]
+    gevent.sleep(MEASURED_SECONDS)
+    after = [_read(instance)]
+    answering.kill()
+    yield {
+        "case": "one daemon with records of members",
+        "records": count,
+        **_compare(before, after),
+        "merge_cpu_ms_per_record": round(1000 * merge_cpu / max(1, count), 3),
+        "resident_mb_before": base_mb,
+        "resident_mb": get_resident_mb(instance.daemon.pid),
+    }
+
+
+def measure_sections(fleet: Fleet) -> Iterator[dict[str, object]]:
+    """Measure what a changed section costs a daemon that takes it in."""
+    instance = add_instance(fleet, "s0", "z0")
+    start_daemon(fleet, instance)
+    wait_until(lambda: get_admin(instance, "/v1/status") is not None, 20.0, "daemon")
+    now = Clock.from_system().now()
+    facts = [make_message(_make_section(n, 1), now) for n in range(SECTIONS_IN_FORCE)]
+    _push(instance, facts)
+    base_mb = get_resident_mb(instance.daemon.pid)
+    cpu_before = get_cpu_seconds(instance.daemon.pid)
+    for generation in range(2, 2 + SECTION_COUNTS):
+        section = _make_section(generation % SECTIONS_IN_FORCE, generation)
+        _push(instance, [make_message(section, now)])
+    cpu = get_cpu_seconds(instance.daemon.pid) - cpu_before
+    yield {
+        "case": "changed sections",
+        "sections_in_force": SECTIONS_IN_FORCE,
+        "section_bytes": len(_make_section(0, 1).value),
+        "cpu_ms_per_change": round(1000 * cpu / SECTION_COUNTS, 2),
+        "resident_mb_before": base_mb,
+        "resident_mb": get_resident_mb(instance.daemon.pid),
+    }
+
+
+def _measure_spread(instances: list[Instance]) -> dict[str, object]:
+    """Measure how long one section needs to be in force at every daemon."""
+    section = _make_section(0, int(time.time()))
+    now = Clock.from_system().now()
+    started_at = time.monotonic()
+    _push(instances[0], [make_message(section, now)])
+    seconds = wait_until(
+        lambda: all(
+            "section-0" in (get_admin(item, "/v1/status") or {"sections": {}})["sections"]
+            for item in instances
+        ),
+        30.0,
+        "section everywhere",
+    )
+    return {
+        "case": "spread of a section",
+        "daemons": len(instances),
+        "seconds": round(min(seconds, time.monotonic() - started_at), 2),
+        "target_seconds": 10,
+    }
+
+
+def _know_all(instances: list[Instance], size: int) -> bool:
+    return all(len(get_admin(item, "/v1/members") or []) >= size for item in instances)
+
+
+def _read(instance: Instance) -> tuple[float, float, float, float]:
+    return (
+        time.monotonic(),
+        get_cpu_seconds(instance.daemon.pid),
+        read_metric(instance, "comfreyhitch_datagram_bytes_total"),
+        read_metric(instance, "comfreyhitch_datagrams_total"),
+    )
+
+
+def _compare(before: list[tuple], after: list[tuple]) -> dict[str, float]:
+    seconds = [last[0] - first[0] for first, last in zip(before, after, strict=True)]
+
+    def get_rate(position: int) -> list[float]:
+        return [
+            (last[position] - first[position]) / second
+            for first, last, second in zip(before, after, seconds, strict=True)
+        ]
+
+    return {
+        "core_percent_mean": round(100 * sum(get_rate(1)) / len(before), 2),
+        "core_percent_max": round(100 * max(get_rate(1)), 2),
+        "datagram_bytes_per_second_max": round(max(get_rate(2))),
+        "datagrams_per_second_max": round(max(get_rate(3)), 1),
+    }
+
+
+def _read_platform(fleet: Fleet) -> dict:
+    return request(f"{fleet.prefix}.250", "/_standin/state", port=PLATFORM_PORT).json
+
+
+def _push(instance: Instance, messages: list[Fact]) -> None:
+    pool = PeerPool.from_address("127.0.0.1:1", "", Clock.from_system())
+    for start in range(0, len(messages), PUSH_BATCH):
+        batch = messages[start : start + PUSH_BATCH]
+        call_peer(
+            pool,
+            instance.peer_address,
+            PUSH_TIMEOUT_SECONDS,
+            lambda peer, batch=batch: peer.push(batch),
+        )
+    pool.close()
+
+
+def _make_facts(count: int) -> Iterator[StoredFact]:
+    for number in range(count):
+        address = f"127.200.{number // 250}.{number % 250 + 1}:{STAND_IN_PORT}"
+        member = Member(
+            address=address,
+            http_address=address,
+            boot_id=f"{number:016x}",
+            incarnation=1,
+            status=MemberStatus.ALIVE,
+            zone=f"z{number % ZONES}",
+            region=f"r{number % 3}",
+            service=f"s{number % SERVICES}",
+            version="v1",
+            slots=20,
+            draining=False,
+            started_at=0.0,
+        )
+        yield StoredFact(FactKind.MEMBER, address, member.fact_version, encode_member(member))
+
+
+def _make_section(number: int, generation: int) -> StoredFact:
+    routes = [{"path": f"/path/{n}", "class": "normal"} for n in range(SECTION_BYTES // 40)]
+    content = {"services": {f"s{number}": {"hosts": [f"s{number}.example"], "routes": routes}}}
+    return make_section_fact(f"section-{number}", generation, json.dumps(content).encode())
+
+
+def _answer_probes() -> None:
+    """Answer the probes of every stand-in member from one socket."""
+    sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM)
+    sock.bind(("", STAND_IN_PORT))
+    while True:
+        data, address = sock.recvfrom(65_535)
+        datagram = decode(Datagram, data).unwrap()
+        if datagram.kind == DatagramKind.PING:
+            sender = f"127.200.0.1:{STAND_IN_PORT}"
+            ack = Datagram(DatagramKind.ACK, datagram.sequence, sender, None, [], [])
+            sock.sendto(encode(ack), address)
+
+
+RUNS: tuple[Callable[[Fleet], Iterator[dict[str, object]]], ...] = (
+    *(partial(measure_fleet, size) for size in FLEET_SIZES),
+    *(partial(measure_records, count) for count in RECORD_COUNTS),
+    measure_sections,
+)
--- /dev/null
+++ b/benchmarks/zones.py
@@ -0,0 +1,65 @@
+"""Time from a zone's edit to the last new request there, and from its return to the first."""
+
+import time
+from collections.abc import Iterator
+from random import Random
+
+import gevent
+
+from comfreyhitch.management.editing import read_section, write_section
+from comfreyhitch.platform.client import PlatformClient
+from comfreyhitch.testing.fleet import Fleet, add_instance, start_fleet, start_platform
+from comfreyhitch.testing.traffic import Traffic, select_seen, start_traffic, stop_traffic
+
+ROUNDS = 5
+CALLERS = 16
+SETTLE_SECONDS = 4.0
+TARGET_SECONDS = 5.0
+
+
+def measure_zone_changes(fleet: Fleet) -> Iterator[dict[str, object]]:
+    """Take a zone out and back in again and again under steady traffic."""
+    start_platform(fleet)
+    for zone in ("za", "zb", "zc", "zd"):
+        for _ in range(2):
+            add_instance(fleet, "catalogue", zone, target_arguments=["--warm-up-seconds", "1"])
+    start_fleet(fleet)
+    instances = list(fleet.instances_by_name.values())
+    hosts = {item.host for item in instances if item.zone == "zb"}
+    client = PlatformClient.from_url(fleet.platform_url, "default")
+    traffic = Traffic(instances, "catalogue", Random(5), pause_seconds=0.005)
+    start_traffic(traffic, CALLERS)
+    gevent.sleep(3.0)
+    left = []
+    returned = []
+    for _ in range(ROUNDS):
+        edited_at = _edit(client, "out")
+        gevent.sleep(SETTLE_SECONDS)
+        late = select_seen(traffic, lambda item: item.host in hosts)
+        left.append(max(item.started_at for item in late) - edited_at)
+        edited_at = _edit(client, "in")
+        gevent.sleep(SETTLE_SECONDS)
+        new = select_seen(
+            traffic, lambda item, since=edited_at: item.host in hosts and item.started_at > since
+        )
+        returned.append(min(item.started_at for item in new) - edited_at)
+    stop_traffic(traffic)
+    failed = select_seen(traffic, lambda item: item.verdict != "ran")
+    yield {
+        "case": "zone out and back",
+        "rounds": ROUNDS,
+        "seconds_to_last_new_request": [round(value, 3) for value in left],
+        "seconds_to_first_request_back": [round(value, 3) for value in returned],
+        "target_seconds": TARGET_SECONDS,
+        "requests": len(traffic.seen),
+        "requests_not_run": len(failed),
+    }
+
+
+def _edit(client: PlatformClient, state: str) -> float:
+    base = read_section(client, "zones").unwrap()
+    write_section(client, "zones", {"zones": {"zb": {"state": state}}}, base).unwrap()
+    return time.monotonic()
+
+
+RUNS = (measure_zone_changes,)
--- a/comfreyhitch/admission/limiter.py
+++ b/comfreyhitch/admission/limiter.py
@@ -6,6 +6,12 @@
 INITIAL_LIMIT = 1
 MIN_WINDOW_ANSWERS = 4
 WINDOW_ANSWERS_PER_SLOT = 2
+# Up to a part of a limit that was proved before, growth is faster, since a
+# slow moment ends more often than a target turns cold.
+RECOVERY_WINDOW_ANSWERS = 3
+RECOVERY_FACTOR = 1.5
+RECOVERY_SHARE = 0.7
+FOLLOW_LATENCY_FACTOR = 1.1
 GROWTH_LATENCY_FACTOR = 1.5
 CUT_LATENCY_FACTOR = 2.0
 RESET_LATENCY_FACTOR = 4.0
@@ -17,7 +23,7 @@
 BASELINE_WEIGHT = 0.1
 BASELINE_WEIGHT_AT_FLOOR = 0.25
 # Differences below this are noise of the operating system, not of the target.
-LATENCY_SLACK_SECONDS = 0.002
+LATENCY_SLACK_SECONDS = 0.001
 
 
 @dataclass(slots=True)
@@ -32,6 +38,8 @@
     window_errors: int = 0
     window_seconds: float = 0.0
     window_was_saturated: bool = False
+    proven_limit: int = INITIAL_LIMIT
+    recovery_limit: int = INITIAL_LIMIT
 
 
 def record_start(state: ConcurrencyLimit, in_flight: int) -> None:
@@ -51,25 +59,38 @@
     state.window_errors += is_failure
     state.window_seconds += now - started_at
     if _is_collapsing(state):
-        reset_ramp(state, now)
+        _collapse(state, now)
     elif state.window_answers >= _get_window_size(state):
         _close_window(state, now)
 
 
 def reset_ramp(state: ConcurrencyLimit, now: float) -> None:
     """Start again from the initial limit, as after a cold start."""
-    if state.limit == INITIAL_LIMIT:
-        _follow_baseline(state, BASELINE_WEIGHT_AT_FLOOR)
+    _forget_proof(state)
     _change_limit(state, INITIAL_LIMIT, now)
 
 
 def forget_baseline(state: ConcurrencyLimit, now: float) -> None:
     """Start again for a target that was replaced by another."""
     state.baseline_seconds = None
+    _forget_proof(state)
+    _change_limit(state, INITIAL_LIMIT, now)
+
+
+def _forget_proof(state: ConcurrencyLimit) -> None:
+    state.proven_limit = INITIAL_LIMIT
+    state.recovery_limit = INITIAL_LIMIT
+
+
+def _collapse(state: ConcurrencyLimit, now: float) -> None:
+    _follow_baseline_at_floor(state)
+    state.recovery_limit = max(INITIAL_LIMIT, int(state.proven_limit * RECOVERY_SHARE))
     _change_limit(state, INITIAL_LIMIT, now)
 
 
 def _get_window_size(state: ConcurrencyLimit) -> int:
+    if state.limit < state.recovery_limit:
+        return max(RECOVERY_WINDOW_ANSWERS, state.limit)
     return max(MIN_WINDOW_ANSWERS, WINDOW_ANSWERS_PER_SLOT * state.limit)
 
 
@@ -100,21 +121,40 @@
         _cut_limit(state, now)
         return
     if _exceeds_baseline(state, GROWTH_LATENCY_FACTOR):
+        _follow_baseline_at_floor(state)
         _change_limit(state, state.limit, now)
         return
-    _follow_baseline(state, BASELINE_WEIGHT)
-    growth = 1 if state.window_was_saturated else 0
-    _change_limit(state, min(state.slots, state.limit + growth), now)
+    # Only latency close to the baseline moves it. Otherwise the baseline would
+    # creep up with a target that is pushed a little beyond what it bears.
+    if not _exceeds_baseline(state, FOLLOW_LATENCY_FACTOR):
+        _follow_baseline(state, BASELINE_WEIGHT)
+    if state.window_was_saturated:
+        state.proven_limit = max(state.proven_limit, state.limit)
+    limit = _get_grown_limit(state) if state.window_was_saturated else state.limit
+    _change_limit(state, limit, now)
+
+
+def _get_grown_limit(state: ConcurrencyLimit) -> int:
+    if state.limit < state.recovery_limit:
+        return min(state.recovery_limit, ceil(state.limit * RECOVERY_FACTOR))
+    return min(state.slots, state.limit + 1)
 
 
 def _cut_limit(state: ConcurrencyLimit, now: float) -> None:
-    if state.limit == INITIAL_LIMIT:
-        # Alone at the target, a request takes the time that the target needs now.
-        _follow_baseline(state, BASELINE_WEIGHT_AT_FLOOR)
+    _follow_baseline_at_floor(state)
+    # A limit that had to be cut is proved no more.
+    state.proven_limit = min(state.proven_limit, state.limit - 1)
+    state.recovery_limit = min(state.recovery_limit, max(INITIAL_LIMIT, state.proven_limit))
     lower = min(state.limit - 1, ceil(state.limit * CUT_FACTOR))
     _change_limit(state, max(INITIAL_LIMIT, lower), now)
 
 
+def _follow_baseline_at_floor(state: ConcurrencyLimit) -> None:
+    """Alone at the target, a request takes the time that the target needs now."""
+    if state.limit == INITIAL_LIMIT:
+        _follow_baseline(state, BASELINE_WEIGHT_AT_FLOOR)
+
+
 def _follow_baseline(state: ConcurrencyLimit, weight: float) -> None:
     if state.baseline_seconds is None or state.window_answers == 0:
         return
--- a/comfreyhitch/admission/queue.py
+++ b/comfreyhitch/admission/queue.py
@@ -10,7 +10,7 @@
 from comfreyhitch.sections.models import TrafficClass
 
 MIN_QUEUE_LENGTH = 2
-SLOTS_PER_QUEUE_PLACE = 4
+SLOTS_PER_QUEUE_PLACE = 2
 DEFAULT_TENANT_SHARE = 0.75
 
 
--- a/comfreyhitch/conf/checks.py
+++ b/comfreyhitch/conf/checks.py
@@ -28,7 +28,7 @@
     """Check that a target given by settings has its service, version and port."""
     parts = {
         "COMFREYHITCH_SERVICE": settings.service,
-        "COMFREYHITCH_VERSION": settings.version,
+        "COMFREYHITCH_SERVICE_VERSION": settings.service_version,
         "COMFREYHITCH_TARGET_PORT": settings.target_port,
     }
     missing = [name for name, value in parts.items() if value is None]
@@ -38,7 +38,7 @@
         CheckError(
             ", ".join(missing),
             "missing although other settings of the target are given",
-            "set all of service, version and target-port, or none if the target announces itself",
+            "set all of service, service-version and target-port, or none of them",
         )
     ]
 
--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 from ipaddress import IPv4Address
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 
@@ -29,7 +29,7 @@
     zone: Name = Field("zone-a", description="availability zone of this instance")
     region: Name = Field("region-a", description="region of this instance")
     service: Name | None = Field(None, description="service of the target, if it never announces")
-    version: Name | None = Field(None, description="version of the target")
+    service_version: Name | None = Field(None, description="version of the target")
     target_port: Port | None = Field(None, description="port of the target on this instance")
     slots: Annotated[int, Field(ge=1, le=10_000)] = Field(
         10, description="requests that the target can run at a time"
@@ -52,6 +52,9 @@
     hedge_budget: Annotated[float, Field(ge=0, le=1)] = Field(
         0.05, description="hedged requests as a share of first tries"
     )
+    choice_rule: Literal["load-aware", "least-in-flight", "round-robin", "random"] = Field(
+        "load-aware", description="how a target is chosen; the others serve as baselines"
+    )
     probe_rate: Annotated[float, Field(ge=0, le=1000)] = Field(
         2.0, description="load probes to other daemons a second"
     )
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -40,7 +40,7 @@
             daemon,
             Announcement(
                 service=settings.service,
-                version=settings.version,
+                version=settings.service_version,
                 port=settings.target_port,
                 slots=settings.slots,
             ),
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -40,6 +40,7 @@
 # An answer that has begun to arrive is given this long to arrive whole.
 READ_TIMEOUT_SECONDS = 5.0
 FAILURE_STATUS = 500
+STALLED_IN_FLIGHT = 2
 
 
 @dataclass(slots=True)
@@ -107,6 +108,12 @@
         attempt.view.overdue += 1
 
 
+def is_stalled(attempt: Attempt) -> bool:
+    """Return whether the target has answered none of several requests since this one."""
+    view = attempt.view
+    return view.own_in_flight >= STALLED_IN_FLIGHT and view.reported_at <= attempt.sent_at
+
+
 def wait_for_any(attempts: list[Attempt], timeout_seconds: float) -> Attempt | None:
     """Return the try whose answer arrives first, or None if none does in time."""
     if timeout_seconds <= 0:
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -84,6 +84,19 @@
     return choose
 
 
+def make_choice(
+    rule: str, views_by_address: dict[str, TargetView], own_zone: str, random: Random
+) -> Choose:
+    """Return the choice that a setting names."""
+    if rule == "random":
+        return make_random_choice(random)
+    if rule == "round-robin":
+        return make_round_robin_choice()
+    if rule == "least-in-flight":
+        return make_least_in_flight_choice(views_by_address, random)
+    return make_load_aware_choice(views_by_address, own_zone, random)
+
+
 def take_sample(
     candidates: Sequence[Candidate], excluded: Collection[str], random: Random
 ) -> list[Candidate]:
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -1,5 +1,6 @@
 """Route a request: choose targets, retry within the budget, never run twice what may not."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import gevent
@@ -12,6 +13,7 @@
     abandon_attempt,
     fence_attempt,
     finish_attempt,
+    is_stalled,
     mark_overdue,
     read_fenced,
     start_attempt,
@@ -19,14 +21,20 @@
 )
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.models import Candidate
-from comfreyhitch.egress.state import Egress
+from comfreyhitch.egress.state import REFUSAL_BUDGET, Egress
+from comfreyhitch.egress.views import get_view, is_full
 from comfreyhitch.rollouts.shares import choose_version
 from comfreyhitch.utils.token_bucket import deposit, take
 from comfreyhitch.wire.exceptions import PeerError
 
 MAX_TRIES = 4
+MAX_REFUSALS = 8
+FIRST_BACKOFF_REFUSAL = 2
+FIRST_BACKOFF_SECONDS = 0.004
 MAX_TARGET_DEATHS = 2
 HEDGE_LATENCY_FACTOR = 4.0
+# A target that answers nobody is left after a part of the usual patience.
+STALLED_HEDGE_SHARE = 0.5
 MIN_HEDGE_DELAY_SECONDS = 0.005
 DEFAULT_HEDGE_DELAY_SECONDS = 0.1
 RETRIED_STATUSES = frozenset({502, 503, 504})
@@ -35,6 +43,7 @@
 FREE_REFUSALS = frozenset(
     {Refusal.DRAINING, Refusal.ZONE_OUT, Refusal.VERSION_VETOED, Refusal.WRONG_SERVICE}
 )
+ADMISSION_REFUSALS = frozenset({Refusal.OVERLOADED, Refusal.TENANT_SHARE})
 FINAL_REFUSALS = frozenset(
     {
         Refusal.KEY_MISMATCH,
@@ -53,6 +62,7 @@
     call: OutgoingCall
     tried: set[str] = field(default_factory=set)
     tries: int = 0
+    refusals: int = 0
     target_deaths: int = 0
     may_have_run: bool = False
     last_outcome: Outcome | None = None
@@ -62,6 +72,7 @@
     """Return a target's response, or a failure that says whether the request may have run."""
     deposit(egress.retry_budget, egress.settings.retry_budget)
     deposit(egress.hedge_budget, egress.settings.hedge_budget)
+    deposit(egress.refusal_budget, REFUSAL_BUDGET)
     progress = Progress(call)
     while True:
         candidate = _choose_candidate(egress, progress)
@@ -74,6 +85,8 @@
         if not _should_retry(egress, progress, outcome):
             return _conclude(progress, outcome)
         call.attempt += 1
+        if progress.refusals >= FIRST_BACKOFF_REFUSAL:
+            _back_off(egress, progress)
 
 
 def _choose_candidate(egress: Egress, progress: Progress) -> Candidate | None:
@@ -81,9 +94,34 @@
     service = progress.call.service
     candidates = blackboard.candidates_by_service.get(service, [])
     shares = blackboard.shares_by_service.get(service)
-    if shares is not None:
-        candidates = choose_version(candidates, shares, progress.tried, egress.random)
-    return egress.choose(candidates, progress.tried, blackboard.clock.monotonic())
+    now = blackboard.clock.monotonic()
+    if shares is None:
+        return egress.choose(candidates, progress.tried, now)
+    drawn = choose_version(candidates, shares, progress.tried, egress.random)
+    candidate = egress.choose(drawn, progress.tried, now)
+    return _spill_over(egress, progress, candidates, candidate, now)
+
+
+def _spill_over(
+    egress: Egress,
+    progress: Progress,
+    candidates: Sequence[Candidate],
+    candidate: Candidate | None,
+    now: float,
+) -> Candidate | None:
+    """Return a target of the old version if the new one has no place left."""
+    policy = egress.blackboard.services_by_name.get(progress.call.service)
+    plan = None if policy is None else policy.rollout
+    if candidate is None or plan is None or candidate.version != plan.to_version:
+        return candidate
+    views_by_address = egress.blackboard.views_by_address
+    if not is_full(get_view(views_by_address, candidate.address), now):
+        return candidate
+    old = [item for item in candidates if item.version == plan.from_version]
+    other = egress.choose(old, progress.tried, now)
+    if other is None or is_full(get_view(views_by_address, other.address), now):
+        return candidate
+    return other
 
 
 def _try_candidate(egress: Egress, progress: Progress, candidate: Candidate) -> Outcome:
@@ -102,7 +140,9 @@
     clock = egress.blackboard.clock
     call = progress.call
     attempts = [attempt]
-    hedge_at = attempt.sent_at + _get_hedge_delay(egress, call.service)
+    hedge_delay = _get_hedge_delay(egress, call.service)
+    late_at = attempt.sent_at + hedge_delay
+    hedge_at: float | None = attempt.sent_at + hedge_delay * STALLED_HEDGE_SHARE
     failure: Outcome | None = None
     try:
         while attempts:
@@ -120,6 +160,9 @@
             now = clock.monotonic()
             if now >= call.deadline:
                 break
+            if now < late_at and not is_stalled(attempt):
+                hedge_at = late_at
+                continue
             for item in attempts:
                 mark_overdue(item)
             hedge_at = _hedge(egress, progress, attempts, now)
@@ -222,7 +265,10 @@
 def _should_retry(egress: Egress, progress: Progress, outcome: Outcome) -> bool:
     call = progress.call
     now = egress.blackboard.clock.monotonic()
-    if progress.tries >= MAX_TRIES or now >= call.deadline:
+    if _is_refused_by_admission(outcome):
+        progress.refusals += 1
+    too_many = progress.refusals > MAX_REFUSALS or progress.tries - progress.refusals >= MAX_TRIES
+    if too_many or now >= call.deadline:
         return False
     if outcome.is_ok():
         cause = "status"
@@ -236,12 +282,26 @@
     # A request that is itself part of a retry further up is not retried, so
     # that tries do not multiply along a chain of calls.
     is_first_chain = call.attempt == progress.tries
-    if not is_allowed or not is_first_chain or not take(egress.retry_budget, now):
+    is_refused = _is_refused_by_admission(outcome)
+    budget = egress.refusal_budget if is_refused else egress.retry_budget
+    if not is_allowed or not is_first_chain or not take(budget, now):
         return False
     egress.metrics.egress.retries.inc({"service": call.service, "cause": cause})
     return True
 
 
+def _back_off(egress: Egress, progress: Progress) -> None:
+    """Wait a moment for a place, then start over with all targets."""
+    exponent = progress.refusals - FIRST_BACKOFF_REFUSAL
+    limit_seconds = FIRST_BACKOFF_SECONDS * 2**exponent
+    progress.tried.clear()
+    gevent.sleep(egress.random.uniform(0.5, 1.0) * limit_seconds)
+
+
+def _is_refused_by_admission(outcome: Outcome) -> bool:
+    return outcome.is_err() and outcome.err_value.refusal in ADMISSION_REFUSALS
+
+
 def _may_retry(progress: Progress, failure: Failure) -> bool:
     if failure.refusal in FINAL_REFUSALS:
         return False
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -7,7 +7,7 @@
 
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.egress.choice import Choose, make_load_aware_choice
+from comfreyhitch.egress.choice import Choose, make_choice
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.connections import PeerPool
@@ -15,6 +15,9 @@
 # Retries and hedges are earned by first tries; this many may be saved up.
 BUDGET_CAPACITY = 20.0
 LATENCY_WEIGHT = 0.05
+# A refusal by admission control costs far less than a request, so more tries
+# elsewhere are allowed after it than after a failure.
+REFUSAL_BUDGET = 0.5
 
 
 @dataclass(slots=True)
@@ -29,6 +32,7 @@
     random: Random
     retry_budget: TokenBucket
     hedge_budget: TokenBucket
+    refusal_budget: TokenBucket
     probe_budget: TokenBucket
     latency_seconds_by_service: dict[str, float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
@@ -47,10 +51,13 @@
             blackboard=blackboard,
             pool=pool,
             metrics=metrics,
-            choose=make_load_aware_choice(blackboard.views_by_address, blackboard.own.zone, random),
+            choose=make_choice(
+                settings.choice_rule, blackboard.views_by_address, blackboard.own.zone, random
+            ),
             random=random,
             retry_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
             hedge_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
+            refusal_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
             probe_budget=TokenBucket.from_rate(settings.probe_rate, probe_burst, now),
         )
 
--- a/comfreyhitch/egress/views.py
+++ b/comfreyhitch/egress/views.py
@@ -58,6 +58,11 @@
     view.avoid_until = now + avoidance_seconds
 
 
+def is_full(view: TargetView, now: float) -> bool:
+    """Return whether a target probably has no place left."""
+    return estimate_in_flight(view, now) >= view.reported_limit
+
+
 def estimate_in_flight(view: TargetView, now: float) -> float:
     """Return the requests that a target probably holds now."""
     age_seconds = now - view.reported_at
--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -36,6 +36,7 @@
 from comfreyhitch.ingress.state import Ingress, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
+from comfreyhitch.telemetry.metrics import observe_call
 from comfreyhitch.utils.recent import add_recent, is_recent
 from comfreyhitch.wire.sockets import is_disconnected
 
@@ -48,14 +49,30 @@
     """Return the target's response, or a failure that says whether the call may have run."""
     failure = _find_refusal(ingress, call)
     if failure is not None:
+        _count_refusal(ingress, failure)
         return Err(failure)
     ingress.calls_in_progress += 1
     try:
         if call.is_idempotent:
-            return _admit_and_run(ingress, call, None)
-        return _run_recorded(ingress, call)
+            outcome = _admit_and_run(ingress, call, None)
+        else:
+            outcome = _run_recorded(ingress, call)
     finally:
         ingress.calls_in_progress -= 1
+    _record_metrics(ingress, call, outcome)
+    return outcome
+
+
+def _record_metrics(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
+    if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
+        _count_refusal(ingress, outcome.err_value)
+        return
+    seconds = ingress.blackboard.clock.monotonic() - call.arrived_at
+    observe_call(ingress.metrics, call.tenant, call.traffic_class, seconds)
+
+
+def _count_refusal(ingress: Ingress, failure: Failure) -> None:
+    ingress.metrics.ingress.refusals.inc({"cause": failure.refusal.value})
 
 
 def _find_refusal(ingress: Ingress, call: IncomingCall) -> Failure | None:
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from comfreyhitch.core.verdicts import Verdict
+from comfreyhitch.sections.models import TrafficClass
 
 LATENCY_BUCKETS_SECONDS = [
     0.001,
@@ -98,12 +99,14 @@
     metrics.egress.request_seconds.observe(labels, seconds)
 
 
-def observe_call(metrics: Metrics, tenant: str, traffic_class: str, seconds: float) -> None:
-    """Record a call that reached this daemon's target."""
-    key = ("call", _bound_tenant(metrics, tenant), traffic_class)
+def observe_call(
+    metrics: Metrics, tenant: str, traffic_class: TrafficClass, seconds: float
+) -> None:
+    """Record a call that may have reached this daemon's target."""
+    key = ("call", _bound_tenant(metrics, tenant), traffic_class.name)
     labels = metrics.label_sets_by_key.get(key)
     if labels is None:
-        labels = {"tenant": key[1], "class": traffic_class}
+        labels = {"tenant": key[1], "class": traffic_class.name.lower()}
         metrics.label_sets_by_key[key] = labels
     metrics.ingress.call_seconds.observe(labels, seconds)
 
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -1,7 +1,7 @@
 Feature: A target that has just started never gets more work than it can bear
 
   Scenario: The limit and the queue keep their bounds
-    Then a limit starts at 1, grows by 1 after a full window, and never passes the slots
+    Then a limit starts at 1, grows step by step beyond what was proved, and never passes the slots
     And admission never runs more than the limit, and settles each request once
 
   Scenario: All targets start cold at once while callers outnumber their slots
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -22,7 +22,7 @@
       | workshop | za   | 2     | v2      | --service-ms 5 --faults '{"failure_share": 0.6}' |
     And steady traffic to workshop
     When workshop is to move from v1 to v2 within 24 seconds
-    Then the move ends as rolled-back, v2 got less than 10 in 100 requests, and gets none after
+    Then the move ends as rolled-back before its time, v2 got less than 5 in 100 requests, and gets none after
 
   Scenario: The platform is down while a version turns bad
     Given a running fleet with a platform
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -94,11 +94,13 @@
 
 
 @then(
-    "the move ends as rolled-back, v2 got less than {share:g} in 100 requests, and gets none after"
+    "the move ends as rolled-back before its time, "
+    "v2 got less than {share:g} in 100 requests, and gets none after"
 )
 def check_rolled_back(context, share):
     outcome = wait_for_outcome(context, 40)
     assert outcome["phase"] == "rolled-back", outcome
+    assert datetime.fromisoformat(outcome["at"]) < context.move_end, outcome
     gevent.sleep(2.0)
     count = count_version(context, "v2")
     total = len(context.traffic.seen)
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -4,7 +4,7 @@
 import gevent.socket
 from behave import then, when
 
-from comfreyhitch.testing.fleet import HTTP_PORT, call_service, request
+from comfreyhitch.testing.fleet import HTTP_PORT, call_service, count_runs, request
 from features.steps.fleet_steps import get_instance, list_instances
 
 SHORT_TIMEOUT_MS = "25"
@@ -141,3 +141,40 @@
         received += chunk
     sock.close()
     return received.decode("latin-1")
+
+
+@when("a request occupies the only place, and the caller of a second one goes away")
+def leave_while_waiting(context):
+    shop = get_instance(context, "shop")
+    context.first = gevent.spawn(call_service, shop, "catalogue", "/first")
+    gevent.sleep(0.2)
+    sock = gevent.socket.create_connection((shop.host, HTTP_PORT), 5)
+    lines = ["GET /second HTTP/1.1", "Host: a", "Comfreyhitch-Service: catalogue"]
+    lines += ["X-Run-Id: second"]
+    sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+    gevent.sleep(0.2)
+    sock.close()
+
+
+@then("the second one never runs")
+def check_never_ran(context):
+    assert context.first.get().status == 200
+    gevent.sleep(1.0)
+    assert "second" not in count_runs(context.fleet)
+
+
+@when("a request occupies the only place, and a second one has a deadline of 200 ms")
+def expire_while_waiting(context):
+    shop = get_instance(context, "shop")
+    context.first = gevent.spawn(call_service, shop, "catalogue", "/first")
+    gevent.sleep(0.2)
+    headers = {"X-Run-Id": "second", "Comfreyhitch-Timeout-Ms": "200"}
+    context.answer = call_service(
+        shop, "catalogue", "/second", method="POST", body=b"x", headers=headers
+    )
+
+
+@then("the second one is refused with verdict not-run, and never runs")
+def check_expired(context):
+    assert context.answer.verdict == "not-run", context.answer
+    check_never_ran(context)
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -40,3 +40,13 @@
       | payments  | zb   | --service-ms 30 --random-service-time  |
     When 400 requests with bodies of their own and short deadlines are sent at once from 8 callers
     Then every answer that arrives belongs to its request
+
+  Scenario: A caller that goes away cancels its work, and expired work is refused as not run
+    Given a running fleet
+      | service   | zone | slots | target arguments |
+      | catalogue | za   | 1     | --service-ms 600 |
+      | shop      | za   |       |                  |
+    When a request occupies the only place, and the caller of a second one goes away
+    Then the second one never runs
+    When a request occupies the only place, and a second one has a deadline of 200 ms
+    Then the second one is refused with verdict not-run, and never runs
