--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -6,6 +6,13 @@
 from result import Err, Ok, Result
 
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.headers import (
+    HEADER_ATTEMPT,
+    HEADER_KEY,
+    HEADER_SERVICE,
+    HEADER_TENANT,
+    HEADER_TIMEOUT,
+)
 from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Verdict
 from comfreyhitch.sections.models import (
     IDEMPOTENT_METHODS,
@@ -15,17 +22,17 @@
 )
 from comfreyhitch.utils.hashing import fingerprint
 
-HEADER_SERVICE = "comfreyhitch-service"
-HEADER_TENANT = "comfreyhitch-tenant"
-HEADER_TIMEOUT = "comfreyhitch-timeout-ms"
-HEADER_ATTEMPT = "comfreyhitch-attempt"
-HEADER_KEY = "idempotency-key"
 DEFAULT_TENANT = "default"
 DEFAULT_ROUTE = "/"
 MAX_NAME_LENGTH = 64
 MAX_KEY_LENGTH = 255
 MAX_TIMEOUT = timedelta(seconds=60)
-CONTROL_HEADERS = frozenset({HEADER_SERVICE, HEADER_TIMEOUT, HEADER_ATTEMPT})
+SERVICE_FIELD = HEADER_SERVICE.lower()
+TENANT_FIELD = HEADER_TENANT.lower()
+TIMEOUT_FIELD = HEADER_TIMEOUT.lower()
+ATTEMPT_FIELD = HEADER_ATTEMPT.lower()
+KEY_FIELD = HEADER_KEY.lower()
+CONTROL_HEADERS = frozenset({SERVICE_FIELD, TIMEOUT_FIELD, ATTEMPT_FIELD})
 
 
 @dataclass(slots=True)
@@ -65,9 +72,9 @@
     if isinstance(numbers, Err):
         return numbers
     timeout_seconds, attempt = numbers.ok_value
-    key = values.get(HEADER_KEY, "")
+    key = values.get(KEY_FIELD, "")
     if len(key) > MAX_KEY_LENGTH:
-        return Err(_bad(f"Idempotency-Key is longer than {MAX_KEY_LENGTH} characters"))
+        return Err(_bad(f"{HEADER_KEY} is longer than {MAX_KEY_LENGTH} characters"))
     policy = blackboard.services_by_name.get(service)
     route = find_route(policy, method, path)
     return Ok(
@@ -77,7 +84,7 @@
             path=path,
             headers=headers,
             body=body,
-            tenant=values.get(HEADER_TENANT, DEFAULT_TENANT)[:MAX_NAME_LENGTH],
+            tenant=values.get(TENANT_FIELD, DEFAULT_TENANT)[:MAX_NAME_LENGTH],
             traffic_class=TrafficClass.NORMAL if route is None else route.traffic_class,
             is_idempotent=is_idempotent(route, method),
             idempotency_key=key,
@@ -91,7 +98,7 @@
 
 def find_service(blackboard: Blackboard, values: dict[str, str]) -> str | None:
     """Return the service named by header, configured host, or first label of the host."""
-    named = values.get(HEADER_SERVICE)
+    named = values.get(SERVICE_FIELD)
     if named is not None:
         return named if _is_known(blackboard, named) else None
     host = values.get("host", "").partition(":")[0].lower()
@@ -135,15 +142,15 @@
 def _read_numbers(
     values: dict[str, str], default_timeout: timedelta
 ) -> Result[tuple[float, int], Failure]:
-    timeout_text = values.get(HEADER_TIMEOUT)
-    attempt_text = values.get(HEADER_ATTEMPT, "1")
+    timeout_text = values.get(TIMEOUT_FIELD)
+    attempt_text = values.get(ATTEMPT_FIELD, "1")
     timeout_seconds = default_timeout.total_seconds()
     if timeout_text is not None:
         if not _is_count(timeout_text):
-            return Err(_bad(f"Comfreyhitch-Timeout-Ms is not a count of ms: {timeout_text!r}"))
+            return Err(_bad(f"{HEADER_TIMEOUT} is not a count of ms: {timeout_text!r}"))
         timeout_seconds = int(timeout_text) / 1000
     if not _is_count(attempt_text) or int(attempt_text) < 1:
-        return Err(_bad(f"Comfreyhitch-Attempt is not a count: {attempt_text!r}"))
+        return Err(_bad(f"{HEADER_ATTEMPT} is not a count: {attempt_text!r}"))
     return Ok((min(timeout_seconds, MAX_TIMEOUT.total_seconds()), int(attempt_text)))
 
 
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Iterable
 
 import gevent
-from gevent.hub import get_hub
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from result import Err, Ok
 
+from comfreyhitch.core.headers import HEADER_REFUSAL, HEADER_VERDICT, HOP_BY_HOP_HEADERS
 from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.egress.classify import (
     CONTROL_HEADERS,
@@ -17,14 +17,12 @@
 )
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
-from comfreyhitch.ingress.target import HOP_BY_HOP_HEADERS, RequestCancelledError
+from comfreyhitch.ingress.target import RequestCancelledError
 from comfreyhitch.telemetry.metrics import observe_request
-from comfreyhitch.wire.sockets import is_disconnected, tune_socket
+from comfreyhitch.wire.sockets import tune_socket, watch_disconnect
 
 logger = logging.getLogger(__name__)
 
-HEADER_VERDICT = "Comfreyhitch-Verdict"
-HEADER_REFUSAL = "Comfreyhitch-Refusal"
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
 SOCKET_ENVIRON_KEY = "comfreyhitch.socket"
 PATH_ENVIRON_KEY = "comfreyhitch.path"
@@ -139,21 +137,13 @@
 
 def _route_until_caller_leaves(egress: Egress, call: OutgoingCall, sock: object) -> Outcome:
     waiting = gevent.getcurrent()
-    watch = get_hub().loop.io(sock.fileno(), 1)
-
-    def on_readable() -> None:
-        watch.stop()
-        if is_disconnected(sock):
-            waiting.throw(RequestCancelledError)
-
-    watch.start(on_readable)
+    stop_watching = watch_disconnect(sock, lambda: waiting.throw(RequestCancelledError))
     try:
         return route(egress, call)
     except RequestCancelledError:
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.CANCELLED, "caller went away"))
     finally:
-        watch.stop()
-        watch.close()
+        stop_watching()
 
 
 def _record(
--- a/comfreyhitch/idempotency/claims.py
+++ b/comfreyhitch/idempotency/claims.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.headers import HEADER_REPLAYED
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.idempotency.registrars import RegistrarRing, choose_registrars, get_majority
 from comfreyhitch.idempotency.registry import (
@@ -41,7 +42,6 @@
 SETTLE_ATTEMPTS = 3
 SETTLE_RETRY_SECONDS = 0.5
 MAX_TAKEOVERS = 2
-REPLAYED_HEADER = ("Comfreyhitch-Replayed", "true")
 
 _NO_LOAD = LoadReport(in_flight=0, queued=0, limit=0, latency_seconds=0.0, accepting=False)
 
@@ -252,7 +252,7 @@
 def _replay(answer: CallAnswer) -> Outcome:
     outcome = read_answer(answer)
     if outcome.is_ok():
-        outcome.ok_value.headers.append(REPLAYED_HEADER)
+        outcome.ok_value.headers.append((HEADER_REPLAYED, "true"))
     return outcome
 
 
--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -1,7 +1,8 @@
 """Admit or refuse calls, and run them at the target at most once each."""
 
+from collections.abc import Callable
+
 from gevent.event import AsyncResult
-from gevent.hub import get_hub
 from result import Err, Ok
 
 from comfreyhitch.admission.limiter import record_answer, record_start, reset_ramp
@@ -15,6 +16,7 @@
     withdraw,
 )
 from comfreyhitch.core.blackboard import get_refused_version_reason, is_quarantined
+from comfreyhitch.core.headers import HEADER_ATTEMPT, HEADER_TIMEOUT
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.idempotency.claims import (
     acquire_claim,
@@ -38,10 +40,8 @@
 from comfreyhitch.rollouts.evidence import record_outcome
 from comfreyhitch.telemetry.metrics import observe_call
 from comfreyhitch.utils.recent import add_recent, is_recent
-from comfreyhitch.wire.sockets import is_disconnected
+from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
 
-HEADER_TIMEOUT = "Comfreyhitch-Timeout-Ms"
-HEADER_ATTEMPT = "Comfreyhitch-Attempt"
 SERVER_ERROR_STATUS = 500
 
 
@@ -159,7 +159,7 @@
         return refusal
     if record is not None:
         record.withdraw = lambda: _withdraw_fenced(ingress, ticket, record)
-    watch = _watch_for_withdrawal(ingress, call, ticket)
+    stop_watching = _withdraw_when_caller_leaves(ingress, call, ticket)
     try:
         remaining_seconds = call.deadline - ingress.blackboard.clock.monotonic()
         if not settled.wait(max(0.0, remaining_seconds)) and not settled.ready():
@@ -168,9 +168,7 @@
     finally:
         if record is not None:
             record.withdraw = None
-        if watch is not None:
-            watch.stop()
-            watch.close()
+        stop_watching()
 
 
 def _withdraw_fenced(ingress: Ingress, ticket: Ticket, record: RequestRecord) -> bool:
@@ -180,19 +178,14 @@
     return True
 
 
-def _watch_for_withdrawal(ingress: Ingress, call: IncomingCall, ticket: Ticket) -> object | None:
-    sock = call.cancel_socket
-    if sock is None or sock.fileno() < 0:
-        return None
-    watch = get_hub().loop.io(sock.fileno(), 1)
-
-    def on_readable() -> None:
-        watch.stop()
-        if is_disconnected(sock):
-            withdraw(ingress.queue, ticket, Refusal.CANCELLED)
-
-    watch.start(on_readable)
-    return watch
+def _withdraw_when_caller_leaves(
+    ingress: Ingress, call: IncomingCall, ticket: Ticket
+) -> Callable[[], None]:
+    if call.cancel_socket is None:
+        return lambda: None
+    return watch_disconnect(
+        call.cancel_socket, lambda: withdraw(ingress.queue, ticket, Refusal.CANCELLED)
+    )
 
 
 def _run_admitted(ingress: Ingress, call: IncomingCall, record: RequestRecord | None) -> Outcome:
--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -4,33 +4,19 @@
 from dataclasses import dataclass, field
 
 import gevent.socket
-from gevent.hub import get_hub
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 from result import Err, Ok
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
 from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
-from comfreyhitch.wire.sockets import connect, is_disconnected
+from comfreyhitch.wire.sockets import connect, is_disconnected, watch_disconnect
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 MAX_IDLE_SECONDS = 5.0
 MAX_IDLE_CONNECTIONS = 64
 READ_BLOCK_BYTES = 65_536
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 
 @dataclass(slots=True)
 class TargetConnections:
@@ -77,7 +63,7 @@
         return Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_UNREACHABLE, str(error)))
     before_send()
     is_whole = False
-    watch = _watch_cancellation(cancel_socket)
+    stop_watching = _cancel_when_caller_leaves(cancel_socket)
     try:
         response = _exchange(sock, request, connections.clock)
         is_whole = response.is_ok() and not response.ok_value[1]
@@ -89,9 +75,7 @@
     except (OSError, HTTPParseError) as error:
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, repr(error)))
     finally:
-        if watch is not None:
-            watch.stop()
-            watch.close()
+        stop_watching()
         if is_whole:
             _release(connections, sock)
         else:
@@ -126,19 +110,13 @@
     connections.idle.append((connections.clock.monotonic(), sock))
 
 
-def _watch_cancellation(cancel_socket: gevent.socket.socket | None) -> object | None:
-    if cancel_socket is None or cancel_socket.fileno() < 0:
-        return None
+def _cancel_when_caller_leaves(
+    cancel_socket: gevent.socket.socket | None,
+) -> Callable[[], None]:
+    if cancel_socket is None:
+        return lambda: None
     waiting = gevent.getcurrent()
-    watch = get_hub().loop.io(cancel_socket.fileno(), 1)
-
-    def on_readable() -> None:
-        watch.stop()
-        if is_disconnected(cancel_socket):
-            waiting.throw(RequestCancelledError)
-
-    watch.start(on_readable)
-    return watch
+    return watch_disconnect(cancel_socket, lambda: waiting.throw(RequestCancelledError))
 
 
 def _exchange(sock: gevent.socket.socket, request: TargetRequest, clock: Clock) -> Outcome:
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -1,10 +1,12 @@
 """Options of the TCP sockets between daemons and towards callers."""
 
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 
 import gevent.socket
 from gevent import Timeout
+from gevent.hub import get_hub
 from gevent.socket import wait_read
 
 # A peer that acknowledges nothing for this long is gone, even if its
@@ -12,6 +14,7 @@
 USER_TIMEOUT = timedelta(seconds=5)
 # The standard library of Python 3.11 does not name this Linux option.
 _IP_BIND_ADDRESS_NO_PORT = 24
+_READ_EVENT = 1
 
 
 def tune_socket(sock: gevent.socket.socket) -> None:
@@ -55,6 +58,32 @@
         return True
 
 
+def watch_disconnect(
+    sock: gevent.socket.socket, on_disconnect: Callable[[], None]
+) -> Callable[[], None]:
+    """Call back once when the other end closes the connection; return how to stop that."""
+    if sock.fileno() < 0:
+        return _do_nothing
+    watcher = get_hub().loop.io(sock.fileno(), _READ_EVENT)
+
+    def on_readable() -> None:
+        # Data means a pipelined request, which says nothing of the current one.
+        watcher.stop()
+        if is_disconnected(sock):
+            on_disconnect()
+
+    def stop() -> None:
+        watcher.stop()
+        watcher.close()
+
+    watcher.start(on_readable)
+    return stop
+
+
+def _do_nothing() -> None:
+    pass
+
+
 def wait_readable(sock: gevent.socket.socket, timeout_seconds: float) -> bool:
     """Wait for data or the end of the stream, and return whether it came in time."""
     expired = Timeout(0)
