Refuse datagrams with a bad sender instead of going deaf

Cause: a datagram whose sender is no address raised an error in the greenlet that receives datagrams, which then ended: the daemon answered no probe any more (new scenario: timed out, red).

Ruled out: frames over TCP; an error there ends one connection only.

Change: senders, subjects and addresses in records are checked; registration goes on after an error; a request is not sent after its deadline, also when the claim on its key took that long; the probe budget's gauge is always set.

--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -148,5 +148,3 @@
         for version, share in shares.items():
             metrics.control.rollout_share.set({"service": service, "version": version}, share)
     metrics.control.vetoes.set({}, len(blackboard.vetoes_by_rollout))
-    if blackboard.probe_rate is not None:
-        metrics.control.probe_budget.set({}, blackboard.probe_rate)
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -71,19 +71,18 @@
     daemon.registrar = Registrar(
         daemon.blackboard, daemon.store, daemon.pool, client, daemon.detector.random
     )
-    daemon.greenlets.append(gevent.spawn(_register, daemon.registrar, daemon))
-
-
-def _register(registrar: Registrar, daemon: Daemon) -> None:
-    while True:
-        gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
-        is_alone = not list_reachable_peers(daemon.blackboard)
-        # Only the readers look again and again, so that the number of calls
-        # follows the number of zones and not that of daemons.
-        if is_alone or registrar.is_registered or is_reader(daemon.blackboard):
-            run_registration(registrar)
-        interval = JOIN_RETRY_INTERVAL if is_alone else REGISTRATION_INTERVAL
-        gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
+    registrar = daemon.registrar
+    daemon.greenlets.append(gevent.spawn(_keep_running, lambda: _register(daemon, registrar)))
+
+
+def _register(daemon: Daemon, registrar: Registrar) -> None:
+    is_alone = not list_reachable_peers(daemon.blackboard)
+    # Only the readers look again and again, so that the number of calls
+    # follows the number of zones and not that of daemons.
+    if is_alone or registrar.is_registered or is_reader(daemon.blackboard):
+        run_registration(registrar)
+    interval = JOIN_RETRY_INTERVAL if is_alone else REGISTRATION_INTERVAL
+    gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
 
 
 def _send_to_service(daemon: Daemon, service: str, facts: list[StoredFact]) -> None:
--- a/comfreyhitch/egress/probes.py
+++ b/comfreyhitch/egress/probes.py
@@ -19,6 +19,7 @@
     rate = egress.blackboard.probe_rate
     if rate is not None and rate != egress.probe_budget.rate:
         egress.probe_budget.rate = rate
+        egress.metrics.control.probe_budget.set({}, rate)
         egress.probe_budget.capacity = max(1.0, rate)
         egress.probe_budget.tokens = min(egress.probe_budget.tokens, egress.probe_budget.capacity)
     for address in _find_stale_addresses(egress, now):
--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -225,6 +225,8 @@
     started_at = clock.monotonic()
     if connections is None:
         return Err(_refuse(Refusal.WRONG_SERVICE, "target was detached"))
+    if call.deadline <= started_at:
+        return Err(_refuse(Refusal.DEADLINE, "deadline passed before the request was sent"))
     if record is not None:
         mark_running(record, started_at)
 
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -26,7 +26,7 @@
 from comfreyhitch.telemetry.metrics import ControlMetrics
 from comfreyhitch.wire.codec import decode, encode
 from comfreyhitch.wire.generated.ttypes import Datagram, DatagramKind, Fact, FactHead
-from comfreyhitch.wire.sockets import split_address
+from comfreyhitch.wire.sockets import is_address, split_address
 
 logger = logging.getLogger(__name__)
 
@@ -73,8 +73,10 @@
     while True:
         data, _ = detector.sock.recvfrom(MAX_DATAGRAM_BYTES)
         match decode(Datagram, data):
-            case Ok(datagram):
+            case Ok(datagram) if is_address(datagram.sender):
                 _handle_datagram(detector, datagram)
+            case Ok(datagram):
+                logger.warning("refused a datagram", extra={"reason": "bad sender"})
             case Err(reason):
                 logger.warning("refused a datagram", extra={"reason": reason})
 
@@ -150,7 +152,7 @@
         acknowledged = detector.acks_by_sequence.get(datagram.sequence)
         if acknowledged is not None:
             acknowledged.set()
-    elif datagram.kind == DatagramKind.PING_REQUEST and datagram.subject:
+    elif datagram.kind == DatagramKind.PING_REQUEST and is_address(datagram.subject or ""):
         gevent.spawn(_probe_for_other, detector, datagram)
 
 
--- a/comfreyhitch/membership/models.py
+++ b/comfreyhitch/membership/models.py
@@ -7,6 +7,7 @@
 
 from comfreyhitch.wire.codec import decode, encode
 from comfreyhitch.wire.generated.ttypes import MemberRecord
+from comfreyhitch.wire.sockets import is_address
 
 STATUS_COUNT = 4
 MAX_SLOTS = 10_000
@@ -82,6 +83,8 @@
         return Err(f"member {record.address}: unknown status {record.status}")
     if not 1 <= record.slots <= MAX_SLOTS:
         return Err(f"member {record.address}: {record.slots} slots")
+    if not is_address(record.address):
+        return Err(f"member {record.address!r}: not an address")
     return Ok(
         Member(
             address=record.address,
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 from datetime import timedelta
+from ipaddress import IPv4Address
 
 import gevent.socket
 from gevent import Timeout
@@ -48,6 +49,16 @@
     return host, int(port)
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP number and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65_536
+
+
 def is_disconnected(sock: gevent.socket.socket) -> bool:
     """Return whether the other end has closed the connection."""
     try:
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -45,3 +45,10 @@
     Then one is written, and the other is shown the first one's edit
     When the answer to a write is lost after it took effect
     Then the writer is told that it was written
+
+  Scenario: Bad frames and datagrams are refused and change nothing
+    Given a running fleet
+      | service   | zone | count |
+      | catalogue | za   | 2     |
+    When a daemon gets broken datagrams, frames and facts
+    Then it still answers probes and calls, and its members are unchanged
