Count a request until its response is sent, and tell expired work as not run

Cause: a stop could close a connection between the end of a request and the last byte of its response, as requests were counted only until routed.

Ruled out: a longer deadline at the egress alone, which still races.

Change: the count ends when the server closes the response; at the deadline a request that may run only once is fenced a last time, and idempotent ones get 20 ms for the refusal to arrive.

--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -25,7 +25,7 @@
     send_facts_datagram,
 )
 from comfreyhitch.membership.models import Member, MemberStatus
-from comfreyhitch.membership.registration import Registrar
+from comfreyhitch.membership.registration import Registration
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import Broadcaster, spread
 from comfreyhitch.replication.facts import FactStore
@@ -56,7 +56,7 @@
     detector: FailureDetector
     broadcaster: Broadcaster
     platform: PlatformClient | None = None
-    registrar: Registrar | None = None
+    registration: Registration | None = None
     stopping: Event = field(default_factory=Event)
     servers: list[StreamServer | WSGIServer] = field(default_factory=list)
     greenlets: list[gevent.Greenlet] = field(default_factory=list)
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -12,7 +12,7 @@
 from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
 from comfreyhitch.membership.detector import list_reachable_peers, run_round
-from comfreyhitch.membership.registration import Registrar, run_registration
+from comfreyhitch.membership.registration import Registration, run_registration
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import StoredFact, expire_facts
@@ -68,19 +68,19 @@
 def _start_platform_controllers(daemon: Daemon, client: PlatformClient) -> None:
     reader = SectionReader(daemon.blackboard, daemon.store, client, daemon.detector.random)
     daemon.greenlets.append(gevent.spawn(_keep_running, lambda: run_reader(reader)))
-    daemon.registrar = Registrar(
+    daemon.registration = Registration(
         daemon.blackboard, daemon.store, daemon.pool, client, daemon.detector.random
     )
-    registrar = daemon.registrar
-    daemon.greenlets.append(gevent.spawn(_keep_running, lambda: _register(daemon, registrar)))
+    registration = daemon.registration
+    daemon.greenlets.append(gevent.spawn(_keep_running, lambda: _register(daemon, registration)))
 
 
-def _register(daemon: Daemon, registrar: Registrar) -> None:
+def _register(daemon: Daemon, registration: Registration) -> None:
     is_alone = not list_reachable_peers(daemon.blackboard)
     # Only the readers look again and again, so that the number of calls
     # follows the number of zones and not that of daemons.
-    if is_alone or registrar.is_registered or is_reader(daemon.blackboard):
-        run_registration(registrar)
+    if is_alone or registration.is_registered or is_reader(daemon.blackboard):
+        run_registration(registration)
     interval = JOIN_RETRY_INTERVAL if is_alone else REGISTRATION_INTERVAL
     gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
 
@@ -121,7 +121,7 @@
     answered = [
         sync_with_peer(daemon.store, daemon.pool, address) for address in daemon.settings.peers
     ]
-    is_registry_read = daemon.registrar is None or run_registration(daemon.registrar)
+    is_registry_read = daemon.registration is None or run_registration(daemon.registration)
     if list_reachable_peers(daemon.blackboard):
         return True
     # A daemon that was told of peers but reaches none may be cut off from them.
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -35,8 +35,8 @@
     handed_on = hand_on_claims(daemon.claims)
     publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
     _tell_everyone(daemon)
-    if daemon.registrar is not None:
-        unregister(daemon.registrar)
+    if daemon.registration is not None:
+        unregister(daemon.registration)
     for server in (frontend, peer_server, admin_server):
         server.stop(timeout=0)
     gevent.killall(daemon.greenlets)
--- a/comfreyhitch/egress/fencing.py
+++ b/comfreyhitch/egress/fencing.py
@@ -51,9 +51,14 @@
                 if outcome is not None:
                     return outcome
             look_at = clock.monotonic() + FENCE_RETRY_SECONDS if is_silent else silent_at
+        return _ask(egress, attempt, withdraw=True) or _make_unknown()
     finally:
         abandon_attempt(attempt)
-    return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "no answer before the deadline"))
+
+
+def _make_unknown() -> Outcome:
+    detail = "no answer before the deadline"
+    return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, detail))
 
 
 def _may_withdraw(egress: Egress, progress: Progress, now: float) -> bool:
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -88,11 +88,25 @@
     egress.requests_in_progress += 1
     try:
         call, outcome = _answer(egress, environ)
-    finally:
+        seconds = clock.monotonic() - started_at
+        _record(egress, environ, call, outcome, seconds)
+        body = _respond(egress, environ, outcome, start_response)
+    except BaseException:
         egress.requests_in_progress -= 1
-    seconds = clock.monotonic() - started_at
-    _record(egress, environ, call, outcome, seconds)
-    return _respond(egress, environ, outcome, start_response)
+        raise
+    return SentBody(body, egress)
+
+
+class SentBody(list[bytes]):
+    """Hold a response body, whose request is in progress until it was sent."""
+
+    def __init__(self, chunks: Iterable[bytes], egress: Egress) -> None:
+        super().__init__(chunks)
+        self._egress = egress
+
+    def close(self) -> None:
+        """Count the request as ended; the server calls this after the last byte."""
+        self._egress.requests_in_progress -= 1
 
 
 def _answer(egress: Egress, environ: dict[str, object]) -> tuple[OutgoingCall | None, Outcome]:
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -21,6 +21,8 @@
 
 # A target that answers nobody is left after a part of the usual patience.
 STALLED_HEDGE_SHARE = 0.5
+# An ingress that refuses at the deadline needs a moment to say so.
+ANSWER_GRACE_SECONDS = 0.02
 
 
 def await_hedged(egress: Egress, progress: Progress, attempt: Attempt) -> Outcome:
@@ -29,13 +31,14 @@
     call = progress.call
     attempts = [attempt]
     patience = get_patience(egress, call.service)
+    last_at = call.deadline + ANSWER_GRACE_SECONDS
     late_at = attempt.sent_at + patience
     hedge_at: float | None = attempt.sent_at + patience * STALLED_HEDGE_SHARE
     known: Outcome | None = None
     try:
         while attempts:
             now = clock.monotonic()
-            wait_until = call.deadline if hedge_at is None else min(call.deadline, hedge_at)
+            wait_until = last_at if hedge_at is None else min(last_at, hedge_at)
             answered = wait_for_any(attempts, wait_until - now)
             if answered is not None:
                 outcome = read_outcome(egress, answered, call)
@@ -46,7 +49,7 @@
                     return known
                 continue
             now = clock.monotonic()
-            if now >= call.deadline:
+            if now >= last_at:
                 break
             if now < late_at and not is_stalled(attempt):
                 hedge_at = late_at
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -29,8 +29,8 @@
 
 
 @dataclass(slots=True)
-class Registrar:
-    """Hold whether this daemon is registered."""
+class Registration:
+    """Hold whether this daemon is registered in the platform."""
 
     blackboard: Blackboard
     store: FactStore
@@ -41,74 +41,74 @@
     failed_joins: dict[str, int] = field(default_factory=dict)
 
 
-def run_registration(registrar: Registrar) -> bool:
+def run_registration(registration: Registration) -> bool:
     """Keep the readers registered, and sync with unknown registrations.
 
     Return whether the platform answered, and each daemon registered there.
     """
-    match list_objects(registrar.client, DAEMONS):
+    match list_objects(registration.client, DAEMONS):
         case Err(error):
             logger.info("registrations can't be read", extra={"error": str(error)})
             return False
         case Ok(listed):
             addresses = [str(item.spec.get("address", "")) for item in listed.items]
-    is_joined = _join(registrar, addresses)
-    _forget_gone(registrar, addresses)
-    own = registrar.blackboard.own.address
-    registrar.is_registered = own in addresses
-    if is_reader(registrar.blackboard) and not registrar.is_registered:
-        _register(registrar, own)
-    elif registrar.is_registered and not is_reader(registrar.blackboard):
-        unregister(registrar)
+    is_joined = _join(registration, addresses)
+    _forget_gone(registration, addresses)
+    own = registration.blackboard.own.address
+    registration.is_registered = own in addresses
+    if is_reader(registration.blackboard) and not registration.is_registered:
+        _register(registration, own)
+    elif registration.is_registered and not is_reader(registration.blackboard):
+        unregister(registration)
     return is_joined
 
 
-def unregister(registrar: Registrar) -> None:
+def unregister(registration: Registration) -> None:
     """Remove the registration of this daemon."""
-    if registrar.is_registered:
-        _delete(registrar, registrar.blackboard.own.address)
-        registrar.is_registered = False
+    if registration.is_registered:
+        _delete(registration, registration.blackboard.own.address)
+        registration.is_registered = False
 
 
-def _join(registrar: Registrar, addresses: list[str]) -> bool:
-    known = registrar.blackboard.members_by_address
+def _join(registration: Registration, addresses: list[str]) -> bool:
+    known = registration.blackboard.members_by_address
     unknown = [address for address in addresses if address and address not in known]
-    registrar.random.shuffle(unknown)
+    registration.random.shuffle(unknown)
     is_joined = True
     for address in unknown[:MAX_JOIN_PEERS]:
-        if sync_with_peer(registrar.store, registrar.pool, address):
-            registrar.failed_joins.pop(address, None)
+        if sync_with_peer(registration.store, registration.pool, address):
+            registration.failed_joins.pop(address, None)
             continue
         is_joined = False
-        registrar.failed_joins[address] = registrar.failed_joins.get(address, 0) + 1
-        if registrar.failed_joins[address] >= MAX_FAILED_JOINS:
+        registration.failed_joins[address] = registration.failed_joins.get(address, 0) + 1
+        if registration.failed_joins[address] >= MAX_FAILED_JOINS:
             # Nobody knows this address and it does not answer: it was replaced.
-            _delete(registrar, address)
+            _delete(registration, address)
     return is_joined
 
 
-def _forget_gone(registrar: Registrar, addresses: list[str]) -> None:
+def _forget_gone(registration: Registration, addresses: list[str]) -> None:
     for address in addresses:
-        member = registrar.blackboard.members_by_address.get(address)
+        member = registration.blackboard.members_by_address.get(address)
         if member is not None and member.status is MemberStatus.LEFT:
-            _delete(registrar, address)
+            _delete(registration, address)
 
 
-def _register(registrar: Registrar, address: str) -> None:
-    own = registrar.blackboard.own
+def _register(registration: Registration, address: str) -> None:
+    own = registration.blackboard.own
     item = PlatformObject(
         metadata=Metadata(name=_make_name(address)),
         spec={"address": address, "zone": own.zone, "region": own.region},
     )
-    match create_object(registrar.client, DAEMONS, item):
+    match create_object(registration.client, DAEMONS, item):
         case Ok(_) | Err(PlatformError(failure=PlatformFailure.CONFLICT)):
-            registrar.is_registered = True
+            registration.is_registered = True
         case Err(error):
             logger.info("registration failed", extra={"error": str(error)})
 
 
-def _delete(registrar: Registrar, address: str) -> None:
-    delete_object(registrar.client, DAEMONS, _make_name(address))
+def _delete(registration: Registration, address: str) -> None:
+    delete_object(registration.client, DAEMONS, _make_name(address))
 
 
 def _make_name(address: str) -> str:
