--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -68,7 +68,6 @@
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     version: str = ""
-    replayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -1,7 +1,9 @@
 """Bring newly merged facts onto the blackboard."""
 
 import logging
+from collections.abc import Callable
 from datetime import UTC, datetime
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -24,6 +26,8 @@
 
 logger = logging.getLogger(__name__)
 
+# The end of the year 9000, in seconds since 1970.
+MAX_TIMESTAMP = 221_845_392_000.0
 ELIGIBILITY_KINDS = frozenset(
     {FactKind.MEMBER, FactKind.SECTION, FactKind.VETO, FactKind.COMPLETION, FactKind.STAGE}
 )
@@ -34,10 +38,10 @@
     return {
         FactKind.MEMBER: _check_member,
         FactKind.SECTION: _check_section,
-        FactKind.VETO: _make_check(VetoRecord),
-        FactKind.COMPLETION: _make_check(CompletionRecord),
-        FactKind.CRASH: _make_check(CrashRecord),
-        FactKind.EVIDENCE: _make_check(EvidenceRecord),
+        FactKind.VETO: _make_check(VetoRecord, lambda record: record.vetoed_at),
+        FactKind.COMPLETION: _make_check(CompletionRecord, lambda record: record.completed_at),
+        FactKind.CRASH: _make_check(CrashRecord, lambda record: record.reported_at),
+        FactKind.EVIDENCE: _make_check(EvidenceRecord, lambda record: 0.0),
         FactKind.STAGE: _check_stage,
     }
 
@@ -142,9 +146,12 @@
     known.counts_by_route.update(evidence.counts_by_route)
 
 
-def _make_check(record_type: type) -> Validator:
+def _make_check(record_type: type, get_time: Callable[[Any], float]) -> Validator:
     def check(key: str, version: int, value: bytes) -> Result[object, str]:
-        return decode(record_type, value)
+        decoded = decode(record_type, value)
+        if decoded.is_ok() and not 0.0 <= get_time(decoded.ok_value) <= MAX_TIMESTAMP:
+            return Err(f"{record_type.__name__}: time out of range")
+        return decoded
 
     return check
 
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -9,7 +9,7 @@
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.idempotency.claims import ClaimClient
 from comfreyhitch.ingress.records import RecordStore
-from comfreyhitch.ingress.target import TargetConnections
+from comfreyhitch.ingress.target import TargetConnections, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.recent import RecentSet
@@ -75,6 +75,8 @@
 def attach_target(ingress: Ingress, host: str, port: int, slots: int) -> None:
     """Take a newly announced target, which is cold."""
     clock = ingress.blackboard.clock
+    if ingress.connections is not None:
+        close_connections(ingress.connections)
     ingress.connections = TargetConnections.from_address(host, port, clock)
     ingress.queue.limit.slots = slots
     forget_limit(ingress)
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -72,13 +72,21 @@
     """Handle datagrams until the socket is closed."""
     while True:
         data, _ = detector.sock.recvfrom(MAX_DATAGRAM_BYTES)
-        match decode(Datagram, data):
-            case Ok(datagram) if is_address(datagram.sender):
-                _handle_datagram(detector, datagram)
-            case Ok(datagram):
-                logger.warning("refused a datagram", extra={"reason": "bad sender"})
-            case Err(reason):
-                logger.warning("refused a datagram", extra={"reason": reason})
+        try:
+            _take_datagram(detector, data)
+        except Exception:
+            # A daemon that answers no probe counts as dead, so it goes on.
+            logger.exception("a datagram could not be handled")
+
+
+def _take_datagram(detector: FailureDetector, data: bytes) -> None:
+    match decode(Datagram, data):
+        case Ok(datagram) if is_address(datagram.sender):
+            _handle_datagram(detector, datagram)
+        case Ok(datagram):
+            logger.warning("refused a datagram", extra={"reason": "bad sender"})
+        case Err(reason):
+            logger.warning("refused a datagram", extra={"reason": reason})
 
 
 def send_facts_datagram(
--- a/comfreyhitch/sections/reader.py
+++ b/comfreyhitch/sections/reader.py
@@ -1,7 +1,7 @@
 """Read sections from the platform; only a few daemons of each zone do so."""
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 import gevent
@@ -46,7 +46,6 @@
     client: PlatformClient
     random: Random
     failures: int = 0
-    statuses_by_name: dict[str, SectionStatus] = field(default_factory=dict)
 
 
 def run_reader(reader: SectionReader) -> None:
@@ -156,7 +155,6 @@
 
 
 def _publish(reader: SectionReader, name: str, status: SectionStatus) -> None:
-    reader.statuses_by_name[name] = status
     if status.accepted is None:
         return
     content = encode_content(status.accepted)
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -31,7 +31,6 @@
     """Hold the metrics of requests that callers sent to this daemon."""
 
     request_seconds: Histogram
-    requests: Counter
     retries: Counter
     hedges: Counter
     fences: Counter
@@ -144,7 +143,6 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=registry,
         ),
-        requests=_make_counter(registry, "requests_total", "Requests of callers, by status."),
         retries=_make_counter(registry, "retries_total", "Retries, by cause."),
         hedges=_make_counter(registry, "hedges_total", "Hedged requests, by result."),
         fences=_make_counter(registry, "fences_total", "Fences, by result."),
--- a/comfreyhitch/testing/fleet.py
+++ b/comfreyhitch/testing/fleet.py
@@ -21,7 +21,6 @@
 TARGET_PORT = 9000
 PLATFORM_PORT = 7000
 POLL_SECONDS = 0.02
-STOP_TIMEOUT_SECONDS = 10.0
 
 
 @dataclass(slots=True)
@@ -313,12 +312,6 @@
         kill(process)
 
 
-def read_log(fleet: Fleet, name: str) -> list[dict]:
-    """Return the log lines of a process."""
-    lines = (fleet.folder / f"{name}.log").read_text().splitlines()
-    return [json.loads(line) for line in lines if line.startswith("{")]
-
-
 def _start_relay(fleet: Fleet, instance: Instance) -> None:
     if is_running(fleet.relays.get(instance.name)):
         return
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -10,7 +10,13 @@
 from comfreyhitch.testing.fleet import PEER_PORT, call_service, get_admin
 from comfreyhitch.wire.codec import decode, encode
 from comfreyhitch.wire.connections import PeerPool, call_peer
-from comfreyhitch.wire.generated.ttypes import Datagram, DatagramKind, Fact
+from comfreyhitch.wire.generated.ttypes import (
+    CrashRecord,
+    Datagram,
+    DatagramKind,
+    Fact,
+    VetoRecord,
+)
 from features.steps.fleet_steps import get_instance
 
 BROKEN_FACTS = (
@@ -18,6 +24,8 @@
     Fact("section", "shop", 9, b"\x00", None),
     Fact("no such kind", "a", 1, b"", None),
     Fact("stage", "a", 3, b"value", None),
+    Fact("veto", "a", 1, encode(VetoRecord("a", "b", 1e300)), None),
+    Fact("crash", "a@b", 1, encode(CrashRecord("a", "b", float("nan"))), None),
 )
 
 
