Log request id and version of a failed request

Cause: the log of a failed request named neither, so it could not be followed at the daemon that had it.

--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -64,6 +64,8 @@
     try:
         connection = egress.pool.acquire(candidate.address, remaining_seconds)
         request = _make_request(egress, call, remaining_seconds)
+        call.last_request_id = request.request_id
+        call.last_version = candidate.version
         send_call(connection, request, remaining_seconds)
     except BaseException as error:
         record_ended(view)
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -52,6 +52,8 @@
     route: str
     attempt: int
     deadline: float
+    last_request_id: str = ""
+    last_version: str = ""
 
 
 def classify(
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -176,19 +176,23 @@
     tenant = DEFAULT_TENANT if call is None else call.tenant
     observe_request(egress.metrics, service, tenant, verdict, seconds)
     if outcome.is_err() and logger.isEnabledFor(logging.INFO):
-        failure = outcome.err_value
-        logger.info(
-            "request failed",
-            extra={
-                "service": service,
-                "tenant": tenant,
-                "method": environ["REQUEST_METHOD"],
-                "path": environ[PATH_ENVIRON_KEY],
-                "verdict": verdict.header_value,
-                "refusal": failure.refusal.value,
-                "detail": failure.detail,
-            },
-        )
+        _log_failure(environ, call, outcome.err_value)
+
+
+def _log_failure(environ: dict[str, object], call: OutgoingCall | None, failure: Failure) -> None:
+    extra = {
+        "method": environ["REQUEST_METHOD"],
+        "path": environ[PATH_ENVIRON_KEY],
+        "verdict": failure.verdict.header_value,
+        "refusal": failure.refusal.value,
+        "detail": failure.detail,
+    }
+    if call is not None:
+        extra["request_id"] = call.last_request_id
+        extra["service"] = call.service
+        extra["version"] = call.last_version
+        extra["tenant"] = call.tenant
+    logger.info("request failed", extra=extra)
 
 
 def _respond(
