--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -10,8 +10,9 @@
 import gevent
 
 from comfreyhitch.management.editing import read_section, write_section
-from comfreyhitch.platform.client import SECTIONS, PlatformClient, get_object
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.sections.acceptance import read_status
+from comfreyhitch.sections.storage import get_section
 from comfreyhitch.testing.fleet import (
     Fleet,
     add_instance,
@@ -51,7 +52,7 @@
             )
     start_fleet(fleet)
     new = [item for item in fleet.instances_by_name.values() if item.version == "v2"]
-    client = PlatformClient.from_url(fleet.platform_url, "default")
+    client = PlatformClient.from_url(fleet.platform_url)
     _write(client, {"services": {"workshop": {"version": "v1"}}, "freezes": []})
     gevent.sleep(1.5)
     entrances = list(fleet.instances_by_name.values())
@@ -111,7 +112,7 @@
     found: dict[str, str] = {}
 
     def has_ended() -> bool:
-        item = get_object(client, SECTIONS, "workshop").unwrap()
+        item = get_section(client, "workshop").unwrap()
         for entry in read_status(item).rollouts.values():
             if entry["phase"] != "in-progress":
                 found.update(entry)
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -26,7 +26,7 @@
     start_fleet(fleet)
     instances = list(fleet.instances_by_name.values())
     hosts = {item.host for item in instances if item.zone == "zb"}
-    client = PlatformClient.from_url(fleet.platform_url, "default")
+    client = PlatformClient.from_url(fleet.platform_url)
     traffic = Traffic(instances, "catalogue", Random(5), pause_seconds=0.005)
     start_traffic(traffic, CALLERS)
     gevent.sleep(3.0)
--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -36,7 +36,6 @@
     )
     peers: tuple[Address, ...] = Field((), description="addresses of first peers, comma separated")
     platform_url: str | None = Field(None, description="base URL of the platform's object API")
-    namespace: Name = Field("default", description="namespace of the objects in the platform")
     body_limit_bytes: Annotated[int, Field(ge=0, le=8 * 1024 * 1024)] = Field(
         4 * 1024 * 1024, description="largest request or response body"
     )
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -136,7 +136,7 @@
     def count_call(verb: str) -> None:
         metrics.control.platform_calls.inc({"verb": verb})
 
-    return PlatformClient.from_url(settings.platform_url, settings.namespace, count_call)
+    return PlatformClient.from_url(settings.platform_url, count_call)
 
 
 def _open_gossip_socket(settings: Settings) -> gevent.socket.socket:
--- a/comfreyhitch/management/commands/apply.py
+++ b/comfreyhitch/management/commands/apply.py
@@ -60,18 +60,18 @@
                 return report_failure(self, name, error)
             case Ok(base):
                 pass
-        if generation is not None and (base is None or base.metadata.generation != generation):
-            found = "missing" if base is None else f"at generation {base.metadata.generation}"
+        if generation is not None and (base is None or base.generation != generation):
+            found = "missing" if base is None else f"at generation {base.generation}"
             self.line_error(f"{name}: is {found}, not at generation {generation}; nothing written")
             return ExitCode.CONFLICT
-        if base is not None and base.spec == content:
+        if base is not None and base.content == content:
             self.line(f"{name}: unchanged")
             return ExitCode.OK
         match write_section(client, name, content, base):
             case Err(error):
                 return report_failure(self, name, error)
             case Ok(item):
-                self.line(f"{name}: written as generation {item.metadata.generation}")
+                self.line(f"{name}: written as generation {item.generation}")
                 return ExitCode.OK
 
 
--- a/comfreyhitch/management/commands/edit.py
+++ b/comfreyhitch/management/commands/edit.py
@@ -47,7 +47,7 @@
             case Err(error):
                 return report_failure(self, name, error)
             case Ok(base):
-                path = _write_draft(name, {} if base is None else base.spec)
+                path = _write_draft(name, {} if base is None else base.content)
         if not _run_editor(path):
             return report_errors(self, [f"{path}: the editor failed; your text is kept there"])
         errors = _find_errors(path, name)
@@ -60,7 +60,7 @@
                 return report_failure(self, name, error)
             case Ok(item):
                 path.unlink()
-                self.line(f"{name}: written as generation {item.metadata.generation}")
+                self.line(f"{name}: written as generation {item.generation}")
                 return ExitCode.OK
 
 
--- a/comfreyhitch/management/commands/get.py
+++ b/comfreyhitch/management/commands/get.py
@@ -15,7 +15,7 @@
 )
 from comfreyhitch.management.documents import format_document
 from comfreyhitch.management.exit_codes import ExitCode
-from comfreyhitch.platform.client import SECTIONS, list_objects
+from comfreyhitch.sections.storage import list_sections
 
 
 class GetCommand(Command):
@@ -34,11 +34,11 @@
         except SettingsError as error:
             return report_errors(self, [str(error)])
         wanted = self.argument("section")
-        match list_objects(client, SECTIONS):
+        match list_sections(client):
             case Err(error):
                 return report_failure(self, wanted or "sections", error)
             case Ok(listed):
-                content = {item.metadata.name: item.spec for item in listed.items}
+                content = {section.name: section.content for section in listed}
         if wanted is not None and wanted not in content:
             names = ", ".join(sorted(content)) or "none"
             return report_errors(self, [f"{wanted}: no such section; there are: {names}"])
--- a/comfreyhitch/management/commands/status.py
+++ b/comfreyhitch/management/commands/status.py
@@ -16,12 +16,11 @@
     report_failure,
 )
 from comfreyhitch.management.exit_codes import ExitCode
-from comfreyhitch.platform.client import SECTIONS, list_objects
-from comfreyhitch.platform.models import PlatformObject
 from comfreyhitch.rollouts.models import RolloutPhase
 from comfreyhitch.sections.acceptance import SectionStatus, read_status
 from comfreyhitch.sections.models import RolloutPlan
 from comfreyhitch.sections.parsing import parse_section
+from comfreyhitch.sections.storage import StoredSection, list_sections
 
 POLL_SECONDS = 0.5
 
@@ -52,11 +51,11 @@
             return report_errors(self, [str(error)])
         deadline = time.monotonic() + wait_seconds
         while True:
-            match list_objects(client, SECTIONS):
+            match list_sections(client):
                 case Err(error):
                     return report_failure(self, "sections", error)
                 case Ok(listed):
-                    reports = _make_reports(listed.items, self.argument("section"))
+                    reports = _make_reports(listed, self.argument("section"))
             code = _get_exit_code(reports)
             if code != ExitCode.IN_PROGRESS or time.monotonic() >= deadline:
                 break
@@ -81,15 +80,15 @@
                 )
 
 
-def _make_reports(items: list[PlatformObject], wanted: str | None) -> list[dict]:
-    return [_make_report(item) for item in items if wanted is None or item.metadata.name == wanted]
+def _make_reports(items: list[StoredSection], wanted: str | None) -> list[dict]:
+    return [_make_report(item) for item in items if wanted is None or item.name == wanted]
 
 
-def _make_report(item: PlatformObject) -> dict:
+def _make_report(item: StoredSection) -> dict:
     status = read_status(item)
     return {
-        "section": item.metadata.name,
-        "generation": item.metadata.generation,
+        "section": item.name,
+        "generation": item.generation,
         "accepted_generation": status.accepted.generation if status.accepted else 0,
         "edit": _describe_edit(item, status),
         "errors": status.errors,
@@ -97,16 +96,16 @@
     }
 
 
-def _describe_edit(item: PlatformObject, status: SectionStatus) -> str:
-    if status.observed_generation < item.metadata.generation:
+def _describe_edit(item: StoredSection, status: SectionStatus) -> str:
+    if status.observed_generation < item.generation:
         return "in progress"
     return "refused" if status.errors else "accepted"
 
 
-def _list_current_plans(item: PlatformObject, status: SectionStatus) -> list[RolloutPlan]:
+def _list_current_plans(item: StoredSection, status: SectionStatus) -> list[RolloutPlan]:
     if status.accepted is None:
         return []
-    parsed = parse_section(item.metadata.name, 0, status.accepted.content)
+    parsed = parse_section(item.name, 0, status.accepted.content)
     if parsed.is_err():
         return []
     services = parsed.ok_value.services
--- a/comfreyhitch/management/common.py
+++ b/comfreyhitch/management/common.py
@@ -19,21 +19,17 @@
     """Return the options that say where the platform is."""
     return [
         option("platform-url", None, "base URL of the platform's object API", flag=False),
-        option("namespace", None, "namespace of the objects in the platform", flag=False),
     ]
 
 
 def make_client(command: Command) -> PlatformClient:
     """Return a client for the platform; raise `SettingsError` if it is not set."""
-    flags = {
-        name: value
-        for name in ("platform-url", "namespace")
-        if (value := command.option(name)) is not None
-    }
+    url = command.option("platform-url")
+    flags = {} if url is None else {"platform-url": url}
     settings = load_settings(os.environ, flags)
     if settings.platform_url is None:
         raise SettingsError("COMFREYHITCH_PLATFORM_URL (--platform-url): missing; set it")
-    return PlatformClient.from_url(settings.platform_url, settings.namespace)
+    return PlatformClient.from_url(settings.platform_url)
 
 
 def report_errors(command: Command, errors: list[str]) -> int:
--- a/comfreyhitch/management/editing.py
+++ b/comfreyhitch/management/editing.py
@@ -2,24 +2,18 @@
 
 import getpass
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from result import Err, Ok, Result
 
-from comfreyhitch.platform.client import (
-    SECTIONS,
-    PlatformClient,
-    create_object,
-    get_object,
-    update_object,
-)
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import (
-    WRITER_ANNOTATION,
-    WRITER_MARK_ANNOTATION,
-    Metadata,
-    PlatformObject,
+from comfreyhitch.sections.storage import (
+    StoredSection,
+    create_section,
+    get_section,
+    update_section,
 )
 
 WRITE_TRIES = 5
@@ -43,8 +37,8 @@
     client: PlatformClient,
     name: str,
     content: dict[str, Any],
-    base: PlatformObject | None,
-) -> Result[PlatformObject, EditError]:
+    base: StoredSection | None,
+) -> Result[StoredSection, EditError]:
     """Write a section if its content is still as it was read, and settle a lost answer."""
     mark = secrets.token_hex(8)
     for _ in range(WRITE_TRIES):
@@ -55,7 +49,7 @@
         if found.is_err():
             return written
         item = found.ok_value
-        if item is not None and item.metadata.annotations.get(WRITER_MARK_ANNOTATION) == mark:
+        if item is not None and item.writer_mark == mark:
             return Ok(item)
         if _get_generation(item) != _get_generation(base):
             return _make_conflict(item, written.err_value)
@@ -68,28 +62,27 @@
     client: PlatformClient,
     name: str,
     content: dict[str, Any],
-    base: PlatformObject | None,
+    base: StoredSection | None,
     mark: str,
-) -> Result[PlatformObject, PlatformError]:
-    annotations = {WRITER_MARK_ANNOTATION: mark, WRITER_ANNOTATION: _get_writer()}
+) -> Result[StoredSection, PlatformError]:
+    writer = _get_writer()
     if base is None:
-        metadata = Metadata(name=name, annotations=annotations)
-        return create_object(client, SECTIONS, PlatformObject(metadata=metadata, spec=content))
-    metadata = base.metadata.model_copy(update={"annotations": annotations})
-    changed = PlatformObject(metadata=metadata, spec=content, status=base.status)
-    return update_object(client, SECTIONS, changed)
+        first = StoredSection(name, 0, content, writer=writer, writer_mark=mark)
+        return create_section(client, first)
+    changed = replace(base, content=content, writer=writer, writer_mark=mark)
+    return update_section(client, changed)
 
 
-def read_section(client: PlatformClient, name: str) -> Result[PlatformObject | None, PlatformError]:
+def read_section(client: PlatformClient, name: str) -> Result[StoredSection | None, PlatformError]:
     """Return a section, or None if there is none of this name."""
-    match get_object(client, SECTIONS, name):
+    match get_section(client, name):
         case Err(PlatformError(failure=PlatformFailure.NOT_FOUND)):
             return Ok(None)
         case found:
             return found
 
 
-def _read_back(client: PlatformClient, name: str) -> Result[PlatformObject | None, PlatformError]:
+def _read_back(client: PlatformClient, name: str) -> Result[StoredSection | None, PlatformError]:
     """Return the section as it is now: the writer's mark tells whose edit it holds."""
     for _ in range(SETTLE_TRIES):
         found = read_section(client, name)
@@ -98,15 +91,14 @@
     return found
 
 
-def _get_generation(item: PlatformObject | None) -> int:
-    return 0 if item is None else item.metadata.generation
+def _get_generation(item: StoredSection | None) -> int:
+    return 0 if item is None else item.generation
 
 
-def _make_conflict(item: PlatformObject | None, error: PlatformError) -> Result[Any, EditError]:
+def _make_conflict(item: StoredSection | None, error: PlatformError) -> Result[Any, EditError]:
     if item is None:
         return Err(error)
-    writer = item.metadata.annotations.get(WRITER_ANNOTATION, "unknown")
-    return Err(EditConflict(writer, item.metadata.generation, item.spec))
+    return Err(EditConflict(item.writer or "unknown", item.generation, item.content))
 
 
 def _get_writer() -> str:
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -51,7 +51,7 @@
             logger.info("registrations can't be read", extra={"error": str(error)})
             return False
         case Ok(listed):
-            addresses = [str(item.spec.get("address", "")) for item in listed.items]
+            addresses = [str((item.spec or {}).get("address", "")) for item in listed.items]
     is_joined = _join(registration, addresses)
     _forget_gone(registration, addresses)
     own = registration.blackboard.own.address
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -1,139 +1,201 @@
-"""Calls to the platform's object API, one try each."""
+"""Calls to the platform's store, one try on one new connection each."""
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
+from urllib.parse import quote
 
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.url import URL
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import ObjectList, PlatformObject, WatchEvent, dump_object
-
-API_PREFIX = "/apis/comfreyhitch.example/v1"
+from comfreyhitch.platform.models import (
+    FRESH,
+    ChangeBatch,
+    ObjectList,
+    PlatformObject,
+    ReadMode,
+    dump_object,
+)
+
+API_PREFIX = "/v1/objects"
 SECTIONS = "sections"
 DAEMONS = "daemons"
-CONNECT_TIMEOUT_SECONDS = 2.0
-CALL_TIMEOUT_SECONDS = 5.0
+CONNECT_TIMEOUT_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 2.5
+# A watch is answered at the latest when its waiting time is over.
+WATCH_SLACK_SECONDS = 1.0
 
-_KINDS_BY_PLURAL = {SECTIONS: "Section", DAEMONS: "Daemon"}
 _FAILURES_BY_STATUS = {
     404: PlatformFailure.NOT_FOUND,
     409: PlatformFailure.CONFLICT,
     410: PlatformFailure.EXPIRED,
+    429: PlatformFailure.UNAVAILABLE,
 }
 
+Model = TypeVar("Model", bound=BaseModel)
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformClient:
-    """Hold where the API is, and a function that counts each call."""
+    """Hold where the store is, and a function that counts each call."""
 
     host: str
     port: int
-    namespace: str
     count_call: Callable[[str], None]
 
     @classmethod
     def from_url(
-        cls, url: str, namespace: str, count_call: Callable[[str], None] = lambda verb: None
+        cls, url: str, count_call: Callable[[str], None] = lambda verb: None
     ) -> "PlatformClient":
         """Return a client for a base URL."""
         parsed = URL(url)
-        return cls(parsed.host, parsed.port, namespace, count_call)
-
-
-def list_objects(client: PlatformClient, plural: str) -> Result[ObjectList, PlatformError]:
-    """Return all objects of a kind."""
-    return _call(client, "list", "GET", plural, None).and_then(_parse_list)
+        return cls(parsed.host, parsed.port, count_call)
+
+
+def list_objects(
+    client: PlatformClient, kind: str, mode: ReadMode = FRESH
+) -> Result[ObjectList, PlatformError]:
+    """Return all objects of a kind, with the store's revision at the first page."""
+    items: list[PlatformObject] = []
+    query = _make_query(mode)
+    revision: int | None = None
+    while True:
+        page = _read(client, "list", kind + _join(query), ObjectList)
+        if page.is_err():
+            return page
+        found = page.ok_value
+        items.extend(found.items)
+        revision = found.revision if revision is None else revision
+        if not found.has_more or not found.items:
+            return Ok(ObjectList(items=items, revision=revision))
+        after = quote(found.items[-1].metadata.name, safe="")
+        query = [*_make_query(mode), f"after={after}"]
 
 
 def get_object(
-    client: PlatformClient, plural: str, name: str
+    client: PlatformClient, kind: str, name: str
 ) -> Result[PlatformObject, PlatformError]:
     """Return one object."""
-    return _call(client, "get", "GET", f"{plural}/{name}", None).and_then(_parse_object)
+    return _read(client, "get", _make_path(kind, name), PlatformObject)
 
 
 def create_object(
-    client: PlatformClient, plural: str, item: PlatformObject
+    client: PlatformClient, kind: str, item: PlatformObject
 ) -> Result[PlatformObject, PlatformError]:
     """Create an object; a conflict means that one of this name exists."""
-    content = dump_object(item, _KINDS_BY_PLURAL[plural])
-    return _call(client, "create", "POST", plural, content).and_then(_parse_object)
+    return _call(client, "create", "POST", kind, dump_object(item)).and_then(
+        lambda content: _parse(PlatformObject, content)
+    )
 
 
 def update_object(
-    client: PlatformClient, plural: str, item: PlatformObject, *, subresource: str = ""
+    client: PlatformClient, kind: str, item: PlatformObject
 ) -> Result[PlatformObject, PlatformError]:
-    """Replace an object if its version is still the one that was read."""
-    content = dump_object(item, _KINDS_BY_PLURAL[plural])
-    path = f"{plural}/{item.metadata.name}{subresource}"
-    return _call(client, "update", "PUT", path, content).and_then(_parse_object)
+    """Replace spec and finalizers if the revision is still the one that was read."""
+    return _put(client, _make_path(kind, item.metadata.name), item)
 
 
-def delete_object(client: PlatformClient, plural: str, name: str) -> Result[None, PlatformError]:
-    """Delete an object."""
-    return _call(client, "delete", "DELETE", f"{plural}/{name}", None).map(lambda _: None)
+def update_status(
+    client: PlatformClient, kind: str, item: PlatformObject
+) -> Result[PlatformObject, PlatformError]:
+    """Replace the status if the revision is still the one that was read."""
+    return _put(client, _make_path(kind, item.metadata.name) + "/status", item)
 
 
-def watch_objects(
-    client: PlatformClient, plural: str, since: str, timeout_seconds: float
-) -> Iterator[Result[WatchEvent, PlatformError]]:
-    """Yield changes after a version, until the time is over or an error was yielded."""
-    query = f"watch=true&resourceVersion={since}&timeoutSeconds={timeout_seconds:.0f}"
-    http = _connect(client, timeout_seconds + CALL_TIMEOUT_SECONDS)
-    client.count_call("watch")
-    try:
-        response = http.request("GET", _make_path(client, f"{plural}?{query}"))
-        if response.status_code != 200:
-            yield Err(_read_failure(response.status_code, response.read()))
-            return
-        while line := response.readline(b"\n"):
-            yield _parse_event(line)
-    except (OSError, HTTPParseError) as error:
-        yield Err(PlatformError(PlatformFailure.UNAVAILABLE, str(error)))
-    finally:
-        http.close()
+def delete_object(
+    client: PlatformClient, kind: str, name: str, revision: int = 0
+) -> Result[None, PlatformError]:
+    """Delete an object, only at a revision if one is given."""
+    query = [f"Rev={revision}"] if revision else []
+    path = _make_path(kind, name) + _join(query)
+    return _call(client, "delete", "DELETE", path, None).map(lambda _: None)
+
+
+def wait_for_changes(
+    client: PlatformClient, kind: str, since: int, wait_seconds: float, mode: ReadMode = FRESH
+) -> Result[ChangeBatch, PlatformError]:
+    """Return the changes after a revision as soon as there is one, or none in time."""
+    query = [f"Watch={since}", f"WaitMs={int(wait_seconds * 1000)}", *_make_query(mode)]
+    limit_seconds = wait_seconds + WATCH_SLACK_SECONDS
+    return _read(client, "watch", kind + _join(query), ChangeBatch, limit_seconds)
+
+
+def _put(
+    client: PlatformClient, path: str, item: PlatformObject
+) -> Result[PlatformObject, PlatformError]:
+    return _call(client, "update", "PUT", path, dump_object(item)).and_then(
+        lambda content: _parse(PlatformObject, content)
+    )
+
+
+def _read(
+    client: PlatformClient,
+    verb: str,
+    path: str,
+    model: type[Model],
+    limit_seconds: float = CALL_TIMEOUT_SECONDS,
+) -> Result[Model, PlatformError]:
+    return _call(client, verb, "GET", path, None, limit_seconds).and_then(
+        lambda content: _parse(model, content)
+    )
 
 
 def _call(
-    client: PlatformClient, verb: str, method: str, path: str, content: Any
+    client: PlatformClient,
+    verb: str,
+    method: str,
+    path: str,
+    content: Any,
+    limit_seconds: float = CALL_TIMEOUT_SECONDS,
 ) -> Result[Any, PlatformError]:
     client.count_call(verb)
-    http = _connect(client, CALL_TIMEOUT_SECONDS)
+    http = HTTPClient(
+        client.host,
+        client.port,
+        concurrency=1,
+        connection_timeout=CONNECT_TIMEOUT_SECONDS,
+        network_timeout=limit_seconds,
+    )
     body = b"" if content is None else json.dumps(content).encode()
     headers = {"Content-Type": "application/json"} if body else {}
     try:
-        response = http.request(method, _make_path(client, path), body, headers)
+        response = http.request(method, f"{API_PREFIX}/{path}", body, headers)
         answer = response.read()
+        if not response.message_complete:
+            return Err(PlatformError(PlatformFailure.UNAVAILABLE, "answer ended early"))
     except (OSError, HTTPParseError) as error:
         return Err(PlatformError(PlatformFailure.UNAVAILABLE, str(error) or repr(error)))
     finally:
         http.close()
     if response.status_code >= 300:
         return Err(_read_failure(response.status_code, answer))
+    return _decode(answer)
+
+
+def _decode(answer: bytes) -> Result[Any, PlatformError]:
+    if not answer:
+        return Ok(None)
     try:
         return Ok(json.loads(answer))
     except ValueError as error:
         return Err(PlatformError(PlatformFailure.REFUSED, f"answer is not JSON: {error}"))
 
 
-def _connect(client: PlatformClient, timeout_seconds: float) -> HTTPClient:
-    return HTTPClient(
-        client.host,
-        client.port,
-        concurrency=1,
-        connection_timeout=CONNECT_TIMEOUT_SECONDS,
-        network_timeout=timeout_seconds,
-    )
+def _make_path(kind: str, name: str) -> str:
+    return f"{kind}/{quote(name, safe='')}"
 
 
-def _make_path(client: PlatformClient, path: str) -> str:
-    return f"{API_PREFIX}/namespaces/{client.namespace}/{path}"
+def _make_query(mode: ReadMode) -> list[str]:
+    return ["Serializable=1"] if mode.may_be_stale else []
+
+
+def _join(query: list[str]) -> str:
+    return "?" + "&".join(query) if query else ""
 
 
 def _read_failure(status: int, answer: bytes) -> PlatformError:
@@ -142,22 +204,8 @@
     return PlatformError(failure, f"HTTP {status}: {answer[:200].decode(errors='replace')}")
 
 
-def _parse_object(content: Any) -> Result[PlatformObject, PlatformError]:
-    try:
-        return Ok(PlatformObject.model_validate(content))
-    except ValidationError as error:
-        return Err(PlatformError(PlatformFailure.REFUSED, f"not an object: {error}"))
-
-
-def _parse_list(content: Any) -> Result[ObjectList, PlatformError]:
-    try:
-        return Ok(ObjectList.model_validate(content))
-    except ValidationError as error:
-        return Err(PlatformError(PlatformFailure.REFUSED, f"not a list: {error}"))
-
-
-def _parse_event(line: bytes) -> Result[WatchEvent, PlatformError]:
+def _parse(model: type[Model], content: Any) -> Result[Model, PlatformError]:
     try:
-        return Ok(WatchEvent.model_validate_json(line))
+        return Ok(model.model_validate(content))
     except ValidationError as error:
-        return Err(PlatformError(PlatformFailure.REFUSED, f"not an event: {error}"))
+        return Err(PlatformError(PlatformFailure.REFUSED, f"not a {model.__name__}: {error}"))
--- a/comfreyhitch/platform/models.py
+++ b/comfreyhitch/platform/models.py
@@ -1,67 +1,77 @@
-"""Objects as the platform's API holds them."""
+"""Objects of the platform's store, in the product's own words."""
 
+from dataclasses import dataclass
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field
 
-API_VERSION = "comfreyhitch.example/v1"
-WRITER_MARK_ANNOTATION = "comfreyhitch.example/writer-mark"
-WRITER_ANNOTATION = "comfreyhitch.example/writer"
+WRITER_MARK_ANNOTATION = "writer-mark"
+WRITER_ANNOTATION = "writer"
 
 
 class Metadata(BaseModel):
-    """Validate the metadata of an object."""
+    """Validate the metadata of an object; `revision` is that of its last change."""
 
-    model_config = ConfigDict(extra="allow")
+    model_config = ConfigDict(extra="ignore", populate_by_name=True)
 
-    name: str
-    resource_version: str = Field("", alias="resourceVersion")
-    generation: int = 0
-    annotations: dict[str, str] = {}
+    name: str = Field(alias="Name")
+    revision: int = Field(0, alias="Rev")
+    finalizers: list[str] = Field([], alias="Finalizers")
+    is_deleting: bool = Field(False, alias="Deleting")
 
 
 class PlatformObject(BaseModel):
     """Validate an object with a spec and a status."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", populate_by_name=True)
 
-    metadata: Metadata
-    spec: dict[str, Any] = {}
-    status: dict[str, Any] = {}
+    metadata: Metadata = Field(alias="Metadata")
+    spec: Any = Field(None, alias="Spec")
+    status: Any = Field(None, alias="Status")
 
 
 class ObjectList(BaseModel):
-    """Validate a list of objects."""
+    """Validate one page of a list; `revision` is that of the whole store."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", populate_by_name=True)
 
-    metadata: dict[str, Any] = {}
     items: list[PlatformObject] = []
+    has_more: bool = Field(False, alias="HasMore")
+    revision: int = Field(alias="StoreRevision")
 
-    @property
-    def resource_version(self) -> str:
-        """Return the version that a watch continues from."""
-        return str(self.metadata.get("resourceVersion", "0"))
 
-
-class WatchEvent(BaseModel):
+class ObjectChange(BaseModel):
     """Validate one event of a watch."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", populate_by_name=True)
+
+    object: PlatformObject = Field(alias="Object")
+    is_deleted: bool = Field(False, alias="Deleted")
+
+
+class ChangeBatch(BaseModel):
+    """Validate the answer of a watch, which goes on from `revision`."""
+
+    model_config = ConfigDict(extra="ignore", populate_by_name=True)
+
+    events: list[ObjectChange] = []
+    revision: int = Field(alias="StoreRevision")
+
+
+@dataclass(frozen=True, slots=True)
+class ReadMode:
+    """Say whether a read may return data that is seconds old, at a tenth of the price."""
+
+    may_be_stale: bool = False
+
 
-    type: str
-    object: PlatformObject
+FRESH = ReadMode()
+STALE = ReadMode(may_be_stale=True)
 
 
-def dump_object(item: PlatformObject, kind: str) -> dict[str, Any]:
-    """Return the JSON content of an object."""
-    metadata = item.metadata.model_dump(by_alias=True)
-    if not metadata["resourceVersion"]:
-        del metadata["resourceVersion"]
-    return {
-        "apiVersion": API_VERSION,
-        "kind": kind,
-        "metadata": metadata,
-        "spec": item.spec,
-        "status": item.status,
-    }
+def dump_object(item: PlatformObject) -> dict[str, Any]:
+    """Return the JSON content of an object; an unknown revision is left out."""
+    content = item.model_dump(by_alias=True)
+    if not item.metadata.revision:
+        del content["Metadata"]["Rev"]
+    return content
--- a/comfreyhitch/rollouts/recorder.py
+++ b/comfreyhitch/rollouts/recorder.py
@@ -1,19 +1,20 @@
 """Decide how a rollout ends, and keep exactly one outcome in the platform."""
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import datetime, timedelta
 
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.platform.client import SECTIONS, PlatformClient, get_object, update_object
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.rollouts.controller import publish_completion, publish_veto
 from comfreyhitch.rollouts.models import TERMINAL_PHASES, RolloutPhase
 from comfreyhitch.rollouts.schedule import FINAL_STAGE, get_active_freeze_start
 from comfreyhitch.sections.acceptance import dump_status, read_status
 from comfreyhitch.sections.models import RolloutPlan, Section
+from comfreyhitch.sections.storage import get_section, update_section_status
 from comfreyhitch.utils.hashing import rank_by_rendezvous
 
 logger = logging.getLogger(__name__)
@@ -126,7 +127,7 @@
         _follow(recorder, plan, phase.value, reason, now)
         return True
     recorder.next_try_by_rollout[plan.rollout_id] = now + RETRY_INTERVAL
-    match get_object(recorder.client, SECTIONS, section.name):
+    match get_section(recorder.client, section.name):
         case Err(error):
             logger.warning("outcome was not recorded", extra={"error": str(error)})
             return False
@@ -145,8 +146,8 @@
         "at": now.isoformat(),
     }
     status.rollouts[plan.rollout_id] = entry
-    updated = item.model_copy(update={"status": dump_status(status)})
-    if update_object(recorder.client, SECTIONS, updated, subresource="/status").is_err():
+    updated = replace(item, status=dump_status(status))
+    if update_section_status(recorder.client, updated).is_err():
         # A lost answer or a race: the next try reads what is kept.
         return False
     _follow(recorder, plan, phase.value, reason, now)
--- a/comfreyhitch/sections/acceptance.py
+++ b/comfreyhitch/sections/acceptance.py
@@ -7,11 +7,11 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok
 
-from comfreyhitch.platform.models import PlatformObject
 from comfreyhitch.rollouts.models import TERMINAL_PHASES
 from comfreyhitch.sections.merging import find_clashes
 from comfreyhitch.sections.models import Section
 from comfreyhitch.sections.parsing import parse_section
+from comfreyhitch.sections.storage import StoredSection
 
 
 class AcceptedModel(BaseModel):
@@ -40,10 +40,10 @@
     is_changed: bool
 
 
-def read_status(item: PlatformObject) -> SectionStatus:
+def read_status(item: StoredSection) -> SectionStatus:
     """Return the status of a section, an empty one if it can't be read."""
     try:
-        return SectionStatus.model_validate(item.status)
+        return SectionStatus.model_validate(item.status or {})
     except ValidationError:
         return SectionStatus()
 
@@ -53,20 +53,20 @@
     return status.model_dump(by_alias=True, exclude_none=True)
 
 
-def decide(item: PlatformObject, accepted_sections: list[Section]) -> Decision:
+def decide(item: StoredSection, accepted_sections: list[Section]) -> Decision:
     """Accept a valid edit; an invalid one leaves the accepted content in force."""
     status = read_status(item)
-    generation = item.metadata.generation
+    generation = item.generation
     if status.observed_generation >= generation:
         return Decision(status, is_changed=False)
     changes: dict[str, Any] = {"observed_generation": generation}
-    match parse_section(item.metadata.name, generation, item.spec):
+    match parse_section(item.name, generation, item.content):
         case Err(errors):
             changes["errors"] = errors
         case Ok(section):
             changes["errors"] = find_clashes(section, accepted_sections)
     if not changes["errors"]:
-        changes["accepted"] = AcceptedModel(generation=generation, content=item.spec)
+        changes["accepted"] = AcceptedModel(generation=generation, content=item.content)
         changes["rollouts"] = _keep_ended(status.rollouts)
     return Decision(status.model_copy(update=changes), is_changed=True)
 
--- a/comfreyhitch/sections/reader.py
+++ b/comfreyhitch/sections/reader.py
@@ -1,22 +1,16 @@
 """Read sections from the platform; only a few daemons of each zone do so."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import gevent
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.platform.client import (
-    SECTIONS,
-    PlatformClient,
-    list_objects,
-    update_object,
-    watch_objects,
-)
+from comfreyhitch.platform.client import SECTIONS, PlatformClient
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import PlatformObject
+from comfreyhitch.platform.models import ObjectChange, ObjectList, PlatformObject
 from comfreyhitch.replication.facts import FactStore, merge_facts
 from comfreyhitch.sections.acceptance import (
     SectionStatus,
@@ -26,15 +20,15 @@
     read_status,
 )
 from comfreyhitch.sections.merging import make_section_fact
+from comfreyhitch.sections.storage import StoredSection, update_section_status
 from comfreyhitch.utils.hashing import rank_by_rendezvous
+from comfreyhitch.watching.follower import Follower, StoreUnavailableError, follow
 
 logger = logging.getLogger(__name__)
 
 READERS_PER_ZONE = 2
-WATCH_SECONDS = 60.0
+WATCH_SECONDS = 25.0
 CHECK_SECONDS = 1.0
-MIN_BACKOFF_SECONDS = 0.5
-MAX_BACKOFF_SECONDS = 5.0
 
 
 @dataclass(slots=True)
@@ -45,7 +39,6 @@
     store: FactStore
     client: PlatformClient
     random: Random
-    failures: int = 0
 
 
 def run_reader(reader: SectionReader) -> None:
@@ -54,24 +47,13 @@
         gevent.sleep(CHECK_SECONDS)
         if not is_reader(reader.blackboard):
             continue
-        reading = gevent.spawn(_read_until_failure, reader)
+        reading = gevent.spawn(follow, _make_follower(reader))
         while is_reader(reader.blackboard) and not reading.ready():
             gevent.sleep(CHECK_SECONDS)
         # A daemon that is no longer a reader gives up its waiting call at once.
         reading.kill()
 
 
-def _read_until_failure(reader: SectionReader) -> None:
-    while True:
-        error = _read_once(reader)
-        if error is None:
-            reader.failures = 0
-            continue
-        reader.failures += 1
-        logger.warning("platform can't be read", extra={"error": str(error)})
-        gevent.sleep(_get_backoff_seconds(reader))
-
-
 def is_reader(blackboard: Blackboard) -> bool:
     """Return whether this daemon is one of the readers of its zone."""
     own = blackboard.own
@@ -86,72 +68,50 @@
 
 def take_object(reader: SectionReader, item: PlatformObject) -> None:
     """Publish the accepted content of a section, and accept an edit that is still open."""
-    status = read_status(item)
-    _publish(reader, item.metadata.name, status)
+    match StoredSection.from_object(item):
+        case Err(error):
+            logger.error("section can't be read", extra={"error": str(error)})
+            return
+        case Ok(section):
+            pass
+    _publish(reader, section.name, read_status(section))
     accepted_sections = list(reader.blackboard.sections_by_name.values())
-    decision = decide(item, accepted_sections)
+    decision = decide(section, accepted_sections)
     if not decision.is_changed:
         return
-    updated = item.model_copy(update={"status": dump_status(decision.status)})
-    match update_object(reader.client, SECTIONS, updated, subresource="/status"):
+    updated = replace(section, status=dump_status(decision.status))
+    match update_section_status(reader.client, updated):
         case Ok(_):
             # Content is in force only once the platform keeps that it is.
-            _publish(reader, item.metadata.name, decision.status)
+            _publish(reader, section.name, decision.status)
         case Err(PlatformError(failure=PlatformFailure.CONFLICT)):
             # Another reader was faster; its write arrives by the watch.
             pass
         case Err(error):
             logger.warning(
-                "status was not written",
-                extra={"section": item.metadata.name, "error": str(error)},
+                "status was not written", extra={"section": section.name, "error": str(error)}
             )
-            raise PlatformUnavailableError(error)
+            raise StoreUnavailableError(error)
 
 
-class PlatformUnavailableError(Exception):
-    """Report that reading has to start again later."""
-
-    def __init__(self, error: PlatformError) -> None:
-        super().__init__(str(error))
-        self.error = error
-
-
-def _read_once(reader: SectionReader) -> PlatformError | None:
-    """List, then watch until something ends the watch; return an error if one did."""
-    try:
-        match list_objects(reader.client, SECTIONS):
-            case Err(error):
-                return error
-            case Ok(listed):
-                pass
+def _make_follower(reader: SectionReader) -> Follower:
+    def take_list(listed: ObjectList) -> None:
         for item in listed.items:
             take_object(reader, item)
-        since = listed.resource_version
-        while True:
-            since, error = _watch_once(reader, since)
-            if error is not None and error.failure is PlatformFailure.EXPIRED:
-                return None
-            if error is not None:
-                return error
-    except PlatformUnavailableError as error:
-        return error.error
-
-
-def _watch_once(reader: SectionReader, since: str) -> tuple[str, PlatformError | None]:
-    seconds = WATCH_SECONDS * reader.random.uniform(0.8, 1.2)
-    started_at = reader.blackboard.clock.monotonic()
-    for event in watch_objects(reader.client, SECTIONS, since, seconds):
-        match event:
-            case Err(error):
-                return since, error
-            case Ok(change):
-                reader.failures = 0
-                since = change.object.metadata.resource_version
-                if change.type in ("ADDED", "MODIFIED"):
-                    take_object(reader, change.object)
-    if reader.blackboard.clock.monotonic() - started_at < MIN_BACKOFF_SECONDS:
-        return since, PlatformError(PlatformFailure.UNAVAILABLE, "watch ended at once")
-    return since, None
+
+    def take_change(change: ObjectChange, _: int) -> None:
+        if not change.is_deleted:
+            take_object(reader, change.object)
+
+    return Follower(
+        client=reader.client,
+        kind=SECTIONS,
+        clock=reader.blackboard.clock,
+        random=reader.random,
+        take_list=take_list,
+        take_change=take_change,
+        wait_seconds=WATCH_SECONDS,
+    )
 
 
 def _publish(reader: SectionReader, name: str, status: SectionStatus) -> None:
@@ -160,8 +120,3 @@
     content = encode_content(status.accepted)
     fact = make_section_fact(name, status.accepted.generation, content)
     merge_facts(reader.store, [fact])
-
-
-def _get_backoff_seconds(reader: SectionReader) -> float:
-    backoff_seconds = MIN_BACKOFF_SECONDS * 2 ** min(reader.failures - 1, 10)
-    return min(MAX_BACKOFF_SECONDS, backoff_seconds) * reader.random.uniform(0.5, 1.0)
--- a/comfreyhitch/testing/demo.py
+++ b/comfreyhitch/testing/demo.py
@@ -14,12 +14,9 @@
 import gevent
 
 from comfreyhitch.management.editing import read_section, write_section
-from comfreyhitch.platform.client import (
-    SECTIONS,
-    PlatformClient,
-    get_object,
-)
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.sections.acceptance import read_status
+from comfreyhitch.sections.storage import get_section
 from comfreyhitch.testing.fleet import (
     Fleet,
     Instance,
@@ -72,7 +69,7 @@
             add_instance(fleet, service, zone, target_arguments=["--warm-up-seconds", "2"])
     start_fleet(fleet)
     print_line(f"{len(fleet.instances_by_name)} daemons run, in zones {', '.join(ZONES)}")
-    client = PlatformClient.from_url(fleet.platform_url, "default")
+    client = PlatformClient.from_url(fleet.platform_url)
     _edit(client, "workshop", {"services": {"workshop": {"version": "v1"}}, "freezes": []})
     _edit(client, "web-shop", {"services": {"payments": {"version": "v1"}, "catalogue": {}}})
     _edit(client, "zones", {"zones": {zone: {"state": "in"} for zone in ZONES}})
@@ -151,10 +148,10 @@
     found: dict[str, str] = {}
 
     def has_ended() -> bool:
-        item = get_object(client, SECTIONS, "workshop").unwrap()
+        item = get_section(client, "workshop").unwrap()
         status = read_status(item)
         accepted = status.accepted
-        if accepted is None or accepted.generation != item.metadata.generation:
+        if accepted is None or accepted.generation != item.generation:
             return False
         wanted = accepted.content["services"]["workshop"]["rollout"]["to"]
         for entry in status.rollouts.values():
--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -1,57 +1,65 @@
-"""Stand-in for the platform's object API, after the Kubernetes API conventions."""
+"""Stand-in for the platform's store: objects, revisions, conditional writes and watches."""
 
 import argparse
 import json
 import sys
 from collections import Counter, deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from copy import deepcopy
 from dataclasses import dataclass, field
+from urllib.parse import parse_qsl, unquote
 
 import gevent
-import gevent.socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from comfreyhitch.platform.client import API_PREFIX
-from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
-from comfreyhitch.wire.sockets import is_disconnected
+from comfreyhitch.testing.target import QuietHandler
 
 KEPT_EVENTS = 1000
 MAX_OBJECT_BYTES = 1024 * 1024
-MAX_WATCH_SECONDS = 300.0
-DISCONNECT_CHECK_SECONDS = 0.5
+MAX_WAIT_SECONDS = 30.0
+PAGE_ITEMS = 500
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
-ObjectId = tuple[str, str, str]
+Query = dict[str, str]
 
 
 class ApiError(Exception):
-    """Report a refused call, with its HTTP status."""
+    """Report a refused call, with its HTTP status and the content of its answer."""
 
-    def __init__(self, status: str, message: str) -> None:
-        super().__init__(message)
+    def __init__(self, status: str, content: object) -> None:
+        super().__init__(status)
         self.status = status
+        self.content = content
 
 
 @dataclass(slots=True)
 class PlatformFaults:
-    """Hold the faults of the platform; they are changed while it runs."""
+    """Hold the faults of the store; they are changed while it runs."""
 
     is_down: bool = False
     delay_seconds: float = 0.0
     lost_answers: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectId:
+    """Name an object; without a name it stands for its kind."""
+
+    kind: str
+    name: str = ""
+    is_status: bool = False
+
+
 @dataclass(slots=True)
-class PlatformState:
+class StoreState:
     """Hold the objects, the recent events and the counts of calls."""
 
-    objects_by_id: dict[ObjectId, dict] = field(default_factory=dict)
-    events: deque[tuple[int, ObjectId, str, dict]] = field(
-        default_factory=lambda: deque(maxlen=KEPT_EVENTS)
-    )
-    version: int = 0
+    objects_by_kind: dict[str, dict[str, dict]] = field(default_factory=dict)
+    events: deque[tuple[int, str, dict]] = field(default_factory=deque)
+    revision: int = 1
+    oldest_revision: int = 1
     calls_by_verb: Counter[str] = field(default_factory=Counter)
     watches: int = 0
     max_watches: int = 0
@@ -60,196 +68,221 @@
 
 
 def make_application(
-    state: PlatformState,
+    state: StoreState,
 ) -> Callable[[dict[str, object], StartResponse], Iterable[bytes]]:
-    """Return the WSGI application of the platform."""
+    """Return the WSGI application of the store."""
 
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         if path.startswith("/_standin/") or path == "/healthz":
             return _serve_standin(state, environ, start_response)
         try:
-            return _serve_api(state, environ, start_response)
+            return _reply(start_response, "200 OK", _serve_api(state, environ))
         except ApiError as error:
-            return _reply(start_response, error.status, {"kind": "Status", "message": str(error)})
+            return _reply(start_response, error.status, error.content)
 
     return application
 
 
 def _serve_standin(
-    state: PlatformState, environ: dict[str, object], start_response: StartResponse
+    state: StoreState, environ: dict[str, object], start_response: StartResponse
 ) -> Iterable[bytes]:
     if environ["PATH_INFO"] == "/_standin/faults":
         for name, value in json.loads(environ["wsgi.input"].read()).items():
             setattr(state.faults, name, value)
-        state.changed.set()
-    return _reply(
-        start_response,
-        "200 OK",
-        {
-            "calls": state.calls_by_verb,
-            "watches": state.watches,
-            "max_watches": state.max_watches,
-            "version": state.version,
-        },
-    )
-
-
-def _serve_api(
-    state: PlatformState, environ: dict[str, object], start_response: StartResponse
-) -> Iterable[bytes]:
+        _tell_watches(state)
+    if environ["PATH_INFO"] == "/_standin/compact":
+        state.events.clear()
+        state.oldest_revision = state.revision
+    counts = {
+        "calls": state.calls_by_verb,
+        "watches": state.watches,
+        "max_watches": state.max_watches,
+        "revision": state.revision,
+    }
+    return _reply(start_response, "200 OK", counts)
+
+
+def _serve_api(state: StoreState, environ: dict[str, object]) -> object:
     if state.faults.delay_seconds:
         gevent.sleep(state.faults.delay_seconds)
-    if state.faults.is_down:
-        raise ApiError("503 Service Unavailable", "the platform is down")
-    namespace, kind, name, is_status = _parse_path(environ["PATH_INFO"])
+    _refuse_if_down(state)
+    object_id = _parse_path(environ["PATH_INFO"])
+    query = dict(parse_qsl(environ["QUERY_STRING"]))
     method = environ["REQUEST_METHOD"]
-    query = _parse_query(environ["QUERY_STRING"])
-    if method == "GET" and query.get("watch") == "true":
-        state.calls_by_verb["watch"] += 1
-        return _start_watch(state, namespace, kind, query, environ, start_response)
-    verb = "list" if method == "GET" and name is None else method.lower()
+    verb = _get_verb(method, object_id, query)
     state.calls_by_verb[verb] += 1
-    content = _call(state, method, (namespace, kind, name or ""), is_status, environ)
-    if method != "GET" and state.faults.lost_answers > 0:
+    if method == "GET":
+        return _read(state, object_id, query)
+    content = _write(state, method, object_id, query, environ)
+    if state.faults.lost_answers > 0:
         state.faults.lost_answers -= 1
         raise ConnectionAbortedError("the answer is lost after the write took effect")
-    return _reply(start_response, "200 OK", content)
+    return content
+
+
+def _refuse_if_down(state: StoreState) -> None:
+    if state.faults.is_down:
+        raise ApiError("503 Service Unavailable", {"Error": "the store is down"})
+
+
+def _get_verb(method: str, object_id: ObjectId, query: Query) -> str:
+    if method != "GET":
+        return method.lower()
+    if "Watch" in query:
+        return "watch"
+    return "get" if object_id.name else "list"
+
 
+def _read(state: StoreState, object_id: ObjectId, query: Query) -> object:
+    if "Watch" in query:
+        return _watch(state, object_id.kind, query)
+    return _get(state, object_id) if object_id.name else _list(state, object_id.kind, query)
 
-def _call(
-    state: PlatformState,
+
+def _write(
+    state: StoreState,
     method: str,
     object_id: ObjectId,
-    is_status: bool,
+    query: Query,
     environ: dict[str, object],
-) -> dict:
-    if method == "GET":
-        return _list(state, object_id) if not object_id[2] else _get(state, object_id)
+) -> object:
     if method == "DELETE":
-        return _delete(state, object_id)
+        return _delete(state, object_id, query)
     body = environ["wsgi.input"].read(MAX_OBJECT_BYTES + 1)
     if len(body) > MAX_OBJECT_BYTES:
-        raise ApiError("413 Content Too Large", f"objects hold up to {MAX_OBJECT_BYTES} bytes")
+        detail = f"objects hold up to {MAX_OBJECT_BYTES} bytes"
+        raise ApiError("413 Content Too Large", {"Error": detail})
     content = json.loads(body)
     if method == "POST":
-        return _create(state, object_id, content)
+        return _create(state, object_id.kind, content)
     if method == "PUT":
-        return _update(state, object_id, content, is_status)
-    raise ApiError("405 Method Not Allowed", method)
+        return _update(state, object_id, content)
+    raise ApiError("405 Method Not Allowed", {"Error": method})
+
+
+def _list(state: StoreState, kind: str, query: Query) -> dict:
+    after = query.get("after", "")
+    named = sorted(state.objects_by_kind.get(kind, {}).items())
+    found = [item for name, item in named if name > after]
+    return {
+        "items": found[:PAGE_ITEMS],
+        "HasMore": len(found) > PAGE_ITEMS,
+        "StoreRevision": state.revision,
+    }
+
+
+def _get(state: StoreState, object_id: ObjectId) -> dict:
+    found = state.objects_by_kind.get(object_id.kind, {}).get(object_id.name)
+    if found is None:
+        raise ApiError("404 Not Found", {"Error": f"{object_id.kind}/{object_id.name}"})
+    return found
+
+
+def _create(state: StoreState, kind: str, content: dict) -> dict:
+    name = content["Metadata"]["Name"]
+    held = state.objects_by_kind.setdefault(kind, {}).get(name)
+    if held is not None:
+        raise ApiError("409 Conflict", held)
+    created = {
+        "Metadata": {
+            "Name": name,
+            "CreateRevision": state.revision + 1,
+            "Finalizers": content["Metadata"].get("Finalizers", []),
+            "Deleting": False,
+        },
+        "Spec": content.get("Spec"),
+        "Status": content.get("Status"),
+    }
+    return _keep(state, kind, created)
 
 
-def _list(state: PlatformState, object_id: ObjectId) -> dict:
-    namespace, kind, _ = object_id
-    items = [
-        item for key, item in sorted(state.objects_by_id.items()) if key[:2] == (namespace, kind)
-    ]
-    return {"metadata": {"resourceVersion": str(state.version)}, "items": items}
+def _update(state: StoreState, object_id: ObjectId, content: dict) -> dict:
+    current = _get(state, object_id)
+    _check_revision(current, content["Metadata"].get("Rev"))
+    updated = deepcopy(current)
+    if object_id.is_status:
+        updated["Status"] = content.get("Status")
+    else:
+        updated["Spec"] = content.get("Spec")
+        updated["Metadata"]["Finalizers"] = content["Metadata"].get("Finalizers", [])
+    if updated == current:
+        return current
+    if updated["Metadata"]["Deleting"] and not updated["Metadata"]["Finalizers"]:
+        return _remove(state, object_id.kind, updated)
+    return _keep(state, object_id.kind, updated)
 
 
-def _get(state: PlatformState, object_id: ObjectId) -> dict:
-    if object_id not in state.objects_by_id:
-        raise ApiError("404 Not Found", f"{object_id[1]} {object_id[2]} not found")
-    return state.objects_by_id[object_id]
+def _delete(state: StoreState, object_id: ObjectId, query: Query) -> dict:
+    current = _get(state, object_id)
+    _check_revision(current, int(query["Rev"]) if "Rev" in query else None)
+    if not current["Metadata"]["Finalizers"]:
+        return _remove(state, object_id.kind, deepcopy(current))
+    marked = deepcopy(current)
+    marked["Metadata"]["Deleting"] = True
+    return _keep(state, object_id.kind, marked)
 
 
-def _create(state: PlatformState, object_id: ObjectId, content: dict) -> dict:
-    namespace, kind, _ = object_id
-    object_id = (namespace, kind, content["metadata"]["name"])
-    if object_id in state.objects_by_id:
-        raise ApiError("409 Conflict", f"{kind} {object_id[2]} already exists")
-    created = deepcopy(content)
-    created["metadata"]["generation"] = 1
-    created.setdefault("status", {})
-    return _store(state, object_id, "ADDED", created)
+def _check_revision(current: dict, expected: int | None) -> None:
+    if expected is not None and expected != current["Metadata"]["Rev"]:
+        raise ApiError("409 Conflict", current)
 
 
-def _update(state: PlatformState, object_id: ObjectId, content: dict, is_status: bool) -> dict:
-    current = _get(state, object_id)
-    expected = content["metadata"].get("resourceVersion")
-    if expected is not None and expected != current["metadata"]["resourceVersion"]:
-        raise ApiError("409 Conflict", f"{object_id[1]} {object_id[2]} was changed by another")
-    updated = deepcopy(current)
-    if is_status:
-        updated["status"] = content.get("status", {})
-    else:
-        if updated.get("spec") != content.get("spec"):
-            updated["metadata"]["generation"] += 1
-        updated["spec"] = content.get("spec", {})
-        updated["metadata"]["annotations"] = content["metadata"].get("annotations", {})
-    return _store(state, object_id, "MODIFIED", updated)
-
-
-def _delete(state: PlatformState, object_id: ObjectId) -> dict:
-    current = deepcopy(_get(state, object_id))
-    _store(state, object_id, "DELETED", current)
-    del state.objects_by_id[object_id]
-    return current
-
-
-def _store(state: PlatformState, object_id: ObjectId, event: str, content: dict) -> dict:
-    state.version += 1
-    content["metadata"]["resourceVersion"] = str(state.version)
-    state.objects_by_id[object_id] = content
-    state.events.append((state.version, object_id, event, content))
-    state.changed.set()
-    state.changed = Event()
+def _keep(state: StoreState, kind: str, content: dict) -> dict:
+    state.revision += 1
+    content["Metadata"]["Rev"] = state.revision
+    state.objects_by_kind.setdefault(kind, {})[content["Metadata"]["Name"]] = content
+    _add_event(state, kind, content, is_deleted=False)
     return content
 
 
-def _start_watch(
-    state: PlatformState,
-    namespace: str,
-    kind: str,
-    query: dict[str, str],
-    environ: dict[str, object],
-    start_response: StartResponse,
-) -> Iterator[bytes]:
-    since = int(query.get("resourceVersion", "0"))
-    oldest = state.events[0][0] if state.events else state.version + 1
-    if since + 1 < oldest and since < state.version:
-        raise ApiError("410 Gone", f"version {since} is too old")
-    seconds = min(MAX_WATCH_SECONDS, float(query.get("timeoutSeconds", "60")))
-    start_response("200 OK", [("Content-Type", "application/json")])
-    sock = environ[SOCKET_ENVIRON_KEY]
-    return _watch(state, namespace, kind, since, seconds, sock)
-
-
-def _watch(
-    state: PlatformState,
-    namespace: str,
-    kind: str,
-    since: int,
-    seconds: float,
-    sock: gevent.socket.socket,
-) -> Iterator[bytes]:
+def _remove(state: StoreState, kind: str, content: dict) -> dict:
+    state.revision += 1
+    content["Metadata"]["Rev"] = state.revision
+    del state.objects_by_kind[kind][content["Metadata"]["Name"]]
+    _add_event(state, kind, content, is_deleted=True)
+    return content
+
+
+def _add_event(state: StoreState, kind: str, content: dict, *, is_deleted: bool) -> None:
+    event = {"Deleted": is_deleted, "Object": deepcopy(content)}
+    state.events.append((state.revision, kind, event))
+    while len(state.events) > KEPT_EVENTS:
+        state.oldest_revision = state.events.popleft()[0]
+    _tell_watches(state)
+
+
+def _tell_watches(state: StoreState) -> None:
+    changed, state.changed = state.changed, Event()
+    changed.set()
+
+
+def _watch(state: StoreState, kind: str, query: Query) -> dict:
+    since = int(query["Watch"])
+    if since < state.oldest_revision:
+        raise ApiError("410 Gone", {"Error": f"the history after {since} is gone"})
     state.watches += 1
     state.max_watches = max(state.max_watches, state.watches)
     try:
-        with gevent.Timeout(seconds, False):
-            while not state.faults.is_down and not is_disconnected(sock):
-                changed = state.changed
-                for version, object_id, event, content in list(state.events):
-                    if version > since and object_id[:2] == (namespace, kind):
-                        yield json.dumps({"type": event, "object": content}).encode() + b"\n"
-                since = max(since, state.version)
-                changed.wait(DISCONNECT_CHECK_SECONDS)
+        with gevent.Timeout(min(MAX_WAIT_SECONDS, int(query.get("WaitMs", "0")) / 1000), False):
+            while not state.faults.is_down and not _find_events(state, kind, since):
+                state.changed.wait()
     finally:
         state.watches -= 1
+    _refuse_if_down(state)
+    return {"events": _find_events(state, kind, since), "StoreRevision": state.revision}
 
 
-def _parse_path(path: str) -> tuple[str, str, str | None, bool]:
-    prefix = f"{API_PREFIX}/namespaces/"
-    parts = path.removeprefix(prefix).strip("/").split("/")
-    if not path.startswith(prefix) or not 2 <= len(parts) <= 4:
-        raise ApiError("404 Not Found", f"no such path: {path}")
-    name = parts[2] if len(parts) > 2 else None
-    return parts[0], parts[1], name, len(parts) == 4 and parts[3] == "status"
+def _find_events(state: StoreState, kind: str, since: int) -> list[dict]:
+    return [event for revision, held, event in state.events if held == kind and revision > since]
 
 
-def _parse_query(text: str) -> dict[str, str]:
-    pairs = (part.partition("=") for part in text.split("&") if part)
-    return {name: value for name, _, value in pairs}
+def _parse_path(path: str) -> ObjectId:
+    parts = [unquote(part) for part in path.removeprefix(API_PREFIX).strip("/").split("/")]
+    if not path.startswith(API_PREFIX + "/") or not 1 <= len(parts) <= 3:
+        raise ApiError("404 Not Found", {"Error": f"no such path: {path}"})
+    name = parts[1] if len(parts) > 1 else ""
+    return ObjectId(parts[0], name, is_status=parts[2:] == ["status"])
 
 
 def _reply(start_response: StartResponse, status: str, content: object) -> list[bytes]:
@@ -258,14 +291,14 @@
 
 
 def main() -> int:
-    """Run the stand-in platform until it is ended."""
-    parser = argparse.ArgumentParser(description="Stand-in for the platform's object API")
+    """Run the stand-in store until it is ended."""
+    parser = argparse.ArgumentParser(description="Stand-in for the platform's store")
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
     arguments = parser.parse_args()
     server = WSGIServer(
         (arguments.host, arguments.port),
-        make_application(PlatformState()),
+        make_application(StoreState()),
         handler_class=QuietHandler,
         log=None,
         backlog=512,
--- /dev/null
+++ b/comfreyhitch/watching/__init__.py
@@ -0,0 +1,1 @@
+"""Follow objects in the platform's store: list once, then watch."""
--- /dev/null
+++ b/comfreyhitch/watching/follower.py
@@ -0,0 +1,128 @@
+"""Follow one kind of object through lost history, refusals and silence."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import gevent
+from result import Err, Ok
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.platform.client import PlatformClient, list_objects, wait_for_changes
+from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
+from comfreyhitch.platform.models import STALE, ObjectChange, ObjectList
+
+logger = logging.getLogger(__name__)
+
+# A watch on a connection that has gone silent is noticed after this and a second.
+DEFAULT_WAIT_SECONDS = 3.0
+MIN_BACKOFF_SECONDS = 0.2
+MAX_BACKOFF_SECONDS = 2.0
+# A store that answers a waiting call at once, with nothing, is not asked in a tight loop.
+MIN_WATCH_SECONDS = 0.05
+
+
+class StoreUnavailableError(Exception):
+    """Report that following has to start again later."""
+
+    def __init__(self, error: PlatformError) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
+@dataclass(slots=True)
+class Follower:
+    """Hold how far one kind was read; `revision` is None until it was listed.
+
+    The two callbacks may raise `StoreUnavailableError`.
+    """
+
+    client: PlatformClient
+    kind: str
+    clock: Clock
+    random: Random
+    take_list: Callable[[ObjectList], None]
+    take_change: Callable[[ObjectChange, int], None]
+    wait_seconds: float = DEFAULT_WAIT_SECONDS
+    revision: int | None = None
+    failures: int = 0
+    answered_at: float | None = None
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether the store answered the last call."""
+        return self.failures == 0 and self.revision is not None
+
+
+def follow(follower: Follower) -> None:
+    """List and watch until the greenlet is killed."""
+    while True:
+        error = read_once(follower)
+        if error is not None:
+            gevent.sleep(get_backoff_seconds(follower))
+
+
+def read_once(follower: Follower) -> PlatformError | None:
+    """List, or wait for changes; return the error if the store did not answer."""
+    try:
+        error = _list(follower) if follower.revision is None else _watch(follower)
+    except StoreUnavailableError as unavailable:
+        # What was being taken in has to be read again.
+        follower.revision = None
+        error = unavailable.error
+    _note_result(follower, error)
+    return error
+
+
+def get_backoff_seconds(follower: Follower) -> float:
+    """Return how long to wait after a failure, with jitter."""
+    exponent = min(max(0, follower.failures - 1), 10)
+    backoff_seconds = min(MAX_BACKOFF_SECONDS, MIN_BACKOFF_SECONDS * 2**exponent)
+    return backoff_seconds * follower.random.uniform(0.5, 1.0)
+
+
+def _list(follower: Follower) -> PlatformError | None:
+    # Only a linearizable list can be trusted not to take a version back.
+    match list_objects(follower.client, follower.kind):
+        case Err(error):
+            return error
+        case Ok(listed):
+            follower.take_list(listed)
+            follower.revision = listed.revision
+            return None
+
+
+def _watch(follower: Follower) -> PlatformError | None:
+    started_at = follower.clock.monotonic()
+    match wait_for_changes(
+        follower.client, follower.kind, follower.revision, follower.wait_seconds, STALE
+    ):
+        case Err(PlatformError(failure=PlatformFailure.EXPIRED)):
+            logger.info("history of the store is gone; listing", extra={"kind": follower.kind})
+            follower.revision = None
+            return None
+        case Err(error):
+            return error
+        case Ok(batch):
+            pass
+    for change in batch.events:
+        follower.take_change(change, batch.revision)
+    follower.revision = max(follower.revision, batch.revision)
+    if not batch.events and follower.clock.monotonic() - started_at < MIN_WATCH_SECONDS:
+        gevent.sleep(MIN_WATCH_SECONDS)
+    return None
+
+
+def _note_result(follower: Follower, error: PlatformError | None) -> None:
+    if error is None:
+        if follower.failures:
+            logger.info(
+                "store is back", extra={"kind": follower.kind, "failures": follower.failures}
+            )
+        follower.failures = 0
+        follower.answered_at = follower.clock.monotonic()
+        return
+    if not follower.failures:
+        logger.warning("store is lost", extra={"kind": follower.kind, "error": str(error)})
+    follower.failures += 1
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -6,8 +6,9 @@
 from behave import then, when
 
 from comfreyhitch.management.editing import EditConflict, read_section, write_section
-from comfreyhitch.platform.client import SECTIONS, PlatformClient, get_object
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.sections.acceptance import read_status
+from comfreyhitch.sections.storage import get_section
 from comfreyhitch.testing.fleet import (
     PLATFORM_PORT,
     add_instance,
@@ -27,7 +28,7 @@
 
 def get_client(context):
     """Return a client for the platform of the fleet."""
-    return PlatformClient.from_url(context.fleet.platform_url, "default")
+    return PlatformClient.from_url(context.fleet.platform_url)
 
 
 def apply_section(context, name, content):
@@ -39,7 +40,7 @@
             continue
         written = write_section(client, name, content, base.ok_value)
         if written.is_ok():
-            context.generation = written.ok_value.metadata.generation
+            context.generation = written.ok_value.generation
             return
         gevent.sleep(0.2)
     raise AssertionError(f"{name} was not written: {written}")
@@ -87,7 +88,7 @@
     found = []
 
     def has_errors():
-        item = get_object(client, SECTIONS, name).unwrap()
+        item = get_section(client, name).unwrap()
         found[:] = read_status(item).errors
         return bool(found)
 
@@ -206,4 +207,4 @@
 @then("the writer is told that it was written")
 def check_settled(context):
     assert context.first.is_ok(), context.first
-    assert context.first.ok_value.spec == make_shop_section(3)
+    assert context.first.ok_value.content == make_shop_section(3)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -6,7 +6,6 @@
 import gevent
 from behave import then, when
 
-from comfreyhitch.platform.client import SECTIONS, get_object
 from comfreyhitch.rollouts.evidence import (
     EvidenceLog,
     get_window,
@@ -15,6 +14,7 @@
 )
 from comfreyhitch.rollouts.judge import judge
 from comfreyhitch.sections.acceptance import read_status
+from comfreyhitch.sections.storage import get_section
 from comfreyhitch.testing.fleet import get_target_state, set_faults, set_platform_faults, wait_until
 from comfreyhitch.testing.traffic import select_seen
 from features.steps.configuration_steps import apply_section, get_client
@@ -59,7 +59,7 @@
 
 def get_outcomes(context):
     """Return the outcomes of moves in the status of the section."""
-    item = get_object(get_client(context), SECTIONS, "workshop").unwrap()
+    item = get_section(get_client(context), "workshop").unwrap()
     return list(read_status(item).rollouts.values())
 
 
