--- a/comfreyhitch/admission/limiter.py
+++ b/comfreyhitch/admission/limiter.py
@@ -45,6 +45,8 @@
     window_was_saturated: bool = False
     proven_limit: int = INITIAL_LIMIT
     recovery_limit: int = INITIAL_LIMIT
+    # A limit that is known does not follow what the target seems to bear.
+    is_known: bool = False
 
 
 def record_start(state: ConcurrencyLimit, in_flight: int) -> None:
@@ -57,7 +59,7 @@
     state: ConcurrencyLimit, started_at: float, now: float, *, is_failure: bool
 ) -> None:
     """Take in one answer; times are monotonic seconds."""
-    if started_at < state.window_started_at:
+    if state.is_known or started_at < state.window_started_at:
         # The request ran under an earlier limit and says nothing of this one.
         return
     state.window_answers += 1
@@ -69,8 +71,17 @@
         _close_window(state, now)
 
 
+def set_known_limit(state: ConcurrencyLimit, slots: int) -> None:
+    """Bound the target by its slots, since it tells how many it has."""
+    state.is_known = True
+    state.slots = slots
+    state.limit = slots
+
+
 def reset_ramp(state: ConcurrencyLimit, now: float) -> None:
     """Start again from the initial limit, as after a cold start."""
+    if state.is_known:
+        return
     _forget_proof(state)
     _change_limit(state, INITIAL_LIMIT, now)
 
@@ -78,8 +89,7 @@
 def forget_baseline(state: ConcurrencyLimit, now: float) -> None:
     """Start again for a target that was replaced by another."""
     state.baseline_seconds = None
-    _forget_proof(state)
-    _change_limit(state, INITIAL_LIMIT, now)
+    reset_ramp(state, now)
 
 
 def _forget_proof(state: ConcurrencyLimit) -> None:
--- a/comfreyhitch/conf/checks.py
+++ b/comfreyhitch/conf/checks.py
@@ -32,7 +32,9 @@
         "COMFREYHITCH_TARGET_PORT": settings.target_port,
     }
     missing = [name for name, value in parts.items() if value is None]
-    if len(missing) in (0, len(parts)):
+    # A target that sends heartbeats tells its version itself.
+    is_version_told = missing == ["COMFREYHITCH_SERVICE_VERSION"]
+    if len(missing) in (0, len(parts)) or is_version_told:
         return []
     return [
         CheckError(
--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -31,6 +31,12 @@
     service: Name | None = Field(None, description="service of the target, if it never announces")
     service_version: Name | None = Field(None, description="version of the target")
     target_port: Port | None = Field(None, description="port of the target on this instance")
+    target_host: IPv4Address | None = Field(
+        None, description="IP number of the target, if it is not that of the daemon"
+    )
+    limit_rule: Literal["adaptive", "slots"] = Field(
+        "adaptive", description="whether the concurrency limit is learned or is the slots"
+    )
     slots: Annotated[int, Field(ge=1, le=10_000)] = Field(
         10, description="requests that the target can run at a time"
     )
@@ -51,6 +57,15 @@
     hedge_budget: Annotated[float, Field(ge=0, le=1)] = Field(
         0.05, description="hedged requests as a share of first tries"
     )
+    retry_extra: Annotated[float, Field(ge=0)] = Field(
+        20.0, description="retries of a service that may be saved up"
+    )
+    retry_window: PositiveDuration = Field(
+        timedelta(seconds=10), description="time in which the shared retries are earned again"
+    )
+    is_retry_extra_shared: bool = Field(
+        False, description="whether all daemons together share the retries saved up"
+    )
     choice_rule: Literal["load-aware", "least-in-flight", "round-robin", "random"] = Field(
         "load-aware", description="how a target is chosen; the others serve as baselines"
     )
@@ -58,7 +73,10 @@
         2.0, description="load probes to other daemons a second"
     )
     target_probe_rate: Annotated[float, Field(ge=0, le=100)] = Field(
-        0.5, description="reads of the target's own health endpoint a second"
+        0.5, description="most reads of the target's own health endpoint a second"
+    )
+    target_probe_interval: PositiveDuration = Field(
+        timedelta(seconds=2), description="time between reads of it while nothing is in doubt"
     )
     gossip_interval: PositiveDuration = Field(
         timedelta(seconds=1), description="time between failure detector probes"
@@ -69,6 +87,12 @@
     drain_timeout: PositiveDuration = Field(
         timedelta(seconds=30), description="longest wait for requests in flight at a stop"
     )
+    stop_linger: PositiveDuration = Field(
+        timedelta(milliseconds=500), description="time at a stop for callers to go elsewhere"
+    )
+    registration: Literal["readers", "all"] = Field(
+        "readers", description="which daemons register in the platform for others to find"
+    )
     key_retention: PositiveDuration = Field(
         timedelta(minutes=10), description="time for which outcomes by Idempotency-Key are kept"
     )
@@ -86,6 +110,11 @@
         """Return the address that is told to other daemons."""
         return self.advertised_address or self.peer_address
 
+    @property
+    def target_address_host(self) -> str:
+        """Return the IP number of the target."""
+        return str(self.target_host or self.host)
+
     @property
     def http_address(self) -> str:
         """Return the address that callers use."""
--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -5,9 +5,11 @@
 from datetime import datetime
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.documents.models import RolloutOrder
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.membership.models import Member
 from comfreyhitch.rollouts.models import Evidence, RolloutStatus
+from comfreyhitch.routing.models import RouteTable
 from comfreyhitch.sections.models import DEFAULT_FREEZES, Freeze, Section, ServicePolicy
 
 
@@ -40,6 +42,8 @@
     sections_by_name: dict[str, Section] = field(default_factory=dict)
     services_by_name: dict[str, ServicePolicy] = field(default_factory=dict)
     service_names_by_host: dict[str, str] = field(default_factory=dict)
+    route_table: RouteTable | None = None
+    rollout_orders_by_service: dict[str, RolloutOrder] = field(default_factory=dict)
     zones_out: frozenset[str] = frozenset()
     tenant_shares_by_name: dict[str, float] = field(default_factory=dict)
     probe_rate: float | None = None
--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -49,8 +49,15 @@
     RECORDS_FULL = "records-full"
     WRONG_SERVICE = "wrong-service"
     STALE_VIEW = "stale-view"
+    NO_CONFIGURATION = "no-configuration"
+    NO_ROUTE = "no-route"
+    HEADER_TOO_LARGE = "header-too-large"
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_FAILED = "target-failed"
+    TARGET_REFUSED = "target-refused"
+    TARGET_COLD = "target-cold"
+    TARGET_STARTING = "target-starting"
+    WRONG_INSTANCE = "wrong-instance"
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_FAILED = "peer-failed"
     RESPONSE_TOO_LARGE = "response-too-large"
@@ -88,6 +95,8 @@
 _STATUSES = {
     Refusal.BAD_REQUEST: 400,
     Refusal.UNKNOWN_SERVICE: 404,
+    Refusal.NO_ROUTE: 404,
+    Refusal.HEADER_TOO_LARGE: 431,
     Refusal.BODY_TOO_LARGE: 413,
     Refusal.KEY_MISMATCH: 422,
     Refusal.RESPONSE_TOO_LARGE: 502,
--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -2,43 +2,74 @@
 
 import logging
 
-from comfreyhitch.daemon.admin import Announcement
+from comfreyhitch.admission.queue import refuse_all_waiting
+from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
-from comfreyhitch.ingress.state import attach_target
+from comfreyhitch.ingress.lifecycle import (
+    Heartbeat,
+    HeartbeatResult,
+    TargetState,
+    take_departure,
+    take_heartbeat,
+)
+from comfreyhitch.ingress.state import attach_target, set_slots
 from comfreyhitch.membership.detector import publish_own
 
 logger = logging.getLogger(__name__)
 
+LEAVING_STATES = frozenset({TargetState.DRAINING, TargetState.GONE})
 
-def take_announcement(daemon: Daemon, announcement: Announcement) -> None:
-    """Take in what the target says of itself, and tell the other daemons."""
-    own = daemon.blackboard.own
+
+def take_announcement(daemon: Daemon, beat: Heartbeat, host: str, port: int) -> HeartbeatResult:
+    """Take in what the target says of itself, and tell the other daemons what changed."""
     ingress = daemon.ingress
-    connections = ingress.connections
-    is_same = connections is not None and (
-        connections.port == announcement.port
-        and own.service == announcement.service
-        and own.version == announcement.version
-        and ingress.target_incarnation == announcement.incarnation
-    )
-    if not is_same:
-        attach_target(ingress, str(daemon.settings.host), announcement.port, announcement.slots)
-    ingress.target_incarnation = announcement.incarnation
-    ingress.queue.limit.slots = announcement.slots
-    is_changed = not is_same or own.slots != announcement.slots
-    if is_changed or own.draining != announcement.draining:
+    result = take_heartbeat(ingress.life, beat, daemon.clock.monotonic())
+    if result is HeartbeatResult.STALE:
         logger.info(
-            "target announced itself",
-            extra={
-                "service": announcement.service,
-                "version": announcement.version,
-                "draining": announcement.draining,
-            },
-        )
-        publish_own(
-            daemon.detector,
-            service=announcement.service,
-            version=announcement.version,
-            slots=announcement.slots,
-            draining=announcement.draining,
+            "heartbeat is out of date",
+            extra={"instance_id": beat.instance_id, "sequence": beat.sequence},
         )
+        return result
+    if result is HeartbeatResult.REPLACED or _is_moved(daemon, host, port):
+        attach_target(ingress, host, port, beat.slots)
+    if result is not HeartbeatResult.UNCHANGED:
+        set_slots(ingress, beat.slots)
+        _publish(daemon, beat.service)
+    return result
+
+
+def take_leaving(daemon: Daemon, instance_id: str) -> bool:
+    """Stop all new work for a target that leaves, and return whether it is the own one."""
+    if not take_departure(daemon.ingress.life, instance_id, daemon.clock.monotonic()):
+        return False
+    _publish(daemon, daemon.blackboard.own.service)
+    return True
+
+
+def _is_moved(daemon: Daemon, host: str, port: int) -> bool:
+    connections = daemon.ingress.connections
+    return connections is None or (connections.host, connections.port) != (host, port)
+
+
+def _publish(daemon: Daemon, service: str) -> None:
+    life = daemon.ingress.life
+    is_leaving = life.state in LEAVING_STATES
+    if is_leaving:
+        refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
+    logger.info(
+        "target's state",
+        extra={
+            "service": service,
+            "version": life.version,
+            "instance_id": life.instance_id,
+            "sequence": life.sequence,
+            "state": life.state.value,
+        },
+    )
+    publish_own(
+        daemon.detector,
+        service=service,
+        version=life.version,
+        slots=life.slots,
+        draining=is_leaving,
+    )
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -14,11 +14,12 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.daemon.border import OWN_BORDER, Border
 from comfreyhitch.daemon.observers import make_blackboard_observer, make_validators
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.idempotency.claims import ClaimClient
 from comfreyhitch.ingress.crashes import make_crash_reporter
-from comfreyhitch.ingress.state import Ingress
+from comfreyhitch.ingress.state import Ingress, follow_profile
 from comfreyhitch.membership.detector import (
     FailureDetector,
     list_reachable_peers,
@@ -32,12 +33,11 @@
 from comfreyhitch.replication.sync import fetch_facts
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.watching.follower import Follower
 from comfreyhitch.wire.connections import PeerPool
 
 logger = logging.getLogger(__name__)
 
-EXIT_BAD_SETTINGS = 2
-
 
 @dataclass(slots=True)
 class Daemon:
@@ -55,20 +55,25 @@
     metrics: Metrics
     detector: FailureDetector
     broadcaster: Broadcaster
+    border: Border
     platform: PlatformClient | None = None
     registration: Registration | None = None
+    document_followers: list[Follower] = field(default_factory=list)
     stopping: Event = field(default_factory=Event)
     servers: list[StreamServer | WSGIServer] = field(default_factory=list)
     greenlets: list[gevent.Greenlet] = field(default_factory=list)
 
     @classmethod
-    def from_settings(cls, settings: Settings, clock: Clock) -> "Daemon":
+    def from_settings(
+        cls, settings: Settings, clock: Clock, border: Border = OWN_BORDER
+    ) -> "Daemon":
         """Return a daemon that does not listen yet."""
         blackboard = Blackboard(clock=clock, own=make_own_member(settings, clock))
         random = Random(blackboard.own.boot_id)
         metrics = Metrics.create()
         store = FactStore.from_clock(clock)
-        store.validators_by_kind = make_validators()
+        decoders = {source.kind: source.decode for source in border.documents}
+        store.validators_by_kind = make_validators(decoders)
         pool = PeerPool.from_address(blackboard.own.address, str(settings.host), clock)
         claims = ClaimClient.from_retention(blackboard, pool, settings.key_retention)
         evidence = EvidenceLog.from_clock(clock)
@@ -88,9 +93,16 @@
             lambda: list_reachable_peers(blackboard),
         )
         detector.broadcaster = broadcaster
-        store.observers.append(make_blackboard_observer(blackboard, store, detector))
-        store.observers.append(lambda facts: spread(broadcaster, facts))
         report_crash = make_crash_reporter(blackboard, store)
+        ingress = Ingress.from_settings(
+            settings, blackboard, claims, evidence, metrics, report_crash, border.dialect
+        )
+        store.observers.append(
+            make_blackboard_observer(
+                blackboard, store, detector, decoders, lambda: follow_profile(ingress)
+            )
+        )
+        store.observers.append(lambda facts: spread(broadcaster, facts))
         return cls(
             settings=settings,
             clock=clock,
@@ -98,17 +110,20 @@
             store=store,
             pool=pool,
             claims=claims,
-            ingress=Ingress.from_settings(
-                settings, blackboard, claims, evidence, metrics, report_crash
-            ),
+            ingress=ingress,
             egress=Egress.from_settings(settings, blackboard, pool, metrics),
             evidence=evidence,
             metrics=metrics,
             detector=detector,
             broadcaster=broadcaster,
+            border=border,
             platform=_make_platform_client(settings, metrics),
         )
 
+    def reload(self) -> None:
+        """Note a request to read the settings again."""
+        logger.info("reload was asked for; settings are read at the start only")
+
 
 def make_own_member(settings: Settings, clock: Clock) -> Member:
     """Return the record of a daemon that has just started."""
--- /dev/null
+++ b/comfreyhitch/daemon/border.py
@@ -0,0 +1,27 @@
+"""What differs between the product's own interface and that of a platform."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent.pywsgi import WSGIServer
+
+from comfreyhitch.core.dialects import OWN_DIALECT, TargetDialect
+from comfreyhitch.documents.models import DocumentSource
+from comfreyhitch.egress.interface import CallerInterface, make_own_interface
+from comfreyhitch.egress.state import Egress
+
+
+@dataclass(frozen=True, slots=True)
+class Border:
+    """Hold the names, formats and servers of one way to talk to the outside.
+
+    `make_servers` returns further servers for a daemon, which is passed to it.
+    """
+
+    dialect: TargetDialect
+    make_interface: Callable[[Egress], CallerInterface]
+    documents: tuple[DocumentSource, ...] = ()
+    make_servers: Callable[[object], list[WSGIServer]] = lambda daemon: []
+
+
+OWN_BORDER = Border(dialect=OWN_DIALECT, make_interface=make_own_interface)
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -8,6 +8,7 @@
 
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.observers import forget_expired
+from comfreyhitch.documents.watching import is_cut_off, make_document_follower
 from comfreyhitch.egress.probes import send_probes
 from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
@@ -20,6 +21,7 @@
 from comfreyhitch.rollouts.controller import RolloutController, run_rollouts
 from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
 from comfreyhitch.sections.reader import SectionReader, is_reader, run_reader
+from comfreyhitch.watching.follower import follow
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +30,7 @@
 JOIN_RETRY_INTERVAL = timedelta(seconds=1)
 REGISTRATION_INTERVAL = timedelta(seconds=60)
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
+DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A tick that comes this late means that the process was frozen, not busy.
 PAUSE_THRESHOLD = timedelta(seconds=3)
@@ -66,22 +69,52 @@
 
 
 def _start_platform_controllers(daemon: Daemon, client: PlatformClient) -> None:
-    reader = SectionReader(daemon.blackboard, daemon.store, client, daemon.detector.random)
-    daemon.greenlets.append(gevent.spawn(_keep_running, lambda: run_reader(reader)))
+    if daemon.border.documents:
+        _start_document_followers(daemon, client)
+    else:
+        reader = SectionReader(daemon.blackboard, daemon.store, client, daemon.detector.random)
+        daemon.greenlets.append(gevent.spawn(_keep_running, lambda: run_reader(reader)))
     daemon.registration = Registration(
-        daemon.blackboard, daemon.store, daemon.pool, client, daemon.detector.random
+        daemon.blackboard,
+        daemon.store,
+        daemon.pool,
+        client,
+        daemon.detector.random,
+        is_required=daemon.settings.registration == "all",
     )
     registration = daemon.registration
     daemon.greenlets.append(gevent.spawn(_keep_running, lambda: _register(daemon, registration)))
 
 
+def _start_document_followers(daemon: Daemon, client: PlatformClient) -> None:
+    for source in daemon.border.documents:
+        follower = make_document_follower(
+            source, daemon.store, client, daemon.clock, daemon.detector.random
+        )
+        daemon.document_followers.append(follower)
+        daemon.greenlets.append(
+            gevent.spawn(_keep_running, lambda follower=follower: follow(follower))
+        )
+    daemon.greenlets.append(
+        gevent.spawn(_repeat, DOCUMENT_SYNC_INTERVAL, lambda: _sync_documents(daemon))
+    )
+
+
+def _sync_documents(daemon: Daemon) -> None:
+    """Take newer documents from a peer while the store can't be followed."""
+    if is_cut_off(daemon.document_followers, daemon.clock.monotonic()):
+        _sync_with_random_peer(daemon)
+
+
 def _register(daemon: Daemon, registration: Registration) -> None:
     is_alone = not list_reachable_peers(daemon.blackboard)
     # Only the readers look again and again, so that the number of calls
     # follows the number of zones and not that of daemons.
-    if is_alone or registration.is_registered or is_reader(daemon.blackboard):
+    is_missing = registration.is_required and not registration.is_registered
+    if is_alone or is_missing or registration.is_registered or is_reader(daemon.blackboard):
         run_registration(registration)
-    interval = JOIN_RETRY_INTERVAL if is_alone else REGISTRATION_INTERVAL
+    is_settled = not is_alone and (registration.is_registered or not registration.is_required)
+    interval = REGISTRATION_INTERVAL if is_settled else JOIN_RETRY_INTERVAL
     gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
 
 
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from comfreyhitch.core.blackboard import Blackboard, CrashReport, Veto
+from comfreyhitch.documents.applying import DecodersByKind, apply_document, check_document_fact
 from comfreyhitch.egress.eligibility import refresh_candidates
 from comfreyhitch.membership.detector import FailureDetector, clear_suspicion, refute_if_needed
 from comfreyhitch.membership.models import decode_member
@@ -29,11 +30,18 @@
 # The end of the year 9000, in seconds since 1970.
 MAX_TIMESTAMP = 221_845_392_000.0
 ELIGIBILITY_KINDS = frozenset(
-    {FactKind.MEMBER, FactKind.SECTION, FactKind.VETO, FactKind.COMPLETION, FactKind.STAGE}
+    {
+        FactKind.MEMBER,
+        FactKind.SECTION,
+        FactKind.VETO,
+        FactKind.COMPLETION,
+        FactKind.STAGE,
+        FactKind.DOCUMENT,
+    }
 )
 
 
-def make_validators() -> dict[FactKind, Validator]:
+def make_validators(decoders: DecodersByKind) -> dict[FactKind, Validator]:
     """Return the checks that facts of peers have to pass before they are taken in."""
     return {
         FactKind.MEMBER: _check_member,
@@ -43,20 +51,30 @@
         FactKind.CRASH: _make_check(CrashRecord, lambda record: record.reported_at),
         FactKind.EVIDENCE: _make_check(EvidenceRecord, lambda record: 0.0),
         FactKind.STAGE: _check_stage,
+        FactKind.DOCUMENT: lambda key, version, value: check_document_fact(key, value, decoders),
     }
 
 
 def make_blackboard_observer(
-    blackboard: Blackboard, store: FactStore, detector: FailureDetector
+    blackboard: Blackboard,
+    store: FactStore,
+    detector: FailureDetector,
+    decoders: DecodersByKind,
+    on_documents: Callable[[], None],
 ) -> Observer:
     """Return the observer that keeps the blackboard up to date."""
 
     def observe(facts: list[StoredFact]) -> None:
         kinds = {fact.kind for fact in facts}
         for fact in facts:
-            _apply(blackboard, detector, fact)
+            if fact.kind is FactKind.DOCUMENT:
+                apply_document(blackboard, fact, decoders)
+            else:
+                _apply(blackboard, detector, fact)
         if FactKind.SECTION in kinds:
             apply_sections(blackboard, store)
+        if FactKind.DOCUMENT in kinds:
+            on_documents()
         if kinds & ELIGIBILITY_KINDS:
             refresh_candidates(blackboard)
 
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -17,8 +17,6 @@
 logger = logging.getLogger(__name__)
 
 POLL_SECONDS = 0.02
-# Callers keep sending until they have seen that the daemon leaves.
-LINGER_SECONDS = 0.5
 
 
 def stop_gracefully(daemon: Daemon) -> None:
@@ -28,16 +26,16 @@
     refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
     publish_own(daemon.detector, draining=True)
     logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
-    peer_server, frontend, admin_server = daemon.servers
+    peer_server, frontend, *other_servers = daemon.servers
     frontend.stop_accepting()
-    gevent.sleep(LINGER_SECONDS)
+    gevent.sleep(daemon.settings.stop_linger.total_seconds())
     is_drained = _wait_until_idle(daemon)
     handed_on = hand_on_claims(daemon.claims)
     publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
     _tell_everyone(daemon)
     if daemon.registration is not None:
         unregister(daemon.registration)
-    for server in (frontend, peer_server, admin_server):
+    for server in (frontend, peer_server, *other_servers):
         server.stop(timeout=0)
     gevent.killall(daemon.greenlets)
     daemon.pool.close()
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -10,6 +10,8 @@
 from comfreyhitch.daemon.controllers import start_controllers
 from comfreyhitch.daemon.peer_handler import PeerServices, make_handler_factory
 from comfreyhitch.egress.frontend import make_frontend
+from comfreyhitch.ingress.lifecycle import Heartbeat
+from comfreyhitch.ingress.state import attach_target
 from comfreyhitch.membership.detector import publish_own, receive_datagrams
 from comfreyhitch.wire.server import make_peer_server
 
@@ -22,30 +24,55 @@
     services = PeerServices(daemon.blackboard, daemon.ingress, daemon.claims, daemon.store)
     daemon.servers = [
         make_peer_server(str(settings.host), settings.peer_port, make_handler_factory(services)),
-        make_frontend(daemon.egress),
+        make_frontend(daemon.egress, daemon.border.make_interface(daemon.egress)),
         make_admin_server(
             settings,
             daemon.blackboard,
             daemon.ingress,
             daemon.store,
             daemon.metrics,
-            lambda announcement: take_announcement(daemon, announcement),
+            lambda announcement: _take_own_announcement(daemon, announcement),
         ),
+        *daemon.border.make_servers(daemon),
     ]
     for server in daemon.servers:
         server.start()
     publish_own(daemon.detector)
-    if settings.service is not None:
-        take_announcement(
-            daemon,
-            Announcement(
-                service=settings.service,
-                version=settings.service_version,
-                port=settings.target_port,
-                slots=settings.slots,
-            ),
-        )
+    _attach_configured_target(daemon)
     daemon.greenlets.append(gevent.spawn(receive_datagrams, daemon.detector))
     daemon.metrics.control.probe_budget.set({}, daemon.egress.probe_budget.rate)
     start_controllers(daemon)
     logger.info("daemon started", extra={"address": daemon.blackboard.own.address})
+
+
+def _attach_configured_target(daemon: Daemon) -> None:
+    settings = daemon.settings
+    if settings.service is None:
+        return
+    if settings.service_version is not None:
+        announcement = Announcement(
+            service=settings.service,
+            version=settings.service_version,
+            port=settings.target_port,
+            slots=settings.slots,
+        )
+        _take_own_announcement(daemon, announcement)
+        return
+    # The target is known, but only its heartbeat or health path tells that it serves.
+    attach_target(
+        daemon.ingress, settings.target_address_host, settings.target_port, settings.slots
+    )
+    publish_own(daemon.detector, service=settings.service)
+
+
+def _take_own_announcement(daemon: Daemon, announcement: Announcement) -> None:
+    beat = Heartbeat(
+        instance_id=f"{announcement.incarnation}/{announcement.version}/{announcement.port}",
+        service=announcement.service,
+        version=announcement.version,
+        slots=announcement.slots,
+        is_draining=announcement.draining,
+        # Announcements come one after the other on the same instance.
+        sequence=daemon.ingress.life.sequence + 1,
+    )
+    take_announcement(daemon, beat, daemon.settings.target_address_host, announcement.port)
--- /dev/null
+++ b/comfreyhitch/documents/applying.py
@@ -0,0 +1,96 @@
+"""Bring documents into force on the blackboard; nothing that is in force goes back."""
+
+import logging
+
+from result import Err, Ok, Result
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.documents.models import (
+    DecodeDocument,
+    DocumentKind,
+    EvacuationOrder,
+    RawDocument,
+    RolloutOrder,
+    load_document,
+)
+from comfreyhitch.replication.facts import StoredFact
+from comfreyhitch.routing.models import RouteTable
+
+logger = logging.getLogger(__name__)
+
+DecodersByKind = dict[DocumentKind, DecodeDocument]
+
+
+def check_document_fact(key: str, value: bytes, decoders: DecodersByKind) -> Result[object, str]:
+    """Return an error if a replicated document can't be read."""
+    loaded = load_document(key, value)
+    if loaded.is_err():
+        return loaded
+    document = loaded.ok_value
+    if document.is_deleted:
+        return loaded
+    return _decode(document, decoders)
+
+
+def apply_document(blackboard: Blackboard, fact: StoredFact, decoders: DecodersByKind) -> None:
+    """Bring a newer document into force; one that can't be read leaves the old one."""
+    document = load_document(fact.key, fact.value).unwrap()
+    if document.is_deleted:
+        _apply_deletion(blackboard, document)
+        return
+    match _decode(document, decoders):
+        case Err(reason):
+            logger.error("document refused", extra={"document": fact.key, "reason": reason})
+        case Ok(RouteTable() as table):
+            _apply_table(blackboard, table, fact.version)
+        case Ok(RolloutOrder() as order):
+            _apply_rollout(blackboard, document.name, order, fact.version)
+        case Ok(EvacuationOrder() as order):
+            _apply_evacuation(blackboard, order, fact.version)
+
+
+def _decode(document: RawDocument, decoders: DecodersByKind) -> Result[object, str]:
+    decode = decoders.get(document.kind)
+    if decode is None:
+        return Err(f"{document.key}: this daemon reads no documents of this kind")
+    return decode(document)
+
+
+def _apply_table(blackboard: Blackboard, table: RouteTable, revision: int) -> None:
+    held = blackboard.route_table
+    if held is not None and held.version >= table.version:
+        return
+    blackboard.route_table = table
+    logger.info(
+        "configuration in force", extra={"version": table.version, "store_revision": revision}
+    )
+
+
+def _apply_rollout(blackboard: Blackboard, name: str, order: RolloutOrder, revision: int) -> None:
+    blackboard.rollout_orders_by_service[name] = order
+    logger.info(
+        "rollout ordered",
+        extra={
+            "service": order.service,
+            "version": order.to_version,
+            "state": order.state.value,
+            "store_revision": revision,
+        },
+    )
+
+
+def _apply_evacuation(blackboard: Blackboard, order: EvacuationOrder, revision: int) -> None:
+    if order.zone in blackboard.zones_out:
+        return
+    blackboard.zones_out = blackboard.zones_out | {order.zone}
+    logger.info("zone is out", extra={"zone": order.zone, "store_revision": revision})
+
+
+def _apply_deletion(blackboard: Blackboard, document: RawDocument) -> None:
+    if document.kind is DocumentKind.EVACUATION and document.name in blackboard.zones_out:
+        blackboard.zones_out = blackboard.zones_out - {document.name}
+        logger.info("zone is back", extra={"zone": document.name})
+    elif document.kind is DocumentKind.ROLLOUT:
+        order = blackboard.rollout_orders_by_service.pop(document.name, None)
+        if order is not None:
+            logger.info("rollout order removed", extra={"service": order.service})
--- /dev/null
+++ b/comfreyhitch/documents/watching.py
@@ -0,0 +1,87 @@
+"""Take documents from the store, and from peers while the store is out of reach."""
+
+from random import Random
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.documents.models import DocumentSource, RawDocument, dump_document
+from comfreyhitch.platform.client import PlatformClient
+from comfreyhitch.platform.models import ObjectChange, ObjectList, PlatformObject
+from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
+from comfreyhitch.watching.follower import Follower
+
+# A follower that has heard nothing for this much longer than it waits is cut off.
+SILENCE_SLACK_SECONDS = 0.5
+
+
+def make_document_follower(
+    source: DocumentSource, store: FactStore, client: PlatformClient, clock: Clock, random: Random
+) -> Follower:
+    """Return what follows the documents of one kind."""
+
+    def take_list(listed: ObjectList) -> None:
+        facts = [_make_fact(source, item, item.metadata.revision) for item in listed.items]
+        facts.extend(_find_deleted(source, store, listed))
+        merge_facts(store, facts)
+
+    def take_change(change: ObjectChange) -> None:
+        item = change.object
+        if change.is_deleted:
+            fact = _make_deletion(
+                source, item.metadata.name, _get_deletion_revision(source, store, item)
+            )
+        else:
+            fact = _make_fact(source, item, item.metadata.revision)
+        merge_facts(store, [fact])
+
+    return Follower(
+        client=client,
+        kind=source.store_kind,
+        clock=clock,
+        random=random,
+        take_list=take_list,
+        take_change=take_change,
+    )
+
+
+def is_cut_off(followers: list[Follower], now: float) -> bool:
+    """Return whether any kind can't be followed at the moment."""
+    return any(_is_silent(follower, now) for follower in followers)
+
+
+def _is_silent(follower: Follower, now: float) -> bool:
+    if not follower.is_reading or follower.answered_at is None:
+        return True
+    return now - follower.answered_at > follower.wait_seconds + SILENCE_SLACK_SECONDS
+
+
+def _make_fact(source: DocumentSource, item: PlatformObject, revision: int) -> StoredFact:
+    # An object that is being deleted stands for one that is gone.
+    document = RawDocument(
+        source.kind, item.metadata.name, item.spec, item.status, item.metadata.is_deleting
+    )
+    return StoredFact(FactKind.DOCUMENT, document.key, revision, dump_document(document))
+
+
+def _make_deletion(source: DocumentSource, name: str, revision: int) -> StoredFact:
+    document = RawDocument(source.kind, name, is_deleted=True)
+    return StoredFact(FactKind.DOCUMENT, document.key, revision, dump_document(document))
+
+
+def _get_deletion_revision(source: DocumentSource, store: FactStore, item: PlatformObject) -> int:
+    # An event may bear the revision of the last change before the deletion.
+    key = RawDocument(source.kind, item.metadata.name).key
+    held = store.facts_by_id.get((FactKind.DOCUMENT, key))
+    return max(item.metadata.revision, 0 if held is None else held.version + 1)
+
+
+def _find_deleted(source: DocumentSource, store: FactStore, listed: ObjectList) -> list[StoredFact]:
+    """Return a deletion for each known document that a newer list no longer holds."""
+    names = {item.metadata.name for item in listed.items}
+    deleted = []
+    for fact in list(store.facts_by_id.values()):
+        if fact.kind is not FactKind.DOCUMENT or not fact.value or fact.version > listed.revision:
+            continue
+        kind, _, name = fact.key.partition("/")
+        if kind == source.kind.value and name not in names:
+            deleted.append(_make_deletion(source, name, listed.revision))
+    return deleted
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -25,6 +25,7 @@
 DEFAULT_TENANT = "default"
 DEFAULT_ROUTE = "/"
 MAX_NAME_LENGTH = 64
+MAX_TARGETS = 4
 MAX_KEY_LENGTH = 255
 MAX_TIMEOUT = timedelta(seconds=60)
 SERVICE_FIELD = HEADER_SERVICE.lower()
@@ -52,6 +53,9 @@
     route: str
     attempt: int
     deadline: float
+    caller_request_id: str = ""
+    max_targets: int = MAX_TARGETS
+    table_version: int = 0
     last_request_id: str = ""
     last_version: str = ""
 
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -7,14 +7,10 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from result import Err, Ok
 
-from comfreyhitch.core.headers import HEADER_REFUSAL, HEADER_VERDICT, HOP_BY_HOP_HEADERS
+from comfreyhitch.core.headers import HEADER_VERDICT
 from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
-from comfreyhitch.egress.classify import (
-    CONTROL_HEADERS,
-    DEFAULT_TENANT,
-    OutgoingCall,
-    classify,
-)
+from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
+from comfreyhitch.egress.interface import CallerInterface, CallerRequest
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.ingress.target import RequestCancelledError
@@ -27,8 +23,6 @@
 SOCKET_ENVIRON_KEY = "comfreyhitch.socket"
 PATH_ENVIRON_KEY = "comfreyhitch.path"
 NO_BODY_STATUSES = frozenset({204, 304})
-NOT_FORWARDED_HEADERS = HOP_BY_HOP_HEADERS | CONTROL_HEADERS | {"content-length", "expect"}
-RETRY_AFTER_SECONDS = "1"
 
 StartResponse = Callable[[str, Headers], object]
 
@@ -63,12 +57,12 @@
         return status, response.replace(b"\r\n", verdict, 1)
 
 
-def make_frontend(egress: Egress) -> WSGIServer:
+def make_frontend(egress: Egress, interface: CallerInterface) -> WSGIServer:
     """Return the server that callers talk to."""
     settings = egress.settings
 
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
-        return _serve(egress, environ, start_response)
+        return _serve(egress, interface, environ, start_response)
 
     return WSGIServer(
         (str(settings.host), settings.http_port),
@@ -81,16 +75,19 @@
 
 
 def _serve(
-    egress: Egress, environ: dict[str, object], start_response: StartResponse
+    egress: Egress,
+    interface: CallerInterface,
+    environ: dict[str, object],
+    start_response: StartResponse,
 ) -> Iterable[bytes]:
     clock = egress.blackboard.clock
     started_at = clock.monotonic()
     egress.requests_in_progress += 1
     try:
-        call, outcome = _answer(egress, environ)
+        call, outcome = _answer(egress, interface, environ, started_at)
         seconds = clock.monotonic() - started_at
         _record(egress, environ, call, outcome, seconds)
-        body = _respond(egress, environ, outcome, start_response)
+        body = _respond(egress, interface, environ, outcome, start_response)
     except BaseException:
         egress.requests_in_progress -= 1
         raise
@@ -109,27 +106,35 @@
         self._egress.requests_in_progress -= 1
 
 
-def _answer(egress: Egress, environ: dict[str, object]) -> tuple[OutgoingCall | None, Outcome]:
+def _answer(
+    egress: Egress, interface: CallerInterface, environ: dict[str, object], arrived_at: float
+) -> tuple[OutgoingCall | None, Outcome]:
+    limit_bytes = _get_body_limit(egress, interface)
     try:
-        body = _read_body(environ, egress.settings.body_limit_bytes)
+        body = _read_body(environ, limit_bytes)
     except (OSError, ValueError) as error:
         return None, Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, f"body: {error}"))
     if body is None:
-        detail = f"body exceeds {egress.settings.body_limit_bytes} bytes"
+        detail = f"body exceeds {limit_bytes} bytes"
         return None, Err(Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail))
-    classified = classify(
-        egress.blackboard,
-        environ["REQUEST_METHOD"],
-        environ[PATH_ENVIRON_KEY],
-        environ[HEADERS_ENVIRON_KEY],
-        body,
-        egress.settings.default_timeout,
+    request = CallerRequest(
+        method=environ["REQUEST_METHOD"],
+        path=environ[PATH_ENVIRON_KEY],
+        headers=environ[HEADERS_ENVIRON_KEY],
+        body=body,
+        arrived_at=arrived_at,
     )
-    if isinstance(classified, Err):
-        return None, classified
-    call = classified.ok_value
-    call.headers = [item for item in call.headers if item[0].lower() not in NOT_FORWARDED_HEADERS]
-    return call, _route_until_caller_leaves(egress, call, environ[SOCKET_ENVIRON_KEY])
+    match interface.classify(request):
+        case Err(failure):
+            return None, Err(failure)
+        case Ok(call):
+            return call, _route_until_caller_leaves(egress, call, environ[SOCKET_ENVIRON_KEY])
+
+
+def _get_body_limit(egress: Egress, interface: CallerInterface) -> int:
+    limits = interface.get_limits()
+    own_limit = egress.settings.body_limit_bytes
+    return own_limit if limits is None else min(own_limit, limits.body_bytes)
 
 
 def _read_body(environ: dict[str, object], limit_bytes: int) -> bytes | None:
@@ -188,7 +193,10 @@
         "detail": failure.detail,
     }
     if call is not None:
+        extra["caller_request_id"] = call.caller_request_id
         extra["request_id"] = call.last_request_id
+        extra["route"] = call.route
+        extra["configuration"] = call.table_version
         extra["service"] = call.service
         extra["version"] = call.last_version
         extra["tenant"] = call.tenant
@@ -197,26 +205,28 @@
 
 def _respond(
     egress: Egress,
+    interface: CallerInterface,
     environ: dict[str, object],
     outcome: Outcome,
     start_response: StartResponse,
 ) -> Iterable[bytes]:
     match outcome:
         case Ok(response):
-            status, headers, body = _format_response(response, environ["REQUEST_METHOD"])
+            status, headers, body = _format_response(response)
+            headers = [*headers, *interface.make_response_headers(response)]
         case Err(failure):
             status, headers, body = _format_failure(failure)
+            headers = [*headers, *interface.make_failure_headers(failure)]
     if egress.blackboard.is_draining:
         headers.append(("Connection", "close"))
     start_response(status, headers)
     return [body] if body else []
 
 
-def _format_response(response: Response, method: str) -> tuple[str, Headers, bytes]:
+def _format_response(response: Response) -> tuple[str, Headers, bytes]:
     headers = response.headers
     if response.status in NO_BODY_STATUSES:
         headers = [item for item in headers if item[0].lower() != "content-length"]
-    headers.append((HEADER_VERDICT, Verdict.RAN.header_value))
     return f"{response.status} {response.reason}", headers, response.body
 
 
@@ -225,11 +235,7 @@
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
         ("Content-Length", str(len(body))),
-        (HEADER_VERDICT, failure.verdict.header_value),
-        (HEADER_REFUSAL, failure.refusal.value),
     ]
-    if failure.status == 503:
-        headers.append(("Retry-After", RETRY_AFTER_SECONDS))
     return f"{failure.status} {_REASONS[failure.status]}", headers, body
 
 
@@ -238,6 +244,7 @@
     404: "Not Found",
     413: "Content Too Large",
     422: "Unprocessable Content",
+    431: "Request Header Fields Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -15,7 +15,7 @@
 )
 from comfreyhitch.egress.candidates import choose_candidate
 from comfreyhitch.egress.retries import Progress
-from comfreyhitch.egress.state import Egress
+from comfreyhitch.egress.state import Egress, get_retry_budget
 from comfreyhitch.utils.token_bucket import take
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -83,11 +83,15 @@
     silent_at = attempts[0].sent_at + egress.settings.fence_after.total_seconds()
     # Within the first seconds only a hedge may help; after them the connection
     # may have gone silent, which a second try elsewhere cures as well.
-    budget = egress.hedge_budget if now < silent_at else egress.retry_budget
+    is_hedge = now < silent_at
+    budget = egress.hedge_budget if is_hedge else get_retry_budget(egress, progress.call.service)
     next_look = silent_at if now < silent_at else None
+    if progress.tries >= progress.call.max_targets:
+        return None
     candidate = choose_candidate(egress, progress.call.service, progress.tried)
     if candidate is None or not take(budget, now):
         return next_look
+    progress.tries += 1
     progress.tried.add(candidate.address)
     try:
         attempts.append(start_attempt(egress, progress.call, candidate))
--- /dev/null
+++ b/comfreyhitch/egress/interface.py
@@ -0,0 +1,94 @@
+"""How callers ask and are answered, apart from the server that reads and writes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from result import Ok, Result
+
+from comfreyhitch.core.headers import HEADER_REFUSAL, HEADER_VERDICT, HOP_BY_HOP_HEADERS
+from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Response, Verdict
+from comfreyhitch.egress.classify import CONTROL_HEADERS, OutgoingCall, classify
+from comfreyhitch.egress.state import Egress
+from comfreyhitch.routing.models import CallerLimits
+
+NOT_FORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "expect"}
+RETRY_AFTER_SECONDS = "1"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold a whole request of a caller; `arrived_at` is in monotonic seconds."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    arrived_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerInterface:
+    """Hold what one interface reads out of requests and adds to responses."""
+
+    classify: Callable[[CallerRequest], Result[OutgoingCall, Failure]]
+    make_response_headers: Callable[[Response], Headers]
+    make_failure_headers: Callable[[Failure], Headers]
+    get_limits: Callable[[], CallerLimits | None]
+    request_id_field: str = ""
+
+
+def make_own_interface(egress: Egress) -> CallerInterface:
+    """Return the product's own interface, where a header names the service."""
+
+    def classify_request(request: CallerRequest) -> Result[OutgoingCall, Failure]:
+        classified = classify(
+            egress.blackboard,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            egress.settings.default_timeout,
+        )
+        if classified.is_err():
+            return classified
+        call = classified.ok_value
+        call.headers = drop_headers(call.headers, NOT_FORWARDED_HEADERS | CONTROL_HEADERS)
+        return Ok(call)
+
+    return CallerInterface(
+        classify=classify_request,
+        make_response_headers=lambda response: [(HEADER_VERDICT, Verdict.RAN.header_value)],
+        make_failure_headers=_make_failure_headers,
+        get_limits=lambda: None,
+    )
+
+
+def drop_headers(headers: Headers, names: frozenset[str]) -> Headers:
+    """Return the headers without those of the given lower-case names."""
+    return [item for item in headers if item[0].lower() not in names]
+
+
+def _make_failure_headers(failure: Failure) -> Headers:
+    headers = [
+        (HEADER_VERDICT, failure.verdict.header_value),
+        (HEADER_REFUSAL, failure.refusal.value),
+    ]
+    if failure.status == 503:
+        headers.append(("Retry-After", RETRY_AFTER_SECONDS))
+    return headers
+
+
+# Refusals that end soon by themselves, with the seconds after which a new try helps.
+_RETRY_AFTER = {
+    Refusal.TARGET_COLD: timedelta(milliseconds=200),
+    Refusal.OVERLOADED: timedelta(milliseconds=200),
+    Refusal.TARGET_STARTING: timedelta(milliseconds=300),
+    Refusal.NO_CONFIGURATION: timedelta(milliseconds=500),
+}
+_DEFAULT_RETRY_AFTER = timedelta(milliseconds=300)
+
+
+def get_retry_after(failure: Failure) -> timedelta:
+    """Return when a caller whose request has not run does well to try again."""
+    return _RETRY_AFTER.get(failure.refusal, _DEFAULT_RETRY_AFTER)
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -7,10 +7,9 @@
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.egress.classify import OutgoingCall
-from comfreyhitch.egress.state import Egress
+from comfreyhitch.egress.state import Egress, get_retry_budget
 from comfreyhitch.utils.token_bucket import take
 
-MAX_TRIES = 4
 MAX_REFUSALS = 8
 FIRST_BACKOFF_REFUSAL = 2
 FIRST_BACKOFF_SECONDS = 0.004
@@ -19,9 +18,17 @@
 # These refusals tell of a change that has not reached this daemon yet, so the
 # next try goes elsewhere for certain and is not a sign of overload.
 FREE_REFUSALS = frozenset(
-    {Refusal.DRAINING, Refusal.ZONE_OUT, Refusal.VERSION_VETOED, Refusal.WRONG_SERVICE}
+    {
+        Refusal.DRAINING,
+        Refusal.ZONE_OUT,
+        Refusal.VERSION_VETOED,
+        Refusal.WRONG_SERVICE,
+        Refusal.TARGET_STARTING,
+    }
+)
+ADMISSION_REFUSALS = frozenset(
+    {Refusal.OVERLOADED, Refusal.TENANT_SHARE, Refusal.FENCED, Refusal.TARGET_COLD}
 )
-ADMISSION_REFUSALS = frozenset({Refusal.OVERLOADED, Refusal.TENANT_SHARE, Refusal.FENCED})
 FINAL_REFUSALS = frozenset(
     {
         Refusal.KEY_MISMATCH,
@@ -75,7 +82,10 @@
     # that tries do not multiply along a chain of calls.
     if call.attempt != progress.tries:
         return False
-    budget = egress.refusal_budget if cause in ADMISSION_REFUSALS else egress.retry_budget
+    if cause in ADMISSION_REFUSALS:
+        budget = egress.refusal_budget
+    else:
+        budget = get_retry_budget(egress, call.service)
     if not take(budget, now):
         return False
     egress.metrics.egress.retries.inc({"service": call.service, "cause": str(cause)})
@@ -111,7 +121,7 @@
 
 def _has_tried_enough(progress: Progress) -> bool:
     failures = progress.tries - progress.refusals
-    return progress.refusals > MAX_REFUSALS or failures >= MAX_TRIES
+    return progress.refusals > MAX_REFUSALS or failures >= progress.call.max_targets
 
 
 def _is_retryable(progress: Progress) -> bool:
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -10,14 +10,14 @@
 from comfreyhitch.egress.hedging import await_hedged
 from comfreyhitch.egress.models import Candidate
 from comfreyhitch.egress.retries import Progress, back_off, conclude, record_try, should_retry
-from comfreyhitch.egress.state import REFUSAL_BUDGET, Egress
+from comfreyhitch.egress.state import REFUSAL_BUDGET, Egress, get_retry_budget
 from comfreyhitch.utils.token_bucket import deposit
 from comfreyhitch.wire.exceptions import PeerError
 
 
 def route(egress: Egress, call: OutgoingCall) -> Outcome:
     """Return a target's response, or a failure that says whether the request may have run."""
-    deposit(egress.retry_budget, egress.settings.retry_budget)
+    deposit(get_retry_budget(egress, call.service), egress.settings.retry_budget)
     deposit(egress.hedge_budget, egress.settings.hedge_budget)
     deposit(egress.refusal_budget, REFUSAL_BUDGET)
     progress = Progress(call)
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -12,7 +12,7 @@
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.connections import PeerPool
 
-# Retries and hedges are earned by first tries; this many may be saved up.
+# Hedges are earned by first tries; this many may be saved up.
 BUDGET_CAPACITY = 20.0
 LATENCY_WEIGHT = 0.05
 # A refusal by admission control costs far less than a request, so more tries
@@ -30,10 +30,10 @@
     metrics: Metrics
     choose: Choose
     random: Random
-    retry_budget: TokenBucket
     hedge_budget: TokenBucket
     refusal_budget: TokenBucket
     probe_budget: TokenBucket
+    retry_budgets_by_service: dict[str, TokenBucket] = field(default_factory=dict)
     latency_seconds_by_service: dict[str, float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
     requests_in_progress: int = 0
@@ -55,13 +55,32 @@
                 settings.choice_rule, blackboard.views_by_address, blackboard.own.zone, random
             ),
             random=random,
-            retry_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
-            hedge_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
+            hedge_budget=TokenBucket.from_rate(
+                0.0, BUDGET_CAPACITY if settings.hedge_budget else 0.0, now
+            ),
             refusal_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
             probe_budget=TokenBucket.from_rate(settings.probe_rate, probe_burst, now),
         )
 
 
+def get_retry_budget(egress: Egress, service: str) -> TokenBucket:
+    """Return the budget of a service's retries, with this daemon's part of what is shared."""
+    settings = egress.settings
+    budget = egress.retry_budgets_by_service.get(service)
+    if budget is None:
+        now = egress.blackboard.clock.monotonic()
+        budget = TokenBucket.from_rate(0.0, settings.retry_extra, now)
+        if settings.is_retry_extra_shared:
+            # What was saved up before a restart may have been spent already.
+            budget.tokens = 0.0
+        egress.retry_budgets_by_service[service] = budget
+    if settings.is_retry_extra_shared:
+        daemons = max(1, len(egress.blackboard.members_by_address))
+        budget.capacity = settings.retry_extra / daemons
+        budget.rate = budget.capacity / settings.retry_window.total_seconds()
+    return budget
+
+
 def make_request_id(egress: Egress) -> str:
     """Return an id that no other request of any daemon has."""
     return f"{egress.blackboard.own.boot_id}:{next(egress.request_numbers)}"
--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import gevent
 from gevent.event import AsyncResult
 from result import Err, Ok
 
@@ -15,8 +16,8 @@
     start_waiting,
     withdraw,
 )
+from comfreyhitch.admission.warming import admit_cold
 from comfreyhitch.core.blackboard import get_refused_version_reason, is_quarantined
-from comfreyhitch.core.headers import HEADER_ATTEMPT, HEADER_TIMEOUT
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.idempotency.claims import (
     acquire_claim,
@@ -25,6 +26,8 @@
     settle_claim,
 )
 from comfreyhitch.idempotency.registry import make_scope
+from comfreyhitch.ingress.health import report_if_crashed
+from comfreyhitch.ingress.lifecycle import TargetState, is_cold, suspect
 from comfreyhitch.ingress.models import IncomingCall
 from comfreyhitch.ingress.records import (
     RecordState,
@@ -82,6 +85,8 @@
         return _refuse(Refusal.WRONG_SERVICE, f"{own.address} has no target of {call.service}")
     if blackboard.is_draining or own.draining:
         return _refuse(Refusal.DRAINING, f"target at {own.address} is draining")
+    if ingress.life.state is not TargetState.READY:
+        return _refuse_state(ingress.life.state)
     if own.zone in blackboard.zones_out:
         return _refuse(Refusal.ZONE_OUT, f"availability zone {own.zone} is out")
     if blackboard.is_stale:
@@ -102,6 +107,12 @@
     return Failure(Verdict.NOT_RUN, refusal, detail)
 
 
+def _refuse_state(state: TargetState) -> Failure:
+    is_starting = state is TargetState.STARTING
+    refusal = Refusal.TARGET_STARTING if is_starting else Refusal.DRAINING
+    return _refuse(refusal, f"target is {state.value}")
+
+
 def _run_recorded(ingress: Ingress, call: IncomingCall) -> Outcome:
     now = ingress.blackboard.clock.monotonic()
     existing = get_record(ingress.records, call.request_id)
@@ -227,6 +238,8 @@
         return Err(_refuse(Refusal.WRONG_SERVICE, "target was detached"))
     if call.deadline <= started_at:
         return Err(_refuse(Refusal.DEADLINE, "deadline passed before the request was sent"))
+    if not _is_within_cold_rate(ingress, started_at):
+        return Err(_refuse(Refusal.TARGET_COLD, "target is cold and has its share"))
     if record is not None:
         mark_running(record, started_at)
 
@@ -242,22 +255,40 @@
     return outcome
 
 
+def _is_within_cold_rate(ingress: Ingress, now: float) -> bool:
+    if ingress.warming is None or not is_cold(ingress.life, now):
+        return True
+    return admit_cold(ingress.warming, now)
+
+
 def _make_target_request(ingress: Ingress, call: IncomingCall, now: float) -> TargetRequest:
+    dialect = ingress.dialect
     remaining_ms = max(1, int((call.deadline - now) * 1000))
-    headers = [*call.headers, (HEADER_TIMEOUT, str(remaining_ms))]
-    if call.attempt > 1:
-        headers.append((HEADER_ATTEMPT, str(call.attempt)))
+    headers = [*call.headers, (dialect.timeout, str(remaining_ms))]
+    if dialect.attempt and call.attempt > 1:
+        headers.append((dialect.attempt, str(call.attempt)))
+    expected_instance = ingress.life.instance_id if dialect.expected_instance else ""
+    if expected_instance:
+        headers.append((dialect.expected_instance, expected_instance))
     return TargetRequest(
         method=call.method,
         path=call.path,
         headers=headers,
         body=call.body,
         deadline=call.deadline,
-        needs_new_connection=not call.is_idempotent,
+        # A target that is told apart by its id limits its connections as well.
+        needs_new_connection=not call.is_idempotent and not dialect.expected_instance,
         body_limit_bytes=ingress.settings.body_limit_bytes,
+        request_id=_find_value(call, dialect.request_id),
+        expected_instance=expected_instance,
     )
 
 
+def _find_value(call: IncomingCall, field_name: str) -> str:
+    wanted = field_name.lower()
+    return next((value for name, value in call.headers if name.lower() == wanted), "")
+
+
 def _learn_from_outcome(
     ingress: Ingress, call: IncomingCall, outcome: Outcome, started_at: float
 ) -> None:
@@ -277,10 +308,15 @@
         case Err(Failure(refusal=Refusal.TARGET_FAILED | Refusal.TARGET_UNREACHABLE) as failure):
             reset_ramp(limit, now)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=True)
+            suspect(ingress.life)
             if failure.verdict is Verdict.MAY_HAVE_RUN and not is_recent(
                 ingress.proven_fingerprints, call.fingerprint
             ):
-                ingress.report_crash(call.fingerprint)
+                gevent.spawn(report_if_crashed, ingress, call.fingerprint)
+        case Err(Failure(refusal=Refusal.WRONG_INSTANCE)):
+            suspect(ingress.life)
+        case Err(Failure(verdict=Verdict.NOT_RUN)):
+            pass
         case Err(_):
             record_answer(limit, started_at, now, is_failure=True)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=True)
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -1,32 +1,125 @@
-"""Read the target's own health endpoint, within the budget for it."""
+"""Read the target's own health path, within the budget for it."""
 
-from comfreyhitch.core.verdicts import Refusal
+from datetime import timedelta
+
+import gevent
+from result import Err, Ok
+
+from comfreyhitch.core.verdicts import Outcome, Refusal, Response
+from comfreyhitch.ingress.lifecycle import (
+    TargetState,
+    suspect,
+    take_health,
+)
 from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.utils.token_bucket import take
 
-HEALTH_PATH = "/healthz"
+OWN_HEALTH_PATH = "/healthz"
 HEALTH_TIMEOUT_SECONDS = 1.0
 HEALTH_BODY_LIMIT_BYTES = 4096
+OK_STATUS = 200
+MAX_COLD_MS = 600_000
+# After a failure the target is given this long to be seen gone.
+CRASH_CHECK_SECONDS = 0.05
 
 
 def check_target(ingress: Ingress) -> None:
-    """Read the target's health if the budget allows, as a hint that it is up."""
+    """Read the target's health if it is due and the budget allows."""
+    now = ingress.blackboard.clock.monotonic()
+    if ingress.connections is None or ingress.life.state is TargetState.GONE:
+        return
+    if not _is_urgent(ingress) and not _is_due(ingress, now):
+        return
+    if take(ingress.target_probe_budget, now):
+        probe_target(ingress)
+
+
+def probe_target(ingress: Ingress) -> Outcome:
+    """Read the target's health once, and learn from it."""
     clock = ingress.blackboard.clock
     started_at = clock.monotonic()
-    if ingress.connections is None or not take(ingress.target_probe_budget, started_at):
-        return
+    ingress.probed_at = started_at
     request = TargetRequest(
         method="GET",
-        path=HEALTH_PATH,
+        path=_get_health_path(ingress),
         headers=[("Host", "localhost")],
         body=b"",
         deadline=started_at + HEALTH_TIMEOUT_SECONDS,
         needs_new_connection=False,
         body_limit_bytes=HEALTH_BODY_LIMIT_BYTES,
+        is_probe=True,
     )
     outcome = call_target(ingress.connections, request, None, lambda: None)
+    now = clock.monotonic()
     ingress.metrics.ingress.target_probes.inc({})
-    ingress.metrics.ingress.target_probe_seconds.add({}, clock.monotonic() - started_at)
+    ingress.metrics.ingress.target_probe_seconds.add({}, now - started_at)
     is_down = outcome.is_err() and outcome.err_value.refusal is Refusal.TARGET_UNREACHABLE
     ingress.blackboard.is_target_healthy = not is_down
+    match outcome:
+        case Ok(response):
+            _learn(ingress, response, now)
+        case Err(_):
+            suspect(ingress.life)
+    return outcome
+
+
+def report_if_crashed(ingress: Ingress, fingerprint: str) -> None:
+    """Report a request whose target proves to have died while it ran it."""
+    instance_id = ingress.life.instance_id
+    gevent.sleep(CRASH_CHECK_SECONDS)
+    if ingress.connections is None:
+        return
+    match probe_target(ingress):
+        case Ok(response):
+            shown = _read_instance(ingress, response)
+            is_dead = bool(instance_id and shown) and shown != instance_id
+        case Err(failure):
+            is_dead = failure.refusal is Refusal.TARGET_UNREACHABLE
+    if is_dead:
+        ingress.report_crash(fingerprint)
+
+
+def _is_urgent(ingress: Ingress) -> bool:
+    """Return whether only the health path can tell how much work the target may get."""
+    if ingress.warming is None:
+        return False
+    return ingress.life.is_suspect or ingress.life.state is TargetState.STARTING
+
+
+def _is_due(ingress: Ingress, now: float) -> bool:
+    interval_seconds = ingress.settings.target_probe_interval.total_seconds()
+    return now - ingress.probed_at >= interval_seconds
+
+
+def _get_health_path(ingress: Ingress) -> str:
+    table = ingress.blackboard.route_table
+    if table is None:
+        return OWN_HEALTH_PATH
+    profile = table.services_by_name.get(ingress.blackboard.own.service)
+    return OWN_HEALTH_PATH if profile is None else profile.health_path
+
+
+def _learn(ingress: Ingress, response: Response, now: float) -> None:
+    is_healthy = response.status == OK_STATUS
+    instance_id = _read_instance(ingress, response)
+    cold_for = _read_cold_time(ingress, response)
+    take_health(ingress.life, instance_id, is_healthy, cold_for, now)
+
+
+def _read_instance(ingress: Ingress, response: Response) -> str:
+    return _find_value(response, ingress.dialect.instance)
+
+
+def _read_cold_time(ingress: Ingress, response: Response) -> timedelta | None:
+    text = _find_value(response, ingress.dialect.cold_ms)
+    if not text.isascii() or not text.isdigit() or int(text) > MAX_COLD_MS:
+        return None
+    return timedelta(milliseconds=int(text))
+
+
+def _find_value(response: Response, field_name: str) -> str:
+    wanted = field_name.lower()
+    if not wanted:
+        return ""
+    return next((value for name, value in response.headers if name.lower() == wanted), "")
--- /dev/null
+++ b/comfreyhitch/ingress/responses.py
@@ -0,0 +1,101 @@
+"""Read one response from a target, as strictly as a gateway has to."""
+
+from datetime import timedelta
+
+import gevent.socket
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
+from comfreyhitch.core.verdicts import Response
+
+READ_BLOCK_BYTES = 65_536
+FIRST_FINAL_STATUS = 200
+
+
+class ResponseTooLargeError(Exception):
+    """Report that a response body is larger than allowed."""
+
+
+class ResponseReader(HTTPResponse):
+    """Parse one response, and note bytes beyond its end instead of taking them in."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self.has_extra_bytes = False
+        self.is_final = False
+        self.framing = ""
+
+    def _on_message_begin(self) -> None:
+        if self.is_final:
+            self.has_extra_bytes = True
+            raise HTTPParseError("bytes after the end of the response")
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        super()._on_message_complete()
+        self.is_final = self.get_code() >= FIRST_FINAL_STATUS
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes; raise `HTTPParseError` if they are no response."""
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self.is_final:
+                raise
+            self.has_extra_bytes = True
+
+    @property
+    def body(self) -> bytes:
+        """Return the body read so far."""
+        return bytes(self._body_buffer)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the connection may carry another request."""
+        return self.is_final and not self.has_extra_bytes and not self.should_close()
+
+    def make_response(self) -> Response:
+        """Return the response without the headers that concern one connection."""
+        return Response(
+            status=self.status_code,
+            reason=self.status_message or "",
+            headers=[item for item in self.headers if item[0].lower() not in HOP_BY_HOP_HEADERS],
+            body=self.body,
+        )
+
+
+def read_response(
+    sock: gevent.socket.socket,
+    reader: ResponseReader,
+    deadline: float,
+    limit_bytes: int,
+    clock: Clock,
+) -> None:
+    """Read a whole response.
+
+    Raise `TimeoutError` at the deadline, `HTTPParseError` for what is no whole
+    response, `OSError` for a reset, and `ResponseTooLargeError` beyond the limit.
+    """
+    while not reader.is_final:
+        remaining_seconds = deadline - clock.monotonic()
+        if remaining_seconds <= 0:
+            raise TimeoutError
+        sock.settimeout(remaining_seconds)
+        data = sock.recv(READ_BLOCK_BYTES)
+        reader.feed(data)
+        if len(reader._body_buffer) > limit_bytes:
+            raise ResponseTooLargeError(f"response body exceeds {limit_bytes} bytes")
+        if not data and not reader.is_final:
+            raise HTTPParseError("response ended early")
+
+
+def get_idle_limit(reader: ResponseReader, default: timedelta) -> float:
+    """Return for how many seconds the target keeps an idle connection, as far as it says."""
+    stated = reader.get("keep-alive", "")
+    text = stated if isinstance(stated, str) else stated[-1]
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(default.total_seconds(), float(value))
+    return default.total_seconds()
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -3,11 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from comfreyhitch.admission.limiter import forget_baseline
+from comfreyhitch.admission.limiter import forget_baseline, set_known_limit
 from comfreyhitch.admission.queue import AdmissionQueue
+from comfreyhitch.admission.warming import WarmingGate, set_rate
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.dialects import OWN_DIALECT, TargetDialect
 from comfreyhitch.idempotency.claims import ClaimClient
+from comfreyhitch.ingress.lifecycle import TargetLife, TargetState, suspect
 from comfreyhitch.ingress.records import RecordStore
 from comfreyhitch.ingress.target import TargetConnections, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
@@ -39,8 +42,11 @@
     proven_fingerprints: RecentSet = field(
         default_factory=lambda: RecentSet.from_capacity(PROVEN_FINGERPRINTS)
     )
+    dialect: TargetDialect = OWN_DIALECT
+    life: TargetLife = field(default_factory=TargetLife)
+    warming: WarmingGate | None = None
     connections: TargetConnections | None = None
-    target_incarnation: str = ""
+    probed_at: float = 0.0
     latency_seconds: float = 0.0
     calls_in_progress: int = 0
 
@@ -53,6 +59,7 @@
         evidence: EvidenceLog,
         metrics: Metrics,
         report_crash: Callable[[str], None],
+        dialect: TargetDialect = OWN_DIALECT,
     ) -> "Ingress":
         """Return an ingress for a target that has just started."""
         return cls(
@@ -66,6 +73,7 @@
             evidence=evidence,
             metrics=metrics,
             report_crash=report_crash,
+            dialect=dialect,
             target_probe_budget=TokenBucket.from_rate(
                 settings.target_probe_rate, 1.0, blackboard.clock.monotonic()
             ),
@@ -77,11 +85,33 @@
     clock = ingress.blackboard.clock
     if ingress.connections is not None:
         close_connections(ingress.connections)
-    ingress.connections = TargetConnections.from_address(host, port, clock)
-    ingress.queue.limit.slots = slots
+    ingress.connections = TargetConnections.from_address(host, port, clock, ingress.dialect)
+    ingress.connections.on_lost = lambda: suspect(ingress.life)
+    set_slots(ingress, slots)
     forget_limit(ingress)
 
 
+def set_slots(ingress: Ingress, slots: int) -> None:
+    """Follow how many requests the target can run at a time."""
+    if ingress.settings.limit_rule == "slots":
+        set_known_limit(ingress.queue.limit, slots)
+    else:
+        ingress.queue.limit.slots = slots
+
+
+def follow_profile(ingress: Ingress) -> None:
+    """Follow what the configuration says of the own service's cold targets."""
+    table = ingress.blackboard.route_table
+    profile = None if table is None else table.services_by_name.get(ingress.blackboard.own.service)
+    if profile is None:
+        return
+    rate = profile.cold_requests_per_second
+    if ingress.warming is None:
+        ingress.warming = WarmingGate.from_rate(rate, ingress.blackboard.clock.monotonic())
+    elif ingress.warming.bucket.rate != rate:
+        set_rate(ingress.warming, rate)
+
+
 def forget_limit(ingress: Ingress) -> None:
     """Return the limit to that of a cold target."""
     forget_baseline(ingress.queue.limit, ingress.blackboard.clock.monotonic())
@@ -106,6 +136,8 @@
         return False
     if not blackboard.is_target_healthy or blackboard.own.draining:
         return False
+    if ingress.life.state is not TargetState.READY:
+        return False
     return blackboard.own.zone not in blackboard.zones_out
 
 
--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -1,21 +1,41 @@
 """HTTP calls to the daemon's own target, one try on one connection each."""
 
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 import gevent.socket
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+from gevent.select import select
+from geventhttpclient.response import HTTPParseError
 from result import Err, Ok
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
-from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
-from comfreyhitch.wire.sockets import connect, is_disconnected, watch_disconnect
+from comfreyhitch.core.dialects import OWN_DIALECT, TargetDialect
+from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Verdict
+from comfreyhitch.ingress.answers import check_response
+from comfreyhitch.ingress.responses import (
+    ResponseReader,
+    ResponseTooLargeError,
+    get_idle_limit,
+    read_response,
+)
+from comfreyhitch.wire.sockets import connect, is_quiet, watch_disconnect
 
 CONNECT_TIMEOUT_SECONDS = 0.5
-MAX_IDLE_SECONDS = 5.0
+MAX_IDLE = timedelta(seconds=5)
+# A connection is left alone for the last part of the time that a target keeps it.
+IDLE_SHARE = 0.8
 MAX_IDLE_CONNECTIONS = 64
-READ_BLOCK_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class IdleConnection:
+    """Hold an open connection that may be used again until `expires_at`, in monotonic seconds."""
+
+    sock: gevent.socket.socket
+    expires_at: float
 
 
 @dataclass(slots=True)
@@ -25,12 +45,17 @@
     host: str
     port: int
     clock: Clock
-    idle: list[tuple[float, gevent.socket.socket]] = field(default_factory=list)
+    dialect: TargetDialect = OWN_DIALECT
+    idle: list[IdleConnection] = field(default_factory=list)
+    # Called when the target closed a connection that it should have kept.
+    on_lost: Callable[[], None] = lambda: None
 
     @classmethod
-    def from_address(cls, host: str, port: int, clock: Clock) -> "TargetConnections":
+    def from_address(
+        cls, host: str, port: int, clock: Clock, dialect: TargetDialect = OWN_DIALECT
+    ) -> "TargetConnections":
         """Return an empty pool for the target on a port."""
-        return cls(host, port, clock)
+        return cls(host, port, clock, dialect)
 
 
 @dataclass(slots=True)
@@ -44,6 +69,10 @@
     deadline: float
     needs_new_connection: bool
     body_limit_bytes: int
+    request_id: str = ""
+    expected_instance: str = ""
+    # A probe asks about the target itself, so its answer is taken as it is.
+    is_probe: bool = False
 
 
 class RequestCancelledError(Exception):
@@ -62,52 +91,74 @@
     except OSError as error:
         return Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_UNREACHABLE, str(error)))
     before_send()
-    is_whole = False
+    reader = ResponseReader(request.method)
+    is_reusable = False
     stop_watching = _cancel_when_caller_leaves(cancel_socket)
     try:
-        response = _exchange(sock, request, connections.clock)
-        is_whole = response.is_ok() and not response.ok_value[1]
-        return response.map(lambda answer: answer[0])
+        is_sent = _exchange(sock, request, reader, connections.clock)
+        outcome = _check(connections.dialect, request, reader)
+        is_reusable = is_sent and reader.is_reusable and not _is_failed(outcome)
+        return outcome
     except RequestCancelledError:
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.CANCELLED, "caller went away"))
     except TimeoutError:
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "target did not answer in time"))
+    except ResponseTooLargeError as error:
+        return Err(Failure(Verdict.RAN, Refusal.RESPONSE_TOO_LARGE, str(error)))
     except (OSError, HTTPParseError) as error:
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, repr(error)))
     finally:
         stop_watching()
-        if is_whole:
-            _release(connections, sock)
+        if is_reusable:
+            _release(connections, sock, reader)
         else:
             sock.close()
 
 
 def close_connections(connections: TargetConnections) -> None:
     """Close all idle connections."""
-    for _, sock in connections.idle:
-        sock.close()
+    for connection in connections.idle:
+        connection.sock.close()
     connections.idle.clear()
 
 
+def _check(dialect: TargetDialect, request: TargetRequest, reader: ResponseReader) -> Outcome:
+    response = reader.make_response()
+    if request.is_probe:
+        return Ok(response)
+    return check_response(dialect, response, request.request_id, request.expected_instance)
+
+
+def _is_failed(outcome: Outcome) -> bool:
+    return outcome.is_err() and outcome.err_value.refusal is Refusal.TARGET_FAILED
+
+
 def _acquire(connections: TargetConnections, request: TargetRequest) -> gevent.socket.socket:
     now = connections.clock.monotonic()
     # A target may close an idle connection just as a request is sent on it,
-    # which leaves open whether the request ran. A new connection is cheap on
-    # the same instance, so requests that may run only once get one.
+    # which leaves open whether the request ran. Where a new connection is
+    # cheap, requests that may run only once ask for one.
     while connections.idle and not request.needs_new_connection:
-        idle_since, sock = connections.idle.pop()
-        if now - idle_since < MAX_IDLE_SECONDS and not is_disconnected(sock):
-            return sock
-        sock.close()
+        connection = connections.idle.pop()
+        is_expired = now >= connection.expires_at
+        if not is_expired and is_quiet(connection.sock):
+            return connection.sock
+        connection.sock.close()
+        if not is_expired:
+            connections.on_lost()
     limit = min(CONNECT_TIMEOUT_SECONDS, max(0.001, request.deadline - now))
     return connect(connections.host, connections.port, limit)
 
 
-def _release(connections: TargetConnections, sock: gevent.socket.socket) -> None:
+def _release(
+    connections: TargetConnections, sock: gevent.socket.socket, reader: ResponseReader
+) -> None:
     if len(connections.idle) >= MAX_IDLE_CONNECTIONS:
         sock.close()
         return
-    connections.idle.append((connections.clock.monotonic(), sock))
+    idle_seconds = IDLE_SHARE * get_idle_limit(reader, MAX_IDLE)
+    expires_at = connections.clock.monotonic() + idle_seconds
+    connections.idle.append(IdleConnection(sock, expires_at))
 
 
 def _cancel_when_caller_leaves(
@@ -119,35 +170,29 @@
     return watch_disconnect(cancel_socket, lambda: waiting.throw(RequestCancelledError))
 
 
-def _exchange(sock: gevent.socket.socket, request: TargetRequest, clock: Clock) -> Outcome:
-    remaining_seconds = request.deadline - clock.monotonic()
-    sock.settimeout(max(0.001, remaining_seconds))
-    sock.sendall(_format_request(request))
-    parser = HTTPSocketResponse(sock, block_size=READ_BLOCK_BYTES, method=request.method)
-    chunks = []
-    size = 0
+def _exchange(
+    sock: gevent.socket.socket, request: TargetRequest, reader: ResponseReader, clock: Clock
+) -> bool:
+    """Send the request and read the response; return whether all of the request was sent."""
+    is_sent = _send(sock, _format_request(request), request.deadline, clock)
+    read_response(sock, reader, request.deadline, request.body_limit_bytes, clock)
+    return is_sent
+
+
+def _send(sock: gevent.socket.socket, data: bytes, deadline: float, clock: Clock) -> bool:
+    """Send until all is sent, or until the target answers before it has read all."""
+    unsent = memoryview(data)
     while True:
-        remaining_seconds = request.deadline - clock.monotonic()
+        with suppress(BlockingIOError):
+            unsent = unsent[sock._sock.send(unsent, socket.MSG_DONTWAIT) :]
+        if not unsent:
+            return True
+        remaining_seconds = deadline - clock.monotonic()
         if remaining_seconds <= 0:
             raise TimeoutError
-        sock.settimeout(remaining_seconds)
-        chunk = parser.read(READ_BLOCK_BYTES)
-        if not chunk:
-            break
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > request.body_limit_bytes:
-            detail = f"response body exceeds {request.body_limit_bytes} bytes"
-            return Err(Failure(Verdict.RAN, Refusal.RESPONSE_TOO_LARGE, detail))
-    if not parser.message_complete:
-        raise HTTPParseError("response ended early")
-    response = Response(
-        status=parser.status_code,
-        reason=parser.status_message or "",
-        headers=[item for item in parser.headers if item[0].lower() not in HOP_BY_HOP_HEADERS],
-        body=b"".join(chunks),
-    )
-    return Ok((response, parser.should_close()))
+        readable, _, _ = select([sock], [sock], [], remaining_seconds)
+        if readable:
+            return False
 
 
 def _format_request(request: TargetRequest) -> bytes:
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -37,6 +37,7 @@
 LEFT_LIFETIME = timedelta(minutes=15)
 UNREACHABLE_PROBE_INTERVALS = 5
 MAX_DATAGRAM_BYTES = 65_535
+DOCUMENT_FETCH_DELAY_SECONDS = 0.3
 
 
 @dataclass(slots=True)
@@ -152,7 +153,8 @@
 def _handle_datagram(detector: FailureDetector, datagram: Datagram) -> None:
     merge_facts(detector.store, read_facts(detector.store, datagram.facts))
     if datagram.heads:
-        gevent.spawn(detector.fetch, datagram.sender, datagram.heads)
+        delay = _get_fetch_delay(datagram.heads)
+        gevent.spawn_later(delay, detector.fetch, datagram.sender, datagram.heads)
     if datagram.kind == DatagramKind.PING:
         _tell_own_record(detector, datagram.sender)
         _send_piggybacked(detector, datagram.sender, DatagramKind.ACK, datagram.sequence)
@@ -164,6 +166,12 @@
         gevent.spawn(_probe_for_other, detector, datagram)
 
 
+def _get_fetch_delay(heads: list[FactHead]) -> float:
+    # A daemon that follows the store has most documents already when it hears of them.
+    is_followed = all(head.kind == FactKind.DOCUMENT for head in heads)
+    return DOCUMENT_FETCH_DELAY_SECONDS if is_followed else 0.0
+
+
 def _tell_own_record(detector: FailureDetector, address: str) -> None:
     """Send the record of this daemon to a peer that does not know it."""
     if address in detector.blackboard.members_by_address or detector.broadcaster is None:
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -37,15 +37,20 @@
     pool: PeerPool
     client: PlatformClient
     random: Random
+    is_required: bool = False
     is_registered: bool = False
     failed_joins: dict[str, int] = field(default_factory=dict)
 
 
 def run_registration(registration: Registration) -> bool:
-    """Keep the readers registered, and sync with unknown registrations.
+    """Keep this daemon registered if it should be, and sync with unknown registrations.
 
     Return whether the platform answered, and each daemon registered there.
     """
+    own = registration.blackboard.own.address
+    if registration.is_required and not registration.is_registered:
+        # Of two daemons that register and then look, one sees the other.
+        _register(registration, own)
     match list_objects(registration.client, DAEMONS):
         case Err(error):
             logger.info("registrations can't be read", extra={"error": str(error)})
@@ -54,8 +59,9 @@
             addresses = [str((item.spec or {}).get("address", "")) for item in listed.items]
     is_joined = _join(registration, addresses)
     _forget_gone(registration, addresses)
-    own = registration.blackboard.own.address
     registration.is_registered = own in addresses
+    if registration.is_required:
+        return is_joined and registration.is_registered
     if is_reader(registration.blackboard) and not registration.is_registered:
         _register(registration, own)
     elif registration.is_registered and not is_reader(registration.blackboard):
--- /dev/null
+++ b/comfreyhitch/platform/callers.py
@@ -0,0 +1,78 @@
+"""The platform's interface for callers: what requests say, what responses add."""
+
+from result import Err, Result
+
+from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Verdict
+from comfreyhitch.egress.classify import OutgoingCall
+from comfreyhitch.egress.interface import (
+    NOT_FORWARDED_HEADERS,
+    CallerInterface,
+    CallerRequest,
+    drop_headers,
+    get_retry_after,
+)
+from comfreyhitch.egress.routed_calls import RoutedRequest, classify_routed
+from comfreyhitch.egress.state import Egress
+from comfreyhitch.platform.names import (
+    HEADER_CALLER_SERVICE,
+    HEADER_DEADLINE_MS,
+    HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
+    TARGET_DIALECT,
+)
+from comfreyhitch.routing.splitting import Splitter
+
+MAX_DEADLINE_MS = 600_000
+# Fields that this daemon sets itself, whatever a caller sent.
+OWN_FIELDS = frozenset(
+    name.lower()
+    for name in (HEADER_CALLER_SERVICE, HEADER_DEADLINE_MS, TARGET_DIALECT.expected_instance)
+)
+
+
+def make_interface(egress: Egress) -> CallerInterface:
+    """Return the interface where host and path name the service."""
+    splitter = Splitter(egress.random)
+    blackboard = egress.blackboard
+
+    def classify_request(request: CallerRequest) -> Result[OutgoingCall, Failure]:
+        values = {name.lower(): value for name, value in request.headers}
+        deadline_text = values.get(HEADER_DEADLINE_MS.lower(), "")
+        timeout_seconds = egress.settings.default_timeout.total_seconds()
+        if deadline_text:
+            if not deadline_text.isascii() or not deadline_text.isdigit():
+                detail = f"{HEADER_DEADLINE_MS} is not a count: {deadline_text!r}"
+                return Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, detail))
+            timeout_seconds = min(int(deadline_text), MAX_DEADLINE_MS) / 1000
+        headers = drop_headers(request.headers, NOT_FORWARDED_HEADERS | OWN_FIELDS)
+        headers.append((HEADER_CALLER_SERVICE, egress.settings.service or ""))
+        return classify_routed(
+            blackboard,
+            splitter,
+            RoutedRequest(
+                method=request.method,
+                host=values.get("host", ""),
+                path=request.path,
+                headers=headers,
+                body=request.body,
+                request_id=values.get(HEADER_REQUEST_ID.lower(), ""),
+                timeout_seconds=timeout_seconds,
+                arrived_at=request.arrived_at,
+            ),
+        )
+
+    return CallerInterface(
+        classify=classify_request,
+        make_response_headers=lambda response: [],
+        make_failure_headers=_make_failure_headers,
+        get_limits=lambda: (
+            None if blackboard.route_table is None else blackboard.route_table.limits
+        ),
+        request_id_field=HEADER_REQUEST_ID,
+    )
+
+
+def _make_failure_headers(failure: Failure) -> Headers:
+    if failure.status != 503:
+        return []
+    return [(HEADER_RETRY_AFTER, f"{get_retry_after(failure).total_seconds():g}")]
--- /dev/null
+++ b/comfreyhitch/platform/durations.py
@@ -0,0 +1,27 @@
+"""Durations as the platform writes them: a number and its unit, `ms` or `s`."""
+
+import re
+from datetime import timedelta
+from typing import Annotated
+
+from pydantic import BeforeValidator
+
+_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_MILLISECONDS_BY_UNIT = {"ms": 1.0, "s": 1000.0}
+MAX_MILLISECONDS = 366 * 24 * 3600 * 1000.0
+
+
+def parse_duration(text: object) -> timedelta:
+    """Return the duration in a text; raise `ValueError` if it is none."""
+    if isinstance(text, timedelta):
+        return text
+    match = _PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise ValueError(f"{text!r} is not a number with the unit ms or s")
+    milliseconds = float(match[1]) * _MILLISECONDS_BY_UNIT[match[2]]
+    if milliseconds > MAX_MILLISECONDS:
+        raise ValueError(f"{text!r} is longer than a year")
+    return timedelta(milliseconds=milliseconds)
+
+
+Duration = Annotated[timedelta, BeforeValidator(parse_duration)]
--- /dev/null
+++ b/comfreyhitch/platform/names.py
@@ -0,0 +1,27 @@
+"""Names of the platform: headers, paths and kinds."""
+
+from comfreyhitch.core.dialects import TargetDialect
+
+HEADER_REQUEST_ID = "X-Comfreyhitch-Request-Id"
+HEADER_DEADLINE_MS = "X-Comfreyhitch-Deadline-Ms"
+HEADER_CALLER_SERVICE = "X-Comfreyhitch-Caller-Service"
+HEADER_RETRY_AFTER = "Retry-After"
+
+TARGET_DIALECT = TargetDialect(
+    timeout=HEADER_DEADLINE_MS,
+    expected_instance="X-Comfreyhitch-Expect-Instance",
+    request_id=HEADER_REQUEST_ID,
+    not_run="X-Comfreyhitch-Not-Executed",
+    stamp="X-Comfreyhitch-Server-Stamp",
+    instance="X-Comfreyhitch-Instance-Id",
+    load="X-Comfreyhitch-Server-Load",
+    cold_ms="X-Comfreyhitch-Cold-Ms",
+)
+
+PATH_READY = "/v1/ready"
+PATH_INSTANCES = "/v1/instances/"
+
+KIND_CONFIGURATION = "config"
+NAME_CONFIGURATION = "main"
+KIND_ROLLOUTS = "rollouts"
+KIND_EVACUATIONS = "evacuations"
--- /dev/null
+++ b/comfreyhitch/platform/servers.py
@@ -0,0 +1,82 @@
+"""Servers that the platform calls: heartbeats of the target, and readiness."""
+
+import json
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from urllib.parse import unquote
+
+from gevent.pywsgi import WSGIServer
+from result import Err, Ok
+
+from comfreyhitch.daemon.announcements import take_announcement, take_leaving
+from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.daemon.readiness import is_ready
+from comfreyhitch.ingress.lifecycle import HeartbeatResult
+from comfreyhitch.platform.heartbeats import decode_heartbeat
+from comfreyhitch.platform.names import PATH_INSTANCES, PATH_READY
+
+logger = logging.getLogger(__name__)
+
+MAX_HEARTBEAT_BYTES = 64 * 1024
+OK = "200 OK"
+BAD_REQUEST = "400 Bad Request"
+NOT_FOUND = "404 Not Found"
+CONFLICT = "409 Conflict"
+UNAVAILABLE = "503 Service Unavailable"
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+Handle = Callable[[str, str, bytes], tuple[str, dict[str, object]]]
+
+
+def make_servers(daemon: Daemon, addresses: Mapping[str, tuple[str, int]]) -> list[WSGIServer]:
+    """Return the servers for readiness and for heartbeats."""
+
+    def handle_readiness(method: str, path: str, _: bytes) -> tuple[str, dict[str, object]]:
+        if (method, path) != ("GET", PATH_READY):
+            return NOT_FOUND, {}
+        return (OK if is_ready(daemon) else UNAVAILABLE), {}
+
+    def handle_control(method: str, path: str, body: bytes) -> tuple[str, dict[str, object]]:
+        instance_id = unquote(path.removeprefix(PATH_INSTANCES))
+        if not path.startswith(PATH_INSTANCES) or not instance_id or "/" in instance_id:
+            return NOT_FOUND, {}
+        if method == "PUT":
+            return _take_heartbeat(daemon, instance_id, body)
+        if method == "DELETE":
+            take_leaving(daemon, instance_id)
+            return OK, {}
+        return NOT_FOUND, {}
+
+    return [
+        _make_server(addresses["Listen.ReadinessAddr"], handle_readiness),
+        _make_server(addresses["Listen.Control"], handle_control),
+    ]
+
+
+def _take_heartbeat(daemon: Daemon, instance_id: str, body: bytes) -> tuple[str, dict[str, object]]:
+    match decode_heartbeat(instance_id, body):
+        case Err(reason):
+            logger.warning(
+                "heartbeat refused", extra={"instance_id": instance_id, "reason": reason}
+            )
+            return BAD_REQUEST, {"Error": reason}
+        case Ok(beat):
+            pass
+    expected = (daemon.settings.target_address_host, daemon.settings.target_port)
+    if (beat.host, beat.port) != expected or beat.heartbeat.service != daemon.settings.service:
+        reason = f"{beat.heartbeat.service} at {beat.host}:{beat.port} is not the own target"
+        logger.warning("heartbeat refused", extra={"instance_id": instance_id, "reason": reason})
+        return BAD_REQUEST, {"Error": reason}
+    if take_announcement(daemon, beat.heartbeat, beat.host, beat.port) is HeartbeatResult.STALE:
+        return CONFLICT, {"Error": "a later heartbeat is known"}
+    return OK, {}
+
+
+def _make_server(address: tuple[str, int], handle: Handle) -> WSGIServer:
+    def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
+        body = environ["wsgi.input"].read(MAX_HEARTBEAT_BYTES)
+        status, content = handle(environ["REQUEST_METHOD"], environ["PATH_INFO"], body)
+        start_response(status, [("Content-Type", "application/json")])
+        return [json.dumps(content).encode()]
+
+    return WSGIServer(address, application, log=None, error_log=logger)
--- /dev/null
+++ b/comfreyhitch/platform/settings.py
@@ -0,0 +1,97 @@
+"""Read the platform's settings file, and make the product's settings of it."""
+
+from collections.abc import Mapping
+from pathlib import Path
+
+from pydantic import ValidationError
+
+from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.platform.durations import parse_duration
+
+ENVIRONMENT_PATH = "COMFREYHITCH_CONFIG"
+# A daemon ends within this part of the time that the platform gives it at a stop.
+STOP_SHARE = 0.85
+LINGER_SHARE = 0.5
+# Share of the allowance for repeats that daemons use, since they can't count together.
+RETRY_EXTRA_SHARE = 0.5
+RETRY_RATIO_SHARE = 0.8
+TARGET_PROBES_PER_SECOND = 10.0
+TARGET_PROBE_INTERVAL_SECONDS = 1.0
+
+
+def read_file(path: Path) -> dict[str, str]:
+    """Return the values by name; raise `SettingsError` that names a bad line."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}; {ENVIRONMENT_PATH} names it") from error
+    values = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip():
+            continue
+        name, separator, value = line.partition("=")
+        if not separator:
+            raise SettingsError(f"{path}:{number}: has no '='; write name=value")
+        values[name.strip()] = value.strip()
+    return values
+
+
+def make_settings(values: Mapping[str, str]) -> Settings:
+    """Return the product's settings; raise `SettingsError` that names what is wrong."""
+    try:
+        return Settings.model_validate(_translate(values))
+    except KeyError as error:
+        raise SettingsError(f"{error.args[0]}: missing; the platform has to set it") from error
+    except ValueError as error:
+        raise SettingsError(f"settings of the platform: {_describe(error)}") from error
+
+
+def get_addresses(values: Mapping[str, str]) -> dict[str, tuple[str, int]]:
+    """Return host and port of the further servers by their names in the settings."""
+    names = ("Listen.ReadinessAddr", "Listen.Control")
+    return {name: _split(values[name]) for name in names}
+
+
+def _translate(values: Mapping[str, str]) -> dict[str, object]:
+    outbound_host, outbound_port = _split(values["Listen.Outbound"])
+    app_host, app_port = _split(values["AppAddr"])
+    first_port, _, _ = values["PortRange"].partition(",")
+    grace = parse_duration(values["Bounds.Grace"])
+    return {
+        "host": outbound_host,
+        "http_port": outbound_port,
+        "peer_port": int(first_port),
+        "admin_port": int(first_port) + 1,
+        "zone": values["Zone"],
+        "region": values["Region"],
+        "service": values["Service"],
+        "target_host": app_host,
+        "target_port": app_port,
+        "platform_url": f"http://{values['Platform.Address']}",
+        "registration": "all",
+        "limit_rule": "slots",
+        "drain_timeout": grace * (STOP_SHARE - LINGER_SHARE),
+        "stop_linger": grace * LINGER_SHARE,
+        "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
+        "retry_extra": float(values["Bounds.BudgetExtra"]) * RETRY_EXTRA_SHARE,
+        "retry_window": parse_duration(values["Bounds.BudgetWindow"]),
+        "is_retry_extra_shared": True,
+        "hedge_budget": 0.0,
+        "probe_rate": 0.0,
+        "target_probe_rate": min(TARGET_PROBES_PER_SECOND, float(values["Bounds.ProbesPerS"]) / 2),
+        "target_probe_interval": TARGET_PROBE_INTERVAL_SECONDS,
+    }
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not port.isdigit():
+        raise ValueError(f"{address!r} is not an address with a port")
+    return host, int(port)
+
+
+def _describe(error: ValueError) -> str:
+    if not isinstance(error, ValidationError):
+        return str(error)
+    return "; ".join(f"{item['loc'][0]}: {item['msg']}" for item in error.errors())
--- a/comfreyhitch/replication/facts.py
+++ b/comfreyhitch/replication/facts.py
@@ -31,6 +31,7 @@
     CRASH = "crash"
     EVIDENCE = "evidence"
     STAGE = "stage"
+    DOCUMENT = "document"
 
 
 # These facts are only of use for a moment, so they are not kept or synced.
--- /dev/null
+++ b/comfreyhitch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes by host and path, with the services behind them."""
--- a/comfreyhitch/sections/merging.py
+++ b/comfreyhitch/sections/merging.py
@@ -87,6 +87,8 @@
 
 
 def _apply_zones(blackboard: Blackboard, sections: list[Section]) -> None:
+    if not sections:
+        return
     blackboard.zones_out = frozenset(
         zone
         for section in sections
--- a/comfreyhitch/sections/reader.py
+++ b/comfreyhitch/sections/reader.py
@@ -99,7 +99,7 @@
         for item in listed.items:
             take_object(reader, item)
 
-    def take_change(change: ObjectChange, _: int) -> None:
+    def take_change(change: ObjectChange) -> None:
         if not change.is_deleted:
             take_object(reader, change.object)
 
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -43,7 +43,7 @@
     clock: Clock
     random: Random
     take_list: Callable[[ObjectList], None]
-    take_change: Callable[[ObjectChange, int], None]
+    take_change: Callable[[ObjectChange], None]
     wait_seconds: float = DEFAULT_WAIT_SECONDS
     revision: int | None = None
     failures: int = 0
@@ -107,7 +107,7 @@
         case Ok(batch):
             pass
     for change in batch.events:
-        follower.take_change(change, batch.revision)
+        follower.take_change(change)
     follower.revision = max(follower.revision, batch.revision)
     if not batch.events and follower.clock.monotonic() - started_at < MIN_WATCH_SECONDS:
         gevent.sleep(MIN_WATCH_SECONDS)
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -69,6 +69,17 @@
         return True
 
 
+def is_quiet(sock: gevent.socket.socket) -> bool:
+    """Return whether an idle connection is open and holds no unexpected bytes."""
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def watch_disconnect(
     sock: gevent.socket.socket, on_disconnect: Callable[[], None]
 ) -> Callable[[], None]:
