Send no request to an instance in a slow moment; log each decision

The pace changes many times a second, so a reading older than 20 ms says little. The gate now reads the pace from the health path just before it sends, waits a part of the objective for the usual pace, and refuses as not run otherwise; the egress goes elsewhere, and only when all are slow runs at any pace. Probes stay within the budget for them, which may be saved up for half a second. The choice prefers the own zone until a target there is hot. Requests are logged at egress and ingress with the inputs that decided, within a bound on lines a second, on standard output through a queue that never blocks.

--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from result import Result
+from result import Ok, Result
 
 
 class Verdict(enum.IntEnum):
@@ -56,6 +56,7 @@
     TARGET_FAILED = "target-failed"
     TARGET_REFUSED = "target-refused"
     TARGET_COLD = "target-cold"
+    TARGET_SLOW = "target-slow"
     TARGET_STARTING = "target-starting"
     WRONG_INSTANCE = "wrong-instance"
     PEER_UNREACHABLE = "peer-unreachable"
@@ -108,3 +109,13 @@
 }
 
 Outcome = Result[Response, Failure]
+
+
+def describe_outcome(outcome: Outcome) -> str:
+    """Return the outcome in a few words for the log."""
+    match outcome:
+        case Ok(response):
+            return str(response.status)
+        case _:
+            failure = outcome.err_value
+            return f"{failure.refusal.value} ({failure.verdict.header_value})"
--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -17,7 +17,7 @@
 
 def run(settings: Settings, border: Border = OWN_BORDER) -> None:
     """Run a daemon until it is told to stop."""
-    configure_logging(settings.log_level, settings.advertised_peer_address)
+    handler = configure_logging(settings.log_level, settings.advertised_peer_address)
     daemon = Daemon.from_settings(settings, Clock.from_system(), border)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, daemon.stopping.set)
@@ -25,3 +25,4 @@
     start(daemon)
     daemon.stopping.wait()
     stop_gracefully(daemon)
+    handler.flush_at_exit()
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -160,6 +160,7 @@
         fingerprint=call.fingerprint,
         route=call.route,
         attempt=call.attempt,
+        patience_seconds=call.patience_seconds,
     )
 
 
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -9,11 +9,12 @@
 from random import Random
 
 from comfreyhitch.egress.models import Candidate, TargetView
-from comfreyhitch.egress.views import estimate_in_flight, get_view
+from comfreyhitch.egress.views import estimate_in_flight, get_view, is_slow
 
 SAMPLE_SIZE = 5
 HOT_ERROR_RATE = 0.3
-OTHER_ZONE_PENALTY = 0.25
+# Beyond this part of its limit a target in another zone is as good as one nearby.
+HOT_LOAD = 0.75
 
 Choose = Callable[[Sequence[Candidate], Collection[str], float], Candidate | None]
 
@@ -23,13 +24,14 @@
 ) -> Choose:
     """Return a choice of the least loaded of a few candidates, own zone first."""
 
-    def rank(candidate: Candidate, now: float) -> tuple[bool, bool, float]:
+    def rank(candidate: Candidate, now: float) -> tuple[bool, bool, bool, float]:
         view = get_view(views_by_address, candidate.address)
-        load = estimate_in_flight(view, now) / view.reported_limit
-        penalty = 0.0 if candidate.zone == own_zone else OTHER_ZONE_PENALTY
+        limit = view.reported_limit if view.reported_at else candidate.slots
+        load = estimate_in_flight(view, now) / limit
         is_avoided = now < view.avoid_until
-        is_hot = load >= 1.0 or view.overdue > 0 or view.error_rate > HOT_ERROR_RATE
-        return is_avoided, is_hot, load + penalty
+        is_hot = load >= HOT_LOAD or view.error_rate > HOT_ERROR_RATE
+        is_hot = is_hot or _is_stuck(view) or is_slow(view, now)
+        return is_avoided, is_hot, candidate.zone != own_zone, load
 
     def choose(
         candidates: Sequence[Candidate], excluded: Collection[str], now: float
@@ -40,6 +42,11 @@
     return choose
 
 
+def _is_stuck(view: TargetView) -> bool:
+    """Return whether most of what was sent to a target takes far longer than usual."""
+    return view.overdue > 0 and 2 * view.overdue > view.own_in_flight
+
+
 def make_random_choice(random: Random) -> Choose:
     """Return a uniformly random choice, a baseline for measurements."""
 
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -1,6 +1,6 @@
 """Find service, route, tenant and deadline of a caller's request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from result import Err, Ok, Result
@@ -36,6 +36,33 @@
 CONTROL_HEADERS = frozenset({SERVICE_FIELD, TIMEOUT_FIELD, ATTEMPT_FIELD})
 
 
+@dataclass(slots=True)
+class Try:
+    """Hold one try of a call, as the log tells it."""
+
+    target: str
+    zone: str
+    version: str
+    # What was known of the target when it was chosen.
+    in_flight: float
+    report_age_seconds: float
+    sent_at: float
+    seconds: float = 0.0
+    outcome: str = ""
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of the log."""
+        return {
+            "target": self.target,
+            "zone": self.zone,
+            "version": self.version,
+            "in_flight": round(self.in_flight, 1),
+            "report_age_ms": round(self.report_age_seconds * 1000),
+            "ms": round(self.seconds * 1000, 1),
+            "outcome": self.outcome,
+        }
+
+
 @dataclass(slots=True)
 class OutgoingCall:
     """Hold a caller's request; `deadline` is in monotonic seconds."""
@@ -56,6 +83,10 @@
     caller_request_id: str = ""
     max_targets: int = MAX_TARGETS
     table_version: int = 0
+    # Time within which a response is worth most; None if nobody said.
+    objective_seconds: float | None = None
+    patience_seconds: float | None = None
+    tries: list[Try] = field(default_factory=list)
     last_request_id: str = ""
     last_version: str = ""
 
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -8,12 +8,21 @@
 from result import Err, Ok
 
 from comfreyhitch.core.headers import HEADER_VERDICT
-from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
+from comfreyhitch.core.verdicts import (
+    Failure,
+    Headers,
+    Outcome,
+    Refusal,
+    Response,
+    Verdict,
+    describe_outcome,
+)
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.ingress.target import RequestCancelledError
+from comfreyhitch.telemetry.decisions import log_decision, may_log
 from comfreyhitch.telemetry.metrics import observe_request
 from comfreyhitch.wire.sockets import tune_socket, watch_disconnect
 
@@ -22,6 +31,7 @@
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
 SOCKET_ENVIRON_KEY = "comfreyhitch.socket"
 PATH_ENVIRON_KEY = "comfreyhitch.path"
+SERVER_ERROR_STATUS = 500
 NO_BODY_STATUSES = frozenset({204, 304})
 
 StartResponse = Callable[[str, Headers], object]
@@ -180,27 +190,32 @@
     service = "" if call is None else call.service
     tenant = DEFAULT_TENANT if call is None else call.tenant
     observe_request(egress.metrics, service, tenant, verdict, seconds)
-    if outcome.is_err() and logger.isEnabledFor(logging.INFO):
-        _log_failure(environ, call, outcome.err_value)
+    is_failure = outcome.is_err() or outcome.ok_value.status >= SERVER_ERROR_STATUS
+    if may_log(egress.decisions, is_failure=is_failure):
+        fields = _describe_request(environ, call, outcome)
+        fields["ms"] = round(seconds * 1000, 1)
+        log_decision(egress.decisions, "request failed" if is_failure else "request", fields)
 
 
-def _log_failure(environ: dict[str, object], call: OutgoingCall | None, failure: Failure) -> None:
-    extra = {
+def _describe_request(
+    environ: dict[str, object], call: OutgoingCall | None, outcome: Outcome
+) -> dict[str, object]:
+    fields: dict[str, object] = {
         "method": environ["REQUEST_METHOD"],
         "path": environ[PATH_ENVIRON_KEY],
-        "verdict": failure.verdict.header_value,
-        "refusal": failure.refusal.value,
-        "detail": failure.detail,
+        "outcome": describe_outcome(outcome),
     }
+    if outcome.is_err():
+        fields["detail"] = outcome.err_value.detail
     if call is not None:
-        extra["caller_request_id"] = call.caller_request_id
-        extra["request_id"] = call.last_request_id
-        extra["route"] = call.route
-        extra["configuration"] = call.table_version
-        extra["service"] = call.service
-        extra["version"] = call.last_version
-        extra["tenant"] = call.tenant
-    logger.info("request failed", extra=extra)
+        fields["caller_request_id"] = call.caller_request_id
+        fields["request_id"] = call.last_request_id
+        fields["route"] = call.route
+        fields["configuration"] = call.table_version
+        fields["service"] = call.service
+        fields["tenant"] = call.tenant
+        fields["tries"] = [item.describe() for item in call.tries]
+    return fields
 
 
 def _respond(
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -16,6 +16,7 @@
 from comfreyhitch.egress.candidates import choose_candidate
 from comfreyhitch.egress.retries import Progress
 from comfreyhitch.egress.state import Egress, get_retry_budget
+from comfreyhitch.egress.views import record_failure
 from comfreyhitch.utils.token_bucket import take
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -60,6 +61,8 @@
     finally:
         for item in attempts:
             abandon_attempt(item)
+    for item in attempts:
+        record_failure(item.view, clock.monotonic())
     # A try without an answer may have run, whatever became of the other.
     return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "no answer before the deadline"))
 
@@ -92,6 +95,7 @@
     if candidate is None or not take(budget, now):
         return next_look
     progress.tries += 1
+    progress.call.attempt += 1
     progress.tried.add(candidate.address)
     try:
         attempts.append(start_attempt(egress, progress.call, candidate))
--- a/comfreyhitch/egress/models.py
+++ b/comfreyhitch/egress/models.py
@@ -22,6 +22,7 @@
     reported_queued: int = 0
     reported_limit: int = 1
     reported_at: float = 0.0
+    slowness: float = 1.0
     latency_seconds: float = 0.0
     own_in_flight: int = 0
     sent_since_report: int = 0
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -14,6 +14,9 @@
 FIRST_BACKOFF_REFUSAL = 2
 FIRST_BACKOFF_SECONDS = 0.004
 MAX_TARGET_DEATHS = 2
+MAX_SLOW_REFUSALS = 3
+# Part of a call's objective for which it waits at the first gate for the usual pace.
+PATIENCE_SHARE = 0.15
 RETRIED_STATUSES = frozenset({502, 503, 504})
 # These refusals tell of a change that has not reached this daemon yet, so the
 # next try goes elsewhere for certain and is not a sign of overload.
@@ -24,8 +27,18 @@
         Refusal.VERSION_VETOED,
         Refusal.WRONG_SERVICE,
         Refusal.TARGET_STARTING,
+        Refusal.TARGET_SLOW,
     }
 )
+# A gate that refuses keeps the request from its target, so this is no try there.
+GATE_REFUSALS = FREE_REFUSALS | {
+    Refusal.OVERLOADED,
+    Refusal.TENANT_SHARE,
+    Refusal.FENCED,
+    Refusal.TARGET_COLD,
+    Refusal.TARGET_SLOW,
+    Refusal.PEER_UNREACHABLE,
+}
 ADMISSION_REFUSALS = frozenset(
     {Refusal.OVERLOADED, Refusal.TENANT_SHARE, Refusal.FENCED, Refusal.TARGET_COLD}
 )
@@ -49,14 +62,17 @@
     tried: set[str] = field(default_factory=set)
     tries: int = 0
     refusals: int = 0
+    slow_refusals: int = 0
+    slow_targets: set[str] = field(default_factory=set)
+    gate_refusals: int = 0
     target_deaths: int = 0
     may_have_run: bool = False
     last_outcome: Outcome | None = None
     last_response: Outcome | None = None
 
 
-def record_try(progress: Progress, outcome: Outcome) -> None:
-    """Take in the outcome of one try."""
+def record_try(progress: Progress, address: str, outcome: Outcome) -> None:
+    """Take in the outcome of one try at a target."""
     progress.last_outcome = outcome
     match outcome:
         case Ok(_):
@@ -65,6 +81,10 @@
         case Err(failure):
             progress.may_have_run |= failure.verdict is not Verdict.NOT_RUN
             progress.refusals += failure.refusal in ADMISSION_REFUSALS
+            if failure.refusal is Refusal.TARGET_SLOW:
+                progress.slow_refusals += 1
+                progress.slow_targets.add(address)
+            progress.gate_refusals += failure.refusal in GATE_REFUSALS
             progress.target_deaths += failure.refusal in DEATH_REFUSALS
 
 
@@ -92,6 +112,26 @@
     return True
 
 
+def get_patience_at_gate(egress: Egress, progress: Progress) -> float | None:
+    """Return how long a gate may wait for a slow instance, or None to run at any pace."""
+    objective_seconds = progress.call.objective_seconds
+    if objective_seconds is None or progress.slow_refusals >= MAX_SLOW_REFUSALS:
+        return None
+    if progress.slow_refusals > 0:
+        return 0.0
+    return PATIENCE_SHARE * objective_seconds
+
+
+def accept_slow(progress: Progress) -> bool:
+    """Give up looking for a target at its usual pace; return whether that leaves any."""
+    if not progress.slow_targets:
+        return False
+    progress.tried -= progress.slow_targets
+    progress.slow_targets.clear()
+    progress.slow_refusals = MAX_SLOW_REFUSALS
+    return True
+
+
 def back_off(egress: Egress, progress: Progress) -> None:
     """After repeated refusals wait a moment for a place, then start over with all targets."""
     if progress.refusals < FIRST_BACKOFF_REFUSAL:
@@ -120,7 +160,7 @@
 
 
 def _has_tried_enough(progress: Progress) -> bool:
-    failures = progress.tries - progress.refusals
+    failures = progress.tries - progress.gate_refusals
     return progress.refusals > MAX_REFUSALS or failures >= progress.call.max_targets
 
 
--- a/comfreyhitch/egress/routed_calls.py
+++ b/comfreyhitch/egress/routed_calls.py
@@ -61,5 +61,6 @@
             caller_request_id=request.request_id,
             max_targets=route.max_targets,
             table_version=table.version,
+            objective_seconds=route.objective.total_seconds(),
         )
     )
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -2,15 +2,24 @@
 
 from result import Err
 
-from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
 from comfreyhitch.egress.attempts import start_attempt
 from comfreyhitch.egress.candidates import choose_candidate
-from comfreyhitch.egress.classify import OutgoingCall
+from comfreyhitch.egress.classify import OutgoingCall, Try
 from comfreyhitch.egress.fencing import await_fenced
 from comfreyhitch.egress.hedging import await_hedged
 from comfreyhitch.egress.models import Candidate
-from comfreyhitch.egress.retries import Progress, back_off, conclude, record_try, should_retry
+from comfreyhitch.egress.retries import (
+    Progress,
+    accept_slow,
+    back_off,
+    conclude,
+    get_patience_at_gate,
+    record_try,
+    should_retry,
+)
 from comfreyhitch.egress.state import REFUSAL_BUDGET, Egress, get_retry_budget
+from comfreyhitch.egress.views import estimate_in_flight, get_view
 from comfreyhitch.utils.token_bucket import deposit
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -23,11 +32,14 @@
     progress = Progress(call)
     while True:
         candidate = choose_candidate(egress, call.service, progress.tried)
+        if candidate is None and accept_slow(progress):
+            candidate = choose_candidate(egress, call.service, progress.tried)
         if candidate is None:
             return conclude(progress)
+        call.patience_seconds = get_patience_at_gate(egress, progress)
         progress.tries += 1
         progress.tried.add(candidate.address)
-        record_try(progress, _try_candidate(egress, progress, candidate))
+        record_try(progress, candidate.address, _try_candidate(egress, progress, candidate))
         if not should_retry(egress, progress):
             return conclude(progress)
         call.attempt += 1
@@ -35,6 +47,25 @@
 
 
 def _try_candidate(egress: Egress, progress: Progress, candidate: Candidate) -> Outcome:
+    call = progress.call
+    now = egress.blackboard.clock.monotonic()
+    view = get_view(egress.blackboard.views_by_address, candidate.address)
+    made = Try(
+        target=candidate.address,
+        zone=candidate.zone,
+        version=candidate.version,
+        in_flight=estimate_in_flight(view, now),
+        report_age_seconds=now - view.reported_at,
+        sent_at=now,
+    )
+    call.tries.append(made)
+    outcome = _send(egress, progress, candidate)
+    made.seconds = egress.blackboard.clock.monotonic() - now
+    made.outcome = describe_outcome(outcome)
+    return outcome
+
+
+def _send(egress: Egress, progress: Progress, candidate: Candidate) -> Outcome:
     call = progress.call
     try:
         attempt = start_attempt(egress, call, candidate)
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -8,6 +8,7 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.egress.choice import Choose, make_choice
+from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.connections import PeerPool
@@ -33,6 +34,7 @@
     hedge_budget: TokenBucket
     refusal_budget: TokenBucket
     probe_budget: TokenBucket
+    decisions: DecisionLog
     retry_budgets_by_service: dict[str, TokenBucket] = field(default_factory=dict)
     latency_seconds_by_service: dict[str, float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
@@ -60,6 +62,7 @@
             ),
             refusal_budget=TokenBucket.from_rate(0.0, BUDGET_CAPACITY, now),
             probe_budget=TokenBucket.from_rate(settings.probe_rate, probe_burst, now),
+            decisions=DecisionLog.from_clock("comfreyhitch.egress", blackboard.clock),
         )
 
 
--- a/comfreyhitch/egress/views.py
+++ b/comfreyhitch/egress/views.py
@@ -1,5 +1,6 @@
 """Keep what an egress knows of each target's load."""
 
+from comfreyhitch.admission.pacing import SLOW_FACTOR
 from comfreyhitch.egress.models import TargetView
 from comfreyhitch.wire.generated.ttypes import LoadReport
 
@@ -8,6 +9,7 @@
 FIRST_AVOIDANCE_SECONDS = 0.1
 MAX_AVOIDANCE_SECONDS = 5.0
 NOT_ACCEPTING_SECONDS = 1.0
+SLOWNESS_LIFETIME_SECONDS = 0.1
 
 
 def get_view(views_by_address: dict[str, TargetView], address: str) -> TargetView:
@@ -34,6 +36,7 @@
     view.reported_in_flight = report.in_flight
     view.reported_queued = report.queued
     view.reported_limit = max(1, report.limit)
+    view.slowness = report.slowness or 1.0
     view.latency_seconds = report.latency_seconds
     view.reported_at = now
     view.sent_since_report = 0
@@ -58,6 +61,11 @@
     view.avoid_until = now + avoidance_seconds
 
 
+def is_slow(view: TargetView, now: float) -> bool:
+    """Return whether a target's instance was slow a moment ago."""
+    return view.slowness >= SLOW_FACTOR and now - view.reported_at < SLOWNESS_LIFETIME_SECONDS
+
+
 def is_full(view: TargetView, now: float) -> bool:
     """Return whether a target probably has no place left."""
     return estimate_in_flight(view, now) >= view.reported_limit
--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -18,7 +18,7 @@
 )
 from comfreyhitch.admission.warming import admit_cold
 from comfreyhitch.core.blackboard import get_refused_version_reason, is_quarantined
-from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
 from comfreyhitch.idempotency.claims import (
     acquire_claim,
     make_claim,
@@ -26,9 +26,10 @@
     settle_claim,
 )
 from comfreyhitch.idempotency.registry import make_scope
-from comfreyhitch.ingress.health import report_if_crashed
+from comfreyhitch.ingress.health import report_if_crashed, take_load
 from comfreyhitch.ingress.lifecycle import TargetState, is_cold, suspect
 from comfreyhitch.ingress.models import IncomingCall
+from comfreyhitch.ingress.pace import await_pace
 from comfreyhitch.ingress.records import (
     RecordState,
     RequestRecord,
@@ -41,11 +42,13 @@
 from comfreyhitch.ingress.state import Ingress, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
+from comfreyhitch.telemetry.decisions import log_decision, may_log
 from comfreyhitch.telemetry.metrics import observe_call
 from comfreyhitch.utils.recent import add_recent, is_recent
 from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
 
 SERVER_ERROR_STATUS = 500
+CRASH_CHECK_SECONDS = 0.02
 
 
 def handle_call(ingress: Ingress, call: IncomingCall) -> Outcome:
@@ -53,6 +56,7 @@
     failure = _find_refusal(ingress, call)
     if failure is not None:
         _count_refusal(ingress, failure)
+        _log_call(ingress, call, Err(failure))
         return Err(failure)
     ingress.calls_in_progress += 1
     try:
@@ -63,9 +67,48 @@
     finally:
         ingress.calls_in_progress -= 1
     _record_metrics(ingress, call, outcome)
+    _log_call(ingress, call, outcome)
     return outcome
 
 
+def _log_call(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
+    is_failure = outcome.is_err() or outcome.ok_value.status >= SERVER_ERROR_STATUS
+    if not may_log(ingress.decisions, is_failure=is_failure):
+        return
+    now = ingress.blackboard.clock.monotonic()
+    life = ingress.life
+    fields: dict[str, object] = {
+        "caller_request_id": _find_value(call, ingress.dialect.request_id),
+        "request_id": call.request_id,
+        "service": call.service,
+        "route": call.route,
+        "attempt": call.attempt,
+        "outcome": describe_outcome(outcome),
+        "ms": round((now - call.arrived_at) * 1000, 1),
+        "waited_ms": round((call.sent_at - call.arrived_at) * 1000, 1) if call.sent_at else None,
+        "slowness": call.pace_at_send and call.pace_at_send.slowness,
+        "pace_age_ms": call.pace_at_send
+        and round((call.sent_at - call.pace_at_send.read_at) * 1000),
+        "running": ingress.queue.running,
+        "waiting": len(ingress.queue.waiting),
+        "limit": ingress.queue.limit.limit,
+        "instance_id": life.instance_id,
+        "target_state": life.state.value,
+        "heartbeat_age_ms": round((now - life.heard_at) * 1000),
+    }
+    if outcome.is_err():
+        fields["detail"] = outcome.err_value.detail
+    log_decision(ingress.decisions, "call failed" if is_failure else "call", fields)
+
+
+def _describe_pace(call: IncomingCall) -> dict[str, object]:
+    reading = call.pace_at_send
+    if reading is None:
+        return {}
+    age_seconds = call.sent_at - reading.read_at
+    return {"slowness": reading.slowness, "pace_age_ms": round(age_seconds * 1000)}
+
+
 def _record_metrics(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
     if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
         _count_refusal(ingress, outcome.err_value)
@@ -238,8 +281,17 @@
         return Err(_refuse(Refusal.WRONG_SERVICE, "target was detached"))
     if call.deadline <= started_at:
         return Err(_refuse(Refusal.DEADLINE, "deadline passed before the request was sent"))
+    slow = await_pace(ingress, call)
+    if slow is not None:
+        return Err(slow)
+    failure = _find_refusal(ingress, call)
+    if failure is not None:
+        return Err(failure)
+    started_at = clock.monotonic()
     if not _is_within_cold_rate(ingress, started_at):
         return Err(_refuse(Refusal.TARGET_COLD, "target is cold and has its share"))
+    call.sent_at = started_at
+    call.pace_at_send = ingress.pace
     if record is not None:
         mark_running(record, started_at)
 
@@ -261,6 +313,16 @@
     return admit_cold(ingress.warming, now)
 
 
+def _report_crash(ingress: Ingress, call: IncomingCall) -> None:
+    if not ingress.dialect.instance:
+        ingress.report_crash(call.fingerprint)
+        return
+    # A target that is told apart by its id may have lost no more than one answer.
+    # The caller may send the request again at once, so the check comes first.
+    check = gevent.spawn(report_if_crashed, ingress, call.fingerprint)
+    check.join(timeout=CRASH_CHECK_SECONDS)
+
+
 def _make_target_request(ingress: Ingress, call: IncomingCall, now: float) -> TargetRequest:
     dialect = ingress.dialect
     remaining_ms = max(1, int((call.deadline - now) * 1000))
@@ -297,6 +359,7 @@
     seconds = now - started_at
     match outcome:
         case Ok(response):
+            take_load(ingress, response, now)
             response.version = ingress.blackboard.own.version
             is_failure = response.status >= SERVER_ERROR_STATUS
             record_answer(limit, started_at, now, is_failure=is_failure)
@@ -312,7 +375,7 @@
             if failure.verdict is Verdict.MAY_HAVE_RUN and not is_recent(
                 ingress.proven_fingerprints, call.fingerprint
             ):
-                gevent.spawn(report_if_crashed, ingress, call.fingerprint)
+                _report_crash(ingress, call)
         case Err(Failure(refusal=Refusal.WRONG_INSTANCE)):
             suspect(ingress.life)
         case Err(Failure(verdict=Verdict.NOT_RUN)):
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -2,15 +2,16 @@
 
 from datetime import timedelta
 
-import gevent
 from result import Err, Ok
 
+from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.core.verdicts import Outcome, Refusal, Response
 from comfreyhitch.ingress.lifecycle import (
     TargetState,
     suspect,
     take_health,
 )
+from comfreyhitch.ingress.load import parse_load
 from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.utils.token_bucket import take
@@ -20,8 +21,6 @@
 HEALTH_BODY_LIMIT_BYTES = 4096
 OK_STATUS = 200
 MAX_COLD_MS = 600_000
-# After a failure the target is given this long to be seen gone.
-CRASH_CHECK_SECONDS = 0.05
 
 
 def check_target(ingress: Ingress) -> None:
@@ -67,7 +66,6 @@
 def report_if_crashed(ingress: Ingress, fingerprint: str) -> None:
     """Report a request whose target proves to have died while it ran it."""
     instance_id = ingress.life.instance_id
-    gevent.sleep(CRASH_CHECK_SECONDS)
     if ingress.connections is None:
         return
     match probe_target(ingress):
@@ -104,9 +102,18 @@
     is_healthy = response.status == OK_STATUS
     instance_id = _read_instance(ingress, response)
     cold_for = _read_cold_time(ingress, response)
+    take_load(ingress, response, now)
     take_health(ingress.life, instance_id, is_healthy, cold_for, now)
 
 
+def take_load(ingress: Ingress, response: Response, now: float) -> None:
+    """Take in the load that a response tells."""
+    text = _find_value(response, ingress.dialect.load)
+    load = parse_load(text) if text else None
+    if load is not None and load.slowness is not None:
+        ingress.pace = PaceReading(load.slowness, now)
+
+
 def _read_instance(ingress: Ingress, response: Response) -> str:
     return _find_value(response, ingress.dialect.instance)
 
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -5,6 +5,7 @@
 import gevent.socket
 from result import Err, Ok
 
+from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.wire.generated.ttypes import (
@@ -37,7 +38,12 @@
     fingerprint: str
     route: str
     attempt: int
+    # How long to wait for a slow instance, in seconds; None to run at any pace.
+    patience_seconds: float | None = None
     cancel_socket: gevent.socket.socket | None = None
+    # When the request went to the target, in monotonic seconds; 0 before that.
+    sent_at: float = 0.0
+    pace_at_send: PaceReading | None = None
 
     @classmethod
     def from_wire(
@@ -61,6 +67,7 @@
             fingerprint=request.fingerprint,
             route=request.route,
             attempt=request.attempt,
+            patience_seconds=request.patience_seconds,
             cancel_socket=cancel_socket,
         )
 
--- /dev/null
+++ b/comfreyhitch/ingress/pace.py
@@ -0,0 +1,43 @@
+"""Follow the pace of the target's instance, and hold requests in slow moments."""
+
+import gevent
+
+from comfreyhitch.admission.pacing import POLL_SECONDS, PaceDecision, decide_by_pace
+from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
+from comfreyhitch.ingress.health import probe_target
+from comfreyhitch.ingress.models import IncomingCall
+from comfreyhitch.ingress.state import Ingress, tells_pace
+from comfreyhitch.utils.token_bucket import take
+
+
+def await_pace(ingress: Ingress, call: IncomingCall) -> Failure | None:
+    """Wait for the usual pace as long as the call allows; return a failure if it is slow."""
+    if call.patience_seconds is None or not tells_pace(ingress):
+        return None
+    clock = ingress.blackboard.clock
+    started_at = clock.monotonic()
+    while True:
+        now = clock.monotonic()
+        waited_seconds = now - started_at
+        decision = decide_by_pace(ingress.pace, now, waited_seconds, call.patience_seconds)
+        if decision is PaceDecision.RUN:
+            return None
+        if decision is PaceDecision.REFUSE:
+            detail = f"instance is {ingress.pace.slowness:g} times as slow as usual"
+            return Failure(Verdict.NOT_RUN, Refusal.TARGET_SLOW, detail)
+        if decision is PaceDecision.READ:
+            if not _read(ingress):
+                return None
+            continue
+        gevent.sleep(min(POLL_SECONDS, max(0.001, call.patience_seconds - waited_seconds)))
+
+
+def _read(ingress: Ingress) -> bool:
+    """Read the pace within the budget for probes, and return whether that gave a reading."""
+    before = ingress.pace
+    if ingress.pace_probe is None or ingress.pace_probe.ready():
+        if not take(ingress.target_probe_budget, ingress.blackboard.clock.monotonic()):
+            return False
+        ingress.pace_probe = gevent.spawn(probe_target, ingress)
+    ingress.pace_probe.join()
+    return ingress.pace is not before
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import gevent
+
 from comfreyhitch.admission.limiter import forget_baseline, set_known_limit
+from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.admission.queue import AdmissionQueue
 from comfreyhitch.admission.warming import WarmingGate, set_rate
 from comfreyhitch.conf.models import Settings
@@ -14,6 +17,7 @@
 from comfreyhitch.ingress.records import RecordStore
 from comfreyhitch.ingress.target import TargetConnections, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
+from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.recent import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
@@ -24,6 +28,8 @@
 MAX_RECORD_BYTES = 8 * 1024 * 1024
 PROVEN_FINGERPRINTS = 2048
 LATENCY_WEIGHT = 0.1
+# Probes of this time may come at once.
+PROBE_BURST_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -39,6 +45,7 @@
     metrics: Metrics
     report_crash: Callable[[str], None]
     target_probe_budget: TokenBucket
+    decisions: DecisionLog
     proven_fingerprints: RecentSet = field(
         default_factory=lambda: RecentSet.from_capacity(PROVEN_FINGERPRINTS)
     )
@@ -47,6 +54,8 @@
     warming: WarmingGate | None = None
     connections: TargetConnections | None = None
     probed_at: float = 0.0
+    pace: PaceReading | None = None
+    pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
     calls_in_progress: int = 0
 
@@ -74,12 +83,20 @@
             metrics=metrics,
             report_crash=report_crash,
             dialect=dialect,
+            decisions=DecisionLog.from_clock("comfreyhitch.ingress", blackboard.clock),
             target_probe_budget=TokenBucket.from_rate(
-                settings.target_probe_rate, 1.0, blackboard.clock.monotonic()
+                settings.target_probe_rate,
+                max(1.0, PROBE_BURST_SECONDS * settings.target_probe_rate),
+                blackboard.clock.monotonic(),
             ),
         )
 
 
+def tells_pace(ingress: Ingress) -> bool:
+    """Return whether the target has told how slow its instance is."""
+    return ingress.pace is not None
+
+
 def attach_target(ingress: Ingress, host: str, port: int, slots: int) -> None:
     """Take a newly announced target, which is cold."""
     clock = ingress.blackboard.clock
@@ -126,6 +143,7 @@
         limit=queue.limit.limit,
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
+        slowness=None if ingress.pace is None else ingress.pace.slowness,
     )
 
 
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -16,7 +16,7 @@
 # Share of the allowance for repeats that daemons use, since they can't count together.
 RETRY_EXTRA_SHARE = 0.5
 RETRY_RATIO_SHARE = 0.8
-TARGET_PROBES_PER_SECOND = 10.0
+TARGET_PROBES_PER_SECOND = 40.0
 TARGET_PROBE_INTERVAL_SECONDS = 1.0
 
 
--- /dev/null
+++ b/comfreyhitch/telemetry/decisions.py
@@ -0,0 +1,55 @@
+"""Log the decisions about requests, within a bound on lines a second."""
+
+import logging
+from dataclasses import dataclass, field
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.utils.token_bucket import TokenBucket, take
+
+FAILURE_LINES_PER_SECOND = 50.0
+SUCCESS_LINES_PER_SECOND = 5.0
+
+
+@dataclass(slots=True)
+class DecisionLog:
+    """Hold how many lines may still be written; failures have a bound of their own."""
+
+    logger: logging.Logger
+    clock: Clock
+    failures: TokenBucket
+    successes: TokenBucket
+    left_out: int = field(default=0)
+
+    @classmethod
+    def from_clock(cls, name: str, clock: Clock) -> "DecisionLog":
+        """Return a log that may write its first lines at once."""
+        now = clock.monotonic()
+        return cls(
+            logger=logging.getLogger(name),
+            clock=clock,
+            failures=TokenBucket.from_rate(
+                FAILURE_LINES_PER_SECOND, 2 * FAILURE_LINES_PER_SECOND, now
+            ),
+            successes=TokenBucket.from_rate(
+                SUCCESS_LINES_PER_SECOND, SUCCESS_LINES_PER_SECOND, now
+            ),
+        )
+
+
+def may_log(log: DecisionLog, *, is_failure: bool) -> bool:
+    """Return whether a line about a request may be written now; count it if not."""
+    if not log.logger.isEnabledFor(logging.INFO):
+        return False
+    bucket = log.failures if is_failure else log.successes
+    if take(bucket, log.clock.monotonic()):
+        return True
+    log.left_out += 1
+    return False
+
+
+def log_decision(log: DecisionLog, message: str, fields: dict[str, object]) -> None:
+    """Write one line, and how many were left out since the last one."""
+    if log.left_out:
+        fields["lines_left_out"] = log.left_out
+        log.left_out = 0
+    log.logger.info(message, extra=fields)
--- a/comfreyhitch/telemetry/logs.py
+++ b/comfreyhitch/telemetry/logs.py
@@ -1,11 +1,18 @@
-"""Logging as JSON lines."""
+"""Logging as JSON lines that never block the process."""
 
 import json
 import logging
+import os
 import sys
+from collections import deque
 from datetime import UTC, datetime
 
+import gevent
+from gevent.os import make_nonblocking, nb_write
+
 _STANDARD_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+MAX_WAITING_LINES = 5_000
+FLUSH_SECONDS = 0.05
 
 
 class JsonFormatter(logging.Formatter):
@@ -31,10 +38,60 @@
         return json.dumps(entry, default=str)
 
 
-def configure_logging(level: str, daemon: str) -> None:
-    """Send all logs of the process to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+class QueuedHandler(logging.Handler):
+    """Keep lines until a greenlet writes them; drop and count them when nobody reads."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one line."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self._dropped += 1
+            return
+        try:
+            self._lines.append(self.format(record))
+        except Exception:
+            self.handleError(record)
+
+    def run(self) -> None:
+        """Write lines as they come, for as long as the process runs."""
+        make_nonblocking(self._descriptor)
+        while True:
+            gevent.sleep(FLUSH_SECONDS)
+            if not self._lines:
+                continue
+            data = self._take()
+            while data:
+                data = data[nb_write(self._descriptor, data) :]
+
+    def flush_at_exit(self) -> None:
+        """Write what still waits, without waiting for a reader."""
+        data = self._take()
+        try:
+            os.write(self._descriptor, data)
+        except OSError as error:
+            # Nobody reads the lines any more, so there is nobody to tell.
+            sys.stderr.write(f"last log lines were lost: {error}\n")
+
+    def _take(self) -> bytes:
+        lines = [*self._lines, ""]
+        self._lines.clear()
+        if self._dropped:
+            lines.insert(0, json.dumps({"message": "log lines dropped", "count": self._dropped}))
+            self._dropped = 0
+        return "\n".join(lines).encode()
+
+
+def configure_logging(level: str, daemon: str) -> QueuedHandler:
+    """Send all logs of the process to standard output as JSON lines."""
+    handler = QueuedHandler(sys.stdout.fileno())
     handler.setFormatter(JsonFormatter(daemon))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    gevent.spawn(handler.run)
+    return handler
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -27,6 +27,8 @@
   3: required i32 limit,
   4: required double latency_seconds,
   5: required bool accepting,
+  /** How many times as long as usual work takes on the instance at the moment. */
+  6: optional double slowness,
 }
 
 struct CallRequest {
@@ -44,6 +46,8 @@
   12: required string fingerprint,
   13: required string route,
   14: required i32 attempt,
+  /** How long to wait for a slow instance before refusing; without it, run at any pace. */
+  15: optional double patience_seconds,
 }
 
 struct CallAnswer {
