Carry out rollouts that are ordered in the store

Each daemon bounds what a version gets before it is known to be good by its own part of a small number and of its requests, so the sum needs no message. The service's daemons judge on windows of a second, a veto goes out at once, and the outcome is written by conditional update, by up to three daemons in turn. The deadline travels as the remaining lifetime of a fact, so that clocks which differ or jump don't move it; the time of day a daemon works with no longer jumps.

--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -31,6 +31,17 @@
     reported_at: datetime
 
 
+@dataclass(frozen=True, slots=True)
+class ActiveRollout:
+    """Hold how far an ordered rollout has come; a veto tells why it gets nothing more."""
+
+    rollout_id: str
+    to_version: str
+    stage: int
+    veto: str | None = None
+    is_done: bool = False
+
+
 @dataclass(slots=True)
 class Blackboard:
     """Hold the daemon's view of itself, its peers and the configuration."""
@@ -44,6 +55,7 @@
     service_names_by_host: dict[str, str] = field(default_factory=dict)
     route_table: RouteTable | None = None
     rollout_orders_by_service: dict[str, RolloutOrder] = field(default_factory=dict)
+    active_rollouts_by_service: dict[str, ActiveRollout] = field(default_factory=dict)
     zones_out: frozenset[str] = frozenset()
     tenant_shares_by_name: dict[str, float] = field(default_factory=dict)
     probe_rate: float | None = None
@@ -77,6 +89,9 @@
 
 def get_refused_version_reason(blackboard: Blackboard, service: str, version: str) -> str | None:
     """Return why a version of a service gets no work, or None if it does."""
+    active = blackboard.active_rollouts_by_service.get(service)
+    if active is not None and active.to_version == version:
+        return active.veto
     policy = blackboard.services_by_name.get(service)
     if policy is None or policy.rollout is None or policy.rollout.to_version != version:
         return None
--- a/comfreyhitch/core/clock.py
+++ b/comfreyhitch/core/clock.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
+# Part of the elapsed time by which the time of day is corrected at most.
+MAX_SLEW = 0.01
+
 
 @dataclass(frozen=True, slots=True)
 class Clock:
@@ -15,5 +18,24 @@
 
     @classmethod
     def from_system(cls) -> "Clock":
-        """Return the clock of this instance."""
-        return cls(monotonic=time.monotonic, now=lambda: datetime.now(UTC))
+        """Return the clock of this instance, whose time of day does not jump."""
+        return cls(monotonic=time.monotonic, now=make_steady_now(time.monotonic, time.time))
+
+
+def make_steady_now(
+    monotonic: Callable[[], float], wall: Callable[[], float]
+) -> Callable[[], datetime]:
+    """Return a time of day that follows the wall clock slowly when that jumps."""
+    read_at = monotonic()
+    offset = wall() - read_at
+
+    def now() -> datetime:
+        nonlocal read_at, offset
+        current = monotonic()
+        bound = (current - read_at) * MAX_SLEW
+        error = wall() - current - offset
+        offset += min(max(error, -bound), bound)
+        read_at = current
+        return datetime.fromtimestamp(current + offset, UTC)
+
+    return now
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -9,6 +9,7 @@
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.observers import forget_expired
 from comfreyhitch.documents.watching import is_cut_off, make_document_follower
+from comfreyhitch.egress.eligibility import refresh_candidates
 from comfreyhitch.egress.probes import send_probes
 from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
@@ -19,6 +20,8 @@
 from comfreyhitch.replication.facts import StoredFact, expire_facts
 from comfreyhitch.replication.sync import sync_with_peer
 from comfreyhitch.rollouts.controller import RolloutController, run_rollouts
+from comfreyhitch.rollouts.order_recorder import OrderRecorder, run_order_recorder
+from comfreyhitch.rollouts.orders import OrderController, run_orders
 from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
 from comfreyhitch.sections.reader import SectionReader, is_reader, run_reader
 from comfreyhitch.watching.follower import follow
@@ -30,6 +33,7 @@
 JOIN_RETRY_INTERVAL = timedelta(seconds=1)
 REGISTRATION_INTERVAL = timedelta(seconds=60)
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
+ORDER_INTERVAL = timedelta(milliseconds=250)
 DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A tick that comes this late means that the process was frozen, not busy.
@@ -63,11 +67,28 @@
         evidence=daemon.evidence,
         send_to_service=lambda service, facts: _send_to_service(daemon, service, facts),
     )
+    if daemon.border.documents:
+        _start_orders(daemon, rollouts)
+        return
     recorder = OutcomeRecorder(daemon.blackboard, daemon.store, daemon.platform)
     for action in (lambda: run_rollouts(rollouts), lambda: run_recorder(recorder)):
         daemon.greenlets.append(gevent.spawn(_repeat, ROLLOUT_INTERVAL, action))
 
 
+def _start_orders(daemon: Daemon, rollouts: RolloutController) -> None:
+    orders = OrderController(rollouts, lambda: refresh_candidates(daemon.blackboard))
+    daemon.greenlets.append(gevent.spawn(_repeat, ORDER_INTERVAL, lambda: run_orders(orders)))
+    for source in daemon.border.documents:
+        if source.encode_status is None or daemon.platform is None:
+            continue
+        recorder = OrderRecorder(daemon.blackboard, orders, daemon.platform, source)
+        daemon.greenlets.append(
+            gevent.spawn(
+                _repeat, ORDER_INTERVAL, lambda recorder=recorder: run_order_recorder(recorder)
+            )
+        )
+
+
 def _start_platform_controllers(daemon: Daemon, client: PlatformClient) -> None:
     if daemon.border.documents:
         _start_document_followers(daemon, client)
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -51,6 +51,7 @@
         FactKind.CRASH: _make_check(CrashRecord, lambda record: record.reported_at),
         FactKind.EVIDENCE: _make_check(EvidenceRecord, lambda record: 0.0),
         FactKind.STAGE: _check_stage,
+        FactKind.DEADLINE: _check_stage,
         FactKind.DOCUMENT: lambda key, version, value: check_document_fact(key, value, decoders),
     }
 
--- a/comfreyhitch/documents/models.py
+++ b/comfreyhitch/documents/models.py
@@ -33,6 +33,7 @@
 class RolloutOrder:
     """Hold the order to move a service to a version within a duration."""
 
+    rollout_id: str
     service: str
     to_version: str
     duration: timedelta
@@ -58,6 +59,7 @@
     spec: Any = None
     status: Any = None
     is_deleted: bool = False
+    created_revision: int = 0
 
     @property
     def key(self) -> str:
@@ -65,6 +67,8 @@
         return f"{self.kind.value}/{self.name}"
 
 
+_REPLICATED_FIELDS = {"spec", "status", "created"}
+
 DecodeDocument = Callable[[RawDocument], Result[Document, str]]
 
 
@@ -75,13 +79,19 @@
     kind: DocumentKind
     store_kind: str
     decode: DecodeDocument
+    # Returns the status that tells an operator how far a rollout has come.
+    encode_status: "Callable[[RolloutOrder, RolloutState], dict[str, Any]] | None" = None
 
 
 def dump_document(document: RawDocument) -> bytes:
     """Return the bytes that daemons replicate; a deleted document has none."""
     if document.is_deleted:
         return b""
-    content = {"spec": document.spec, "status": document.status}
+    content = {
+        "spec": document.spec,
+        "status": document.status,
+        "created": document.created_revision,
+    }
     return json.dumps(content, sort_keys=True, separators=(",", ":")).encode()
 
 
@@ -98,6 +108,16 @@
         content = json.loads(value)
     except ValueError as error:
         return Err(f"{key}: {error}")
-    if not isinstance(content, dict) or content.keys() != {"spec", "status"}:
-        return Err(f"{key}: a document has a spec and a status")
-    return Ok(RawDocument(kind, name, content["spec"], content["status"]))
+    if not isinstance(content, dict) or content.keys() != _REPLICATED_FIELDS:
+        return Err(f"{key}: a document has a spec, a status and the revision of its creation")
+    if not isinstance(content["created"], int):
+        return Err(f"{key}: the revision of its creation is a number")
+    return Ok(
+        RawDocument(
+            kind,
+            name,
+            content["spec"],
+            content["status"],
+            created_revision=content["created"],
+        )
+    )
--- a/comfreyhitch/documents/watching.py
+++ b/comfreyhitch/documents/watching.py
@@ -57,7 +57,12 @@
 def _make_fact(source: DocumentSource, item: PlatformObject, revision: int) -> StoredFact:
     # An object that is being deleted stands for one that is gone.
     document = RawDocument(
-        source.kind, item.metadata.name, item.spec, item.status, item.metadata.is_deleting
+        source.kind,
+        item.metadata.name,
+        item.spec,
+        item.status,
+        item.metadata.is_deleting,
+        item.metadata.created_revision,
     )
     return StoredFact(FactKind.DOCUMENT, document.key, revision, dump_document(document))
 
--- a/comfreyhitch/egress/candidates.py
+++ b/comfreyhitch/egress/candidates.py
@@ -2,16 +2,22 @@
 
 from collections.abc import Collection, Sequence
 
+from comfreyhitch.core.blackboard import ActiveRollout
 from comfreyhitch.egress.models import Candidate
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.views import get_view, is_full
+from comfreyhitch.rollouts.exposure import ExposureCount, may_expose
 from comfreyhitch.rollouts.shares import choose_version
+from comfreyhitch.rollouts.timeline import Stage
 
 
 def choose_candidate(egress: Egress, service: str, tried: Collection[str]) -> Candidate | None:
     """Return a target of a service that was not tried, or None if there is none."""
     blackboard = egress.blackboard
     candidates = blackboard.candidates_by_service.get(service, [])
+    active = blackboard.active_rollouts_by_service.get(service)
+    if active is not None:
+        return _choose_during_rollout(egress, active, candidates, tried)
     shares = blackboard.shares_by_service.get(service)
     now = blackboard.clock.monotonic()
     if shares is None:
@@ -23,6 +29,46 @@
     return _find_old_version(egress, service, candidates, tried, now) or candidate
 
 
+def count_first_try(egress: Egress, service: str, version: str) -> None:
+    """Count a request to a service whose version is being replaced."""
+    active = egress.blackboard.active_rollouts_by_service.get(service)
+    if active is None:
+        return
+    count = _get_exposure(egress, active)
+    count.requests += 1
+    count.exposed += version == active.to_version
+
+
+def _choose_during_rollout(
+    egress: Egress,
+    active: ActiveRollout,
+    candidates: Sequence[Candidate],
+    tried: Collection[str],
+) -> Candidate | None:
+    now = egress.blackboard.clock.monotonic()
+    new = [item for item in candidates if item.version == active.to_version]
+    old = [item for item in candidates if item.version != active.to_version]
+    if active.veto is not None:
+        return egress.choose(old, tried, now)
+    if active.is_done or not old:
+        return egress.choose(new, tried, now) or egress.choose(old, tried, now)
+    daemons = len(egress.blackboard.members_by_address)
+    count = _get_exposure(egress, active)
+    if may_expose(count, Stage(active.stage), daemons, egress.random):
+        candidate = egress.choose(new, tried, now)
+        if candidate is not None:
+            return candidate
+    return egress.choose(old, tried, now)
+
+
+def _get_exposure(egress: Egress, active: ActiveRollout) -> ExposureCount:
+    count = egress.exposures_by_rollout.get(active.rollout_id)
+    if count is None:
+        count = ExposureCount.from_random(egress.random)
+        egress.exposures_by_rollout[active.rollout_id] = count
+    return count
+
+
 def _is_full_new_version(egress: Egress, service: str, candidate: Candidate, now: float) -> bool:
     policy = egress.blackboard.services_by_name.get(service)
     plan = None if policy is None else policy.rollout
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -4,7 +4,7 @@
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
 from comfreyhitch.egress.attempts import start_attempt
-from comfreyhitch.egress.candidates import choose_candidate
+from comfreyhitch.egress.candidates import choose_candidate, count_first_try
 from comfreyhitch.egress.classify import OutgoingCall, Try
 from comfreyhitch.egress.fencing import await_fenced
 from comfreyhitch.egress.hedging import await_hedged
@@ -50,6 +50,7 @@
     call = progress.call
     now = egress.blackboard.clock.monotonic()
     view = get_view(egress.blackboard.views_by_address, candidate.address)
+    count_first_try(egress, call.service, candidate.version)
     made = Try(
         target=candidate.address,
         zone=candidate.zone,
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -145,6 +145,7 @@
         return Err(_describe(document, error))
     return Ok(
         RolloutOrder(
+            rollout_id=f"{model.service}:{model.to_version}:{document.created_revision}",
             service=model.service,
             to_version=model.to_version,
             duration=model.duration,
@@ -165,7 +166,7 @@
 
 DOCUMENT_SOURCES = (
     DocumentSource(DocumentKind.ROUTES, KIND_CONFIGURATION, decode_configuration),
-    DocumentSource(DocumentKind.ROLLOUT, KIND_ROLLOUTS, decode_rollout),
+    DocumentSource(DocumentKind.ROLLOUT, KIND_ROLLOUTS, decode_rollout, encode_rollout_status),
     DocumentSource(DocumentKind.EVACUATION, KIND_EVACUATIONS, decode_evacuation),
 )
 
--- a/comfreyhitch/platform/models.py
+++ b/comfreyhitch/platform/models.py
@@ -16,6 +16,7 @@
 
     name: str = Field(alias="Name")
     revision: int = Field(0, alias="Rev")
+    created_revision: int = Field(0, alias="CreateRevision")
     finalizers: list[str] = Field([], alias="Finalizers")
     is_deleting: bool = Field(False, alias="Deleting")
 
--- a/comfreyhitch/replication/facts.py
+++ b/comfreyhitch/replication/facts.py
@@ -32,6 +32,7 @@
     EVIDENCE = "evidence"
     STAGE = "stage"
     DOCUMENT = "document"
+    DEADLINE = "deadline"
 
 
 # These facts are only of use for a moment, so they are not kept or synced.
--- a/comfreyhitch/rollouts/controller.py
+++ b/comfreyhitch/rollouts/controller.py
@@ -80,14 +80,14 @@
     merge_facts(store, [fact])
 
 
-def collect_evidence(controller: RolloutController, plan: RolloutPlan) -> list[Evidence]:
+def collect_evidence(controller: RolloutController, rollout_id: str) -> list[Evidence]:
     """Return the evidence of all daemons of the service, the own current window included."""
     blackboard = controller.blackboard
-    known = list(blackboard.evidence_by_rollout.get(plan.rollout_id, {}).values())
+    known = list(blackboard.evidence_by_rollout.get(rollout_id, {}).values())
     current = get_window_evidence(
         controller.evidence,
         get_window(blackboard.clock),
-        plan.rollout_id,
+        rollout_id,
         blackboard.own.version,
         blackboard.own.address,
     )
@@ -102,32 +102,33 @@
     )
     if is_ended or now < plan.starts_at:
         return
-    _publish_evidence(controller, plan)
+    publish_evidence(controller, plan.rollout_id, plan.service)
     if not is_judged(plan, now):
         return
-    judgement = judge(collect_evidence(controller, plan), plan.to_version)
+    judgement = judge(collect_evidence(controller, plan.rollout_id), plan.to_version)
     if judgement.finding is not None:
         publish_veto(controller.store, plan, judgement.finding, now)
     else:
         _advance_stage(controller, plan, judgement)
 
 
-def _publish_evidence(controller: RolloutController, plan: RolloutPlan) -> None:
+def publish_evidence(controller: RolloutController, rollout_id: str, service: str) -> None:
+    """Send what the own target's answers showed to the other daemons of the service."""
     blackboard = controller.blackboard
     own = blackboard.own
     current = get_window(blackboard.clock)
-    since = controller.published_window_by_rollout.get(plan.rollout_id, current - 2)
+    since = controller.published_window_by_rollout.get(rollout_id, current - 2)
     facts = []
     for window in range(since + 1, current):
         evidence = get_window_evidence(
-            controller.evidence, window, plan.rollout_id, own.version, own.address
+            controller.evidence, window, rollout_id, own.version, own.address
         )
         if evidence is not None:
             facts.extend(_make_evidence_facts(blackboard, evidence))
-    controller.published_window_by_rollout[plan.rollout_id] = current - 1
+    controller.published_window_by_rollout[rollout_id] = current - 1
     if facts:
         merge_facts(controller.store, facts)
-        controller.send_to_service(plan.service, facts)
+        controller.send_to_service(service, facts)
 
 
 def _make_evidence_facts(blackboard: Blackboard, evidence: Evidence) -> list[StoredFact]:
--- a/comfreyhitch/rollouts/evidence.py
+++ b/comfreyhitch/rollouts/evidence.py
@@ -7,8 +7,8 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.rollouts.models import Evidence, RouteCounts
 
-WINDOW_SECONDS = 2
-KEPT_WINDOWS = 60
+WINDOW_SECONDS = 1
+KEPT_WINDOWS = 120
 MAX_ROUTES = 32
 OTHER_ROUTE = "*"
 # Bounds grow by the square root of two from 0.5 ms to about 11 s.
--- a/comfreyhitch/rollouts/judge.py
+++ b/comfreyhitch/rollouts/judge.py
@@ -44,8 +44,11 @@
     is_suspicious: bool
 
 
-def judge(evidence: Iterable[Evidence], new_version: str) -> Judgement:
-    """Return whether the new version is worse than the old one beyond chance."""
+def judge(evidence: Iterable[Evidence], new_version: str, alpha: float = ALPHA) -> Judgement:
+    """Return whether the new version is worse than the old one beyond chance.
+
+    `alpha` bounds the chance of a finding about a healthy version at each look.
+    """
     old, new = _split(evidence, new_version)
     findings = []
     is_suspicious = False
@@ -53,7 +56,7 @@
         comparison = _Comparison(
             list(new.counts_by_route[route].values()), _sum(old.counts_by_route.get(route))
         )
-        for finding, suspicion in _compare(comparison):
+        for finding, suspicion in _compare(comparison, alpha):
             is_suspicious |= suspicion
             if finding is not None:
                 findings.append(f"{finding} on {route}")
@@ -85,13 +88,13 @@
     return total
 
 
-def _compare(comparison: _Comparison) -> Iterator[tuple[str | None, bool]]:
-    yield _compare_failures(comparison)
+def _compare(comparison: _Comparison, alpha: float) -> Iterator[tuple[str | None, bool]]:
+    yield _compare_failures(comparison, alpha)
     if comparison.old.requests >= MIN_OLD_REQUESTS:
-        yield _compare_latency(comparison)
+        yield _compare_latency(comparison, alpha)
 
 
-def _compare_failures(comparison: _Comparison) -> tuple[str | None, bool]:
+def _compare_failures(comparison: _Comparison, alpha: float) -> tuple[str | None, bool]:
     windows = comparison.new_windows
     requests = sum(counts.requests for counts in windows)
     failures = sum(counts.failures for counts in windows)
@@ -102,7 +105,7 @@
         return None, False
     failing_windows = sum(counts.failures > 0 for counts in windows)
     is_clear = failing_windows >= MIN_FAILING_WINDOWS or _is_failing_fast(windows)
-    if chance < ALPHA and is_clear:
+    if chance < alpha and is_clear:
         return f"{failures} of {requests} requests failed, against {expected:.1%} expected", True
     return None, chance < SUSPICION_ALPHA
 
@@ -115,7 +118,7 @@
     )
 
 
-def _compare_latency(comparison: _Comparison) -> tuple[str | None, bool]:
+def _compare_latency(comparison: _Comparison, alpha: float) -> tuple[str | None, bool]:
     threshold = _find_slow_bucket(comparison.old)
     old_slow = _count_slow(comparison.old, threshold)
     expected = max(MIN_SLOW_SHARE, _get_expected_share(old_slow, comparison.old.requests))
@@ -127,7 +130,7 @@
     chance = bound_tail(slow, requests, expected)
     # A slow moment of one instance fills a window or two, a slow version all.
     slow_windows = sum(_is_slow_window(counts, threshold, expected) for counts in windows)
-    if chance < ALPHA and slow_windows >= MIN_SLOW_WINDOWS:
+    if chance < alpha and slow_windows >= MIN_SLOW_WINDOWS:
         return f"{slow} of {requests} requests were slow, against {expected:.1%} expected", True
     return None, chance < SUSPICION_ALPHA
 
--- /dev/null
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -0,0 +1,137 @@
+"""Tell the operator how an ordered rollout ends; exactly one outcome is kept."""
+
+import logging
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from result import Err, Ok
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.documents.models import DocumentSource, RawDocument, RolloutOrder, RolloutState
+from comfreyhitch.platform.client import PlatformClient, get_object, update_status
+from comfreyhitch.platform.models import PlatformObject
+from comfreyhitch.rollouts.orders import OrderController, get_deadline, publish_order_veto
+from comfreyhitch.rollouts.timeline import Stage, is_outcome_due, is_settled
+from comfreyhitch.utils.hashing import rank_by_rendezvous
+
+logger = logging.getLogger(__name__)
+
+ENDED = frozenset({RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK})
+RETRY_INTERVAL = timedelta(milliseconds=500)
+# Each further daemon in line waits this much longer before it acts.
+TURN_INTERVAL = timedelta(milliseconds=600)
+MAX_TURNS = 3
+
+
+@dataclass(slots=True)
+class OrderRecorder:
+    """Hold what this daemon has told, and when it may try again."""
+
+    blackboard: Blackboard
+    orders: OrderController
+    client: PlatformClient
+    source: DocumentSource
+    told_by_rollout: dict[str, RolloutState] = field(default_factory=dict)
+    due_since_by_rollout: dict[tuple[str, RolloutState], datetime] = field(default_factory=dict)
+    next_try_by_rollout: dict[str, datetime] = field(default_factory=dict)
+
+
+def run_order_recorder(recorder: OrderRecorder) -> None:
+    """Write what is due for each order, if it is this daemon's turn."""
+    for name, order in list(recorder.blackboard.rollout_orders_by_service.items()):
+        if order.state in ENDED:
+            continue
+        state = _get_due_state(recorder, order)
+        if state is not None and state is not order.state and _is_own_turn(recorder, order, state):
+            _write(recorder, name, order, state)
+
+
+def _get_due_state(recorder: OrderRecorder, order: RolloutOrder) -> RolloutState | None:
+    blackboard = recorder.blackboard
+    if order.rollout_id in blackboard.vetoes_by_rollout:
+        return RolloutState.ROLLED_BACK
+    now = blackboard.clock.now()
+    store = recorder.orders.rollouts.store
+    elapsed = order.duration - (get_deadline(store, order) - now)
+    if not is_outcome_due(elapsed, order.duration):
+        return RolloutState.RUNNING
+    stage = Stage(blackboard.stages_by_rollout.get(order.rollout_id, 0))
+    full_since = recorder.orders.full_since_by_rollout.get(order.rollout_id, now)
+    if is_settled(stage, now - full_since, order.duration):
+        return RolloutState.SUCCEEDED
+    if stage is Stage.FULL:
+        return None
+    return RolloutState.ROLLED_BACK
+
+
+def _is_own_turn(recorder: OrderRecorder, order: RolloutOrder, state: RolloutState) -> bool:
+    now = recorder.blackboard.clock.now()
+    due_since = recorder.due_since_by_rollout.setdefault((order.rollout_id, state), now)
+    if now < recorder.next_try_by_rollout.get(order.rollout_id, now):
+        return False
+    turn = _get_turn(recorder.blackboard, order)
+    # Only an outcome is worth a second daemon's call.
+    last_turn = MAX_TURNS if state in ENDED else 1
+    return turn < last_turn and now >= due_since + turn * TURN_INTERVAL
+
+
+def _get_turn(blackboard: Blackboard, order: RolloutOrder) -> int:
+    addresses = [
+        member.address
+        for member in blackboard.members_by_address.values()
+        if member.is_reachable and not blackboard.is_draining
+    ]
+    ranked = rank_by_rendezvous(f"recorder {order.rollout_id}", addresses)
+    own = blackboard.own.address
+    return ranked.index(own) if own in ranked else len(ranked)
+
+
+def _write(recorder: OrderRecorder, name: str, order: RolloutOrder, state: RolloutState) -> None:
+    """Write a state unless the store holds an outcome already, which then stands."""
+    now = recorder.blackboard.clock.now()
+    recorder.next_try_by_rollout[order.rollout_id] = now + RETRY_INTERVAL
+    if state is RolloutState.ROLLED_BACK:
+        # No daemon sends more to the version, whatever becomes of the write.
+        publish_order_veto(recorder.orders.rollouts.store, order, _get_reason(recorder, order))
+    match get_object(recorder.client, recorder.source.store_kind, name):
+        case Err(error):
+            logger.warning(
+                "rollout's state was not read", extra={"service": name, "error": str(error)}
+            )
+            return
+        case Ok(item):
+            pass
+    kept = _read_order(recorder, name, item)
+    if kept is None or kept.rollout_id != order.rollout_id or kept.state in ENDED:
+        return
+    if kept.state is state:
+        return
+    updated = item.model_copy(update={"status": recorder.source.encode_status(order, state)})
+    match update_status(recorder.client, recorder.source.store_kind, updated):
+        case Err(error):
+            # A lost answer or a race: the next try reads what is kept.
+            logger.warning(
+                "rollout's state was not written", extra={"service": name, "error": str(error)}
+            )
+        case Ok(_):
+            logger.info(
+                "rollout's state is written",
+                extra={"service": name, "rollout": order.rollout_id, "state": state.value},
+            )
+
+
+def _get_reason(recorder: OrderRecorder, order: RolloutOrder) -> str:
+    veto = recorder.blackboard.vetoes_by_rollout.get(order.rollout_id)
+    return "not proved good before its deadline" if veto is None else veto.reason
+
+
+def _read_order(recorder: OrderRecorder, name: str, item: PlatformObject) -> RolloutOrder | None:
+    document = RawDocument(
+        recorder.source.kind,
+        name,
+        item.spec,
+        item.status,
+        created_revision=item.metadata.created_revision,
+    )
+    decoded = recorder.source.decode(document)
+    return decoded.ok_value if decoded.is_ok() else None
--- /dev/null
+++ b/comfreyhitch/rollouts/orders.py
@@ -0,0 +1,135 @@
+"""Carry out rollouts that stand as orders in the store."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+from comfreyhitch.core.blackboard import ActiveRollout, Blackboard
+from comfreyhitch.documents.models import RolloutOrder, RolloutState
+from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
+from comfreyhitch.rollouts.controller import (
+    OUTCOME_LIFETIME,
+    RolloutController,
+    collect_evidence,
+    publish_evidence,
+)
+from comfreyhitch.rollouts.judge import judge
+from comfreyhitch.rollouts.timeline import Stage, get_next_stage
+from comfreyhitch.wire.codec import encode
+from comfreyhitch.wire.generated.ttypes import VetoRecord
+
+logger = logging.getLogger(__name__)
+
+# The fact that carries a deadline is kept this much longer than the deadline.
+DEADLINE_RETENTION = timedelta(minutes=2)
+# A small sample has to convince more quickly here than in a rollout of hours.
+ORDER_ALPHA = 1e-4
+
+
+@dataclass(slots=True)
+class OrderController:
+    """Hold when each rollout got all traffic, as far as this daemon saw it."""
+
+    rollouts: RolloutController
+    refresh: Callable[[], None]
+    full_since_by_rollout: dict[str, datetime] = field(default_factory=dict)
+
+
+def run_orders(controller: OrderController) -> None:
+    """Follow all orders, and judge the one of the own service."""
+    blackboard = controller.rollouts.blackboard
+    active = {
+        order.service: _follow(controller, order)
+        for order in list(blackboard.rollout_orders_by_service.values())
+    }
+    if _describe(active) != _describe(blackboard.active_rollouts_by_service):
+        _log_changes(blackboard, active)
+        blackboard.active_rollouts_by_service = active
+        controller.refresh()
+
+
+def get_deadline(store: FactStore, order: RolloutOrder) -> datetime:
+    """Return by when a rollout has to end; the first daemon to ask decides it."""
+    held = store.facts_by_id.get((FactKind.DEADLINE, order.rollout_id))
+    if held is None:
+        expires_at = store.clock.now() + order.duration + DEADLINE_RETENTION
+        held = StoredFact(FactKind.DEADLINE, order.rollout_id, 1, b"", expires_at)
+        merge_facts(store, [held])
+    return held.expires_at - DEADLINE_RETENTION
+
+
+def publish_order_veto(store: FactStore, order: RolloutOrder, reason: str) -> None:
+    """Keep a version from all traffic, for good."""
+    now = store.clock.now()
+    record = VetoRecord(order.rollout_id, reason, now.timestamp())
+    fact = StoredFact(FactKind.VETO, order.rollout_id, 1, encode(record), now + OUTCOME_LIFETIME)
+    merge_facts(store, [fact])
+
+
+def _follow(controller: OrderController, order: RolloutOrder) -> ActiveRollout:
+    rollouts = controller.rollouts
+    blackboard = rollouts.blackboard
+    veto = blackboard.vetoes_by_rollout.get(order.rollout_id)
+    if order.state is RolloutState.SUCCEEDED:
+        return ActiveRollout(order.rollout_id, order.to_version, Stage.FULL, is_done=True)
+    if order.state is RolloutState.ROLLED_BACK:
+        reason = "the store says that it was rolled back"
+        return ActiveRollout(order.rollout_id, order.to_version, Stage.CANARY, veto=reason)
+    if veto is not None:
+        return ActiveRollout(order.rollout_id, order.to_version, Stage.CANARY, veto=veto.reason)
+    if order.service == blackboard.own.service:
+        _judge(rollouts, order)
+    stage = _get_stage(blackboard, order)
+    if stage is Stage.FULL:
+        controller.full_since_by_rollout.setdefault(order.rollout_id, blackboard.clock.now())
+    return ActiveRollout(order.rollout_id, order.to_version, stage)
+
+
+def _judge(rollouts: RolloutController, order: RolloutOrder) -> None:
+    blackboard = rollouts.blackboard
+    publish_evidence(rollouts, order.rollout_id, order.service)
+    evidence = collect_evidence(rollouts, order.rollout_id)
+    judgement = judge(evidence, order.to_version, ORDER_ALPHA)
+    if judgement.finding is not None:
+        publish_order_veto(rollouts.store, order, judgement.finding)
+        return
+    deadline = get_deadline(rollouts.store, order)
+    elapsed = order.duration - (deadline - blackboard.clock.now())
+    stage = _get_stage(blackboard, order)
+    following = get_next_stage(stage, elapsed, order.duration, judgement)
+    if following is stage:
+        return
+    fact = StoredFact(
+        FactKind.STAGE, order.rollout_id, int(following), b"", deadline + OUTCOME_LIFETIME
+    )
+    merge_facts(rollouts.store, [fact])
+
+
+def _get_stage(blackboard: Blackboard, order: RolloutOrder) -> Stage:
+    known = blackboard.stages_by_rollout.get(order.rollout_id, 0)
+    return Stage(min(max(known, Stage.CANARY), Stage.FULL))
+
+
+def _describe(active: dict[str, ActiveRollout]) -> dict[str, tuple]:
+    return {
+        service: (item.rollout_id, item.stage, item.veto, item.is_done)
+        for service, item in active.items()
+    }
+
+
+def _log_changes(blackboard: Blackboard, active: dict[str, ActiveRollout]) -> None:
+    for service, item in active.items():
+        if blackboard.active_rollouts_by_service.get(service) == item:
+            continue
+        logger.info(
+            "rollout's stage",
+            extra={
+                "service": service,
+                "rollout": item.rollout_id,
+                "version": item.to_version,
+                "stage": Stage(item.stage).name.lower(),
+                "veto": item.veto,
+                "done": item.is_done,
+            },
+        )
--- /dev/null
+++ b/comfreyhitch/rollouts/timeline.py
@@ -0,0 +1,58 @@
+"""Stages of an ordered rollout as a function of time and evidence."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import IntEnum
+
+from comfreyhitch.rollouts.judge import Judgement
+
+
+class Stage(IntEnum):
+    """Name how much of the traffic the new version gets; a stage only goes up."""
+
+    CANARY = 0
+    WIDER = 1
+    RAMP = 2
+    FULL = 3
+
+
+@dataclass(frozen=True, slots=True)
+class StageRule:
+    """Hold when a stage begins, as a part of the duration, and what it takes."""
+
+    begins_at: float
+    least_requests: int
+
+
+STAGE_RULES = {
+    Stage.WIDER: StageRule(begins_at=0.4, least_requests=6),
+    Stage.RAMP: StageRule(begins_at=0.66, least_requests=10),
+    Stage.FULL: StageRule(begins_at=0.75, least_requests=14),
+}
+# The outcome is written this early, so that a slow store still takes it in time.
+OUTCOME_AT = 0.9
+# Requests that run at the old version end before it is given up.
+FULL_FOR = 0.1
+
+
+def get_next_stage(
+    stage: Stage, elapsed: timedelta, duration: timedelta, judgement: Judgement
+) -> Stage:
+    """Return the stage that time and evidence support, at most one further."""
+    if stage is Stage.FULL or judgement.is_suspicious or judgement.finding is not None:
+        return stage
+    following = Stage(stage + 1)
+    rule = STAGE_RULES[following]
+    if elapsed < duration * rule.begins_at or judgement.requests < rule.least_requests:
+        return stage
+    return following
+
+
+def is_outcome_due(elapsed: timedelta, duration: timedelta) -> bool:
+    """Return whether the rollout has to end now, one way or the other."""
+    return elapsed >= duration * OUTCOME_AT
+
+
+def is_settled(stage: Stage, full_for: timedelta, duration: timedelta) -> bool:
+    """Return whether the new version has had all traffic for long enough."""
+    return stage is Stage.FULL and full_for >= duration * FULL_FOR
