Prove a version before it is called good, and test what the platform path decides

A version passes only when it has had all traffic for a tenth of the duration without suspicion; with much of the traffic a finding has to convince less.

--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -29,6 +29,7 @@
     WeightedService,
 )
 
+Count = Annotated[int, Field(ge=1, strict=True)]
 Text = Annotated[str, Field(min_length=1, max_length=256)]
 DEFAULT_MAX_CONNECTIONS = 100
 STATES_BY_WORD = {
@@ -47,7 +48,7 @@
     """Validate one part of a route's requests."""
 
     service: Text = Field(alias="Service")
-    weight: Annotated[float, Field(ge=0, alias="Weight")]
+    weight: Annotated[float, Field(ge=0, strict=True, alias="Weight")]
 
 
 class RouteModel(_Model):
@@ -61,9 +62,9 @@
     # Time within which a response is worth most; not a promise.
     objective: Duration = Field(alias="Slo")
     # 0 goes first.
-    priority: Annotated[int, Field(ge=0, alias="Priority")] = 0
+    priority: Annotated[int, Field(ge=0, strict=True, alias="Priority")] = 0
     # The most targets that one request may be sent to.
-    attempts: Annotated[int, Field(ge=1, alias="Attempts")] = 1
+    attempts: Count = Field(1, alias="Attempts")
     service: Text | None = Field(None, alias="Service")
     split: list[SplitModel] = Field([], alias="Split")
 
@@ -73,16 +74,18 @@
 
     name: Text = Field(alias="Name")
     health_path: Annotated[str, Field(pattern=r"^/", alias="HealthPath")]
-    max_connections: Annotated[int, Field(ge=1, alias="MaxConns")] = DEFAULT_MAX_CONNECTIONS
+    max_connections: Annotated[int, Field(ge=1, strict=True, alias="MaxConns")] = (
+        DEFAULT_MAX_CONNECTIONS
+    )
     cold_time: Duration = Field(alias="ColdStart")
-    cold_rate: Annotated[float, Field(gt=0, alias="ColdPerS")]
+    cold_rate: Annotated[float, Field(gt=0, strict=True, alias="ColdPerS")]
 
 
 class LimitsModel(_Model):
     """Validate the bounds on what callers send."""
 
-    header_bytes: Annotated[int, Field(gt=0, alias="MaxHeaderBytes")]
-    body_bytes: Annotated[int, Field(ge=0, alias="MaxBodyBytes")]
+    header_bytes: Annotated[int, Field(gt=0, strict=True, alias="MaxHeaderBytes")]
+    body_bytes: Annotated[int, Field(ge=0, strict=True, alias="MaxBodyBytes")]
     header_timeout: Duration = Field(alias="HeaderTimeout")
     idle_timeout: Duration = Field(alias="IdleTimeout")
 
--- a/comfreyhitch/rollouts/exposure.py
+++ b/comfreyhitch/rollouts/exposure.py
@@ -10,7 +10,7 @@
 
 from comfreyhitch.rollouts.timeline import Stage
 
-RAMP_SHARE = 0.35
+RAMP_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,7 @@
 
 def may_expose(count: ExposureCount, stage: Stage, daemons: int, random: Random) -> bool:
     """Return whether the next request may go to the new version."""
-    if stage is Stage.FULL:
+    if stage >= Stage.FULL:
         return True
     if stage is Stage.RAMP:
         return random.random() < RAMP_SHARE
--- a/comfreyhitch/rollouts/order_recorder.py
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -59,7 +59,7 @@
     full_since = recorder.orders.full_since_by_rollout.get(order.rollout_id, now)
     if is_settled(stage, now - full_since, order.duration):
         return RolloutState.SUCCEEDED
-    if stage is Stage.FULL:
+    if stage is Stage.PROVEN:
         return None
     return RolloutState.ROLLED_BACK
 
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -15,7 +15,7 @@
     publish_evidence,
 )
 from comfreyhitch.rollouts.judge import judge
-from comfreyhitch.rollouts.timeline import Stage, get_next_stage
+from comfreyhitch.rollouts.timeline import Stage, get_alpha, get_next_stage
 from comfreyhitch.wire.codec import encode
 from comfreyhitch.wire.generated.ttypes import VetoRecord
 
@@ -23,8 +23,6 @@
 
 # The fact that carries a deadline is kept this much longer than the deadline.
 DEADLINE_RETENTION = timedelta(minutes=2)
-# A small sample has to convince more quickly here than in a rollout of hours.
-ORDER_ALPHA = 1e-4
 
 
 @dataclass(slots=True)
@@ -72,7 +70,7 @@
     blackboard = rollouts.blackboard
     veto = blackboard.vetoes_by_rollout.get(order.rollout_id)
     if order.state is RolloutState.SUCCEEDED:
-        return ActiveRollout(order.rollout_id, order.to_version, Stage.FULL, is_done=True)
+        return ActiveRollout(order.rollout_id, order.to_version, Stage.PROVEN, is_done=True)
     if order.state is RolloutState.ROLLED_BACK:
         reason = "the store says that it was rolled back"
         return ActiveRollout(order.rollout_id, order.to_version, Stage.CANARY, veto=reason)
@@ -81,7 +79,7 @@
     if order.service == blackboard.own.service:
         _judge(rollouts, order)
     stage = _get_stage(blackboard, order)
-    if stage is Stage.FULL:
+    if stage >= Stage.FULL:
         controller.full_since_by_rollout.setdefault(order.rollout_id, blackboard.clock.now())
     return ActiveRollout(order.rollout_id, order.to_version, stage)
 
@@ -90,13 +88,13 @@
     blackboard = rollouts.blackboard
     publish_evidence(rollouts, order.rollout_id, order.service)
     evidence = collect_evidence(rollouts, order.rollout_id)
-    judgement = judge(evidence, order.to_version, ORDER_ALPHA)
+    stage = _get_stage(blackboard, order)
+    judgement = judge(evidence, order.to_version, get_alpha(stage))
     if judgement.finding is not None:
         publish_order_veto(rollouts.store, order, judgement.finding)
         return
     deadline = get_deadline(rollouts.store, order)
     elapsed = order.duration - (deadline - blackboard.clock.now())
-    stage = _get_stage(blackboard, order)
     following = get_next_stage(stage, elapsed, order.duration, judgement)
     if following is stage:
         return
@@ -108,7 +106,7 @@
 
 def _get_stage(blackboard: Blackboard, order: RolloutOrder) -> Stage:
     known = blackboard.stages_by_rollout.get(order.rollout_id, 0)
-    return Stage(min(max(known, Stage.CANARY), Stage.FULL))
+    return Stage(min(max(known, Stage.CANARY), Stage.PROVEN))
 
 
 def _describe(active: dict[str, ActiveRollout]) -> dict[str, tuple]:
--- a/comfreyhitch/rollouts/timeline.py
+++ b/comfreyhitch/rollouts/timeline.py
@@ -14,6 +14,7 @@
     WIDER = 1
     RAMP = 2
     FULL = 3
+    PROVEN = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,20 +27,24 @@
 
 STAGE_RULES = {
     Stage.WIDER: StageRule(begins_at=0.4, least_requests=6),
-    Stage.RAMP: StageRule(begins_at=0.66, least_requests=10),
-    Stage.FULL: StageRule(begins_at=0.75, least_requests=14),
+    Stage.RAMP: StageRule(begins_at=0.62, least_requests=10),
+    Stage.FULL: StageRule(begins_at=0.78, least_requests=14),
+    Stage.PROVEN: StageRule(begins_at=0.88, least_requests=16),
 }
 # The outcome is written this early, so that a slow store still takes it in time.
 OUTCOME_AT = 0.9
 # Requests that run at the old version end before it is given up.
 FULL_FOR = 0.1
+# Once a version gets much, a finding has to convince less.
+ALPHA_WHILE_FEW = 1e-4
+ALPHA_WHILE_MANY = 1e-2
 
 
 def get_next_stage(
     stage: Stage, elapsed: timedelta, duration: timedelta, judgement: Judgement
 ) -> Stage:
     """Return the stage that time and evidence support, at most one further."""
-    if stage is Stage.FULL or judgement.is_suspicious or judgement.finding is not None:
+    if stage is Stage.PROVEN or judgement.is_suspicious or judgement.finding is not None:
         return stage
     following = Stage(stage + 1)
     rule = STAGE_RULES[following]
@@ -55,4 +60,9 @@
 
 def is_settled(stage: Stage, full_for: timedelta, duration: timedelta) -> bool:
     """Return whether the new version has had all traffic for long enough."""
-    return stage is Stage.FULL and full_for >= duration * FULL_FOR
+    return stage is Stage.PROVEN and full_for >= duration * FULL_FOR
+
+
+def get_alpha(stage: Stage) -> float:
+    """Return the chance of a finding about a healthy version that is borne at each look."""
+    return ALPHA_WHILE_FEW if stage < Stage.RAMP else ALPHA_WHILE_MANY
--- /dev/null
+++ b/features/documents.feature
@@ -0,0 +1,12 @@
+Feature: Orders of the operators are in force at every daemon and never revert
+
+  Scenario: Documents in any order
+    Then documents that arrive in any order, again or late, leave the newest in force
+
+  Scenario: A store that loses history, answers and calls
+    Given the stand-in store
+    Then what is in force follows the store through lost history, outages and deletions
+
+  Scenario: A writer and a lost answer
+    Given the stand-in store
+    Then a conditional write fails over a newer revision, and a lost answer leaves the write done
--- /dev/null
+++ b/features/steps/document_steps.py
@@ -0,0 +1,194 @@
+"""Documents of the operators: replicated, followed and applied."""
+
+from random import Random
+
+import gevent
+from behave import given, then
+from gevent.pywsgi import WSGIServer
+from hypothesis import given as given_values
+from hypothesis import seed
+from hypothesis import strategies as st
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.documents.applying import apply_document, check_document_fact
+from comfreyhitch.documents.models import DocumentKind, RawDocument, dump_document
+from comfreyhitch.documents.watching import is_cut_off, make_document_follower
+from comfreyhitch.platform.client import (
+    PlatformClient,
+    create_object,
+    delete_object,
+    get_object,
+    update_object,
+    update_status,
+)
+from comfreyhitch.platform.documents import DOCUMENT_SOURCES
+from comfreyhitch.platform.exceptions import PlatformFailure
+from comfreyhitch.platform.models import Metadata, PlatformObject
+from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
+from comfreyhitch.testing.platform import StoreState, make_application
+from comfreyhitch.testing.target import QuietHandler
+from comfreyhitch.watching.follower import read_once
+from features.steps.platform_input_steps import CONFIGURATION
+from features.steps.property_steps import FakeClock, make_member
+
+DECODERS = {source.kind: source.decode for source in DOCUMENT_SOURCES}
+SOURCES_BY_KIND = {source.kind: source for source in DOCUMENT_SOURCES}
+WAIT_SECONDS = 0.05
+
+
+def make_replica(clock):
+    """Return a blackboard and a store of facts that brings documents onto it."""
+    blackboard = Blackboard(clock=clock, own=make_member())
+    store = FactStore.from_clock(clock)
+
+    def observe(facts):
+        for fact in facts:
+            apply_document(blackboard, fact, DECODERS)
+
+    store.observers.append(observe)
+    return blackboard, store
+
+
+def make_document_fact(kind, name, revision, spec=None, *, is_deleted=False):
+    """Return the fact that carries a document."""
+    document = RawDocument(kind, name, spec, is_deleted=is_deleted)
+    return StoredFact(FactKind.DOCUMENT, document.key, revision, dump_document(document))
+
+
+def make_configuration(version):
+    """Return the content of a configuration."""
+    return {**CONFIGURATION, "Version": version}
+
+
+@then("documents that arrive in any order, again or late, leave the newest in force")
+def check_any_order(context):
+    event = st.tuples(st.sampled_from(["routes", "out", "in", "bad"]), st.integers(1, 30))
+
+    @seed(context.seed)
+    @given_values(st.lists(event, min_size=1, max_size=20))
+    def check(events):
+        blackboard, store = make_replica(FakeClock().make())
+        highest = 0
+        for name, revision in events:
+            fact = make_event(name, revision)
+            if check_document_fact(fact.key, fact.value, DECODERS).is_ok():
+                merge_facts(store, [fact])
+            if name == "routes":
+                highest = max(highest, revision)
+            version = 0 if blackboard.route_table is None else blackboard.route_table.version
+            assert version == highest
+        moves = [(revision, name) for name, revision in events if name in ("out", "in")]
+        if moves:
+            newest = max(revision for revision, _ in moves)
+            # At one revision there is one document; the stand-in draws both by chance.
+            names = {name for revision, name in moves if revision == newest}
+            if len(names) == 1:
+                assert ("za" in blackboard.zones_out) == (names == {"out"})
+
+    check()
+
+
+def make_event(name, revision):
+    """Return the fact of one event."""
+    if name == "routes":
+        return make_document_fact(
+            DocumentKind.ROUTES, "main", revision, make_configuration(revision)
+        )
+    if name == "bad":
+        return make_document_fact(DocumentKind.ROUTES, "main", revision + 50, {"Version": 99})
+    return make_document_fact(DocumentKind.EVACUATION, "za", revision, {}, is_deleted=name == "in")
+
+
+@given("the stand-in store")
+def start_store(context):
+    context.store_state = StoreState()
+    server = WSGIServer(
+        ("127.0.0.1", 0),
+        make_application(context.store_state),
+        handler_class=QuietHandler,
+        log=None,
+        error_log=None,
+    )
+    server.start()
+    context.add_cleanup(server.stop)
+    context.client = PlatformClient.from_url(f"http://127.0.0.1:{server.server_port}")
+
+
+def make_follower(context, kind, store):
+    """Return a follower of one kind with a short waiting time."""
+    follower = make_document_follower(
+        SOURCES_BY_KIND[kind], store, context.client, Clock.from_system(), Random(context.seed)
+    )
+    follower.wait_seconds = WAIT_SECONDS
+    return follower
+
+
+def write(context, kind, name, spec):
+    """Create or replace an object as an operator does."""
+    store_kind = SOURCES_BY_KIND[kind].store_kind
+    item = PlatformObject(metadata=Metadata(name=name), spec=spec)
+    if create_object(context.client, store_kind, item).is_err():
+        update_object(context.client, store_kind, item).unwrap()
+
+
+@then("what is in force follows the store through lost history, outages and deletions")
+def check_following(context):
+    clock = Clock.from_system()
+    blackboard, store = make_replica(clock)
+    routes = make_follower(context, DocumentKind.ROUTES, store)
+    zones = make_follower(context, DocumentKind.EVACUATION, store)
+    followers = [routes, zones]
+
+    def read():
+        return [read_once(follower) for follower in followers]
+
+    write(context, DocumentKind.ROUTES, "main", make_configuration(3))
+    assert read() == [None, None]
+    assert blackboard.route_table.version == 3
+    write(context, DocumentKind.ROUTES, "main", make_configuration(8))
+    write(context, DocumentKind.EVACUATION, "za", {})
+    assert read() == [None, None]
+    assert (blackboard.route_table.version, blackboard.zones_out) == (8, {"za"})
+    assert not is_cut_off(followers, clock.monotonic())
+
+    context.store_state.faults.is_down = True
+    assert None not in read()
+    assert is_cut_off(followers, clock.monotonic())
+    assert (blackboard.route_table.version, blackboard.zones_out) == (8, {"za"})
+
+    context.store_state.faults.is_down = False
+    delete_object(context.client, "evacuations", "za").unwrap()
+    write(context, DocumentKind.ROUTES, "main", make_configuration(9))
+    context.store_state.events.clear()
+    context.store_state.oldest_revision = context.store_state.revision
+    read()
+    read()
+    assert (blackboard.route_table.version, blackboard.zones_out) == (9, frozenset())
+    write(context, DocumentKind.EVACUATION, "za", {})
+    read()
+    assert blackboard.zones_out == {"za"}
+    delete_object(context.client, "evacuations", "za").unwrap()
+    read()
+    assert not blackboard.zones_out
+
+
+@then("a conditional write fails over a newer revision, and a lost answer leaves the write done")
+def check_writes(context):
+    write(context, DocumentKind.ROLLOUT, "s1", {"Service": "s1"})
+    item = get_object(context.client, "rollouts", "s1").unwrap()
+    first = item.model_copy(update={"status": {"State": "running"}})
+    second = item.model_copy(update={"status": {"State": "succeeded"}})
+    assert update_status(context.client, "rollouts", first).is_ok()
+    refused = update_status(context.client, "rollouts", second)
+    assert refused.err_value.failure is PlatformFailure.CONFLICT
+    item = get_object(context.client, "rollouts", "s1").unwrap()
+    assert item.status == {"State": "running"}
+    context.store_state.faults.lost_answers = 1
+    lost = update_status(
+        context.client, "rollouts", item.model_copy(update={"status": {"State": "rolled_back"}})
+    )
+    assert lost.err_value.failure is PlatformFailure.UNAVAILABLE
+    gevent.sleep(0.0)
+    found = get_object(context.client, "rollouts", "s1").unwrap()
+    assert found.status == {"State": "rolled_back"}
--- /dev/null
+++ b/features/steps/platform_input_steps.py
@@ -0,0 +1,269 @@
+"""Properties of what decodes the platform's messages."""
+
+import json
+import tempfile
+from copy import deepcopy
+from datetime import timedelta
+from pathlib import Path
+
+from behave import then
+from hypothesis import assume, given, seed
+from hypothesis import strategies as st
+
+from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.documents.models import DocumentKind, RawDocument, RolloutState
+from comfreyhitch.ingress.load import TargetLoad, parse_load
+from comfreyhitch.platform.documents import (
+    decode_configuration,
+    decode_rollout,
+    encode_rollout_status,
+)
+from comfreyhitch.platform.durations import parse_duration
+from comfreyhitch.platform.heartbeats import decode_heartbeat
+from comfreyhitch.platform.settings import get_addresses, make_settings, read_file
+from comfreyhitch.routing.matching import find_route
+
+SETTINGS = {
+    "Node": "sidecar-za-1",
+    "Zone": "za",
+    "Region": "r",
+    "Listen.Outbound": "10.1.0.8:8304",
+    "Listen.ReadinessAddr": "10.1.0.8:8302",
+    "Listen.Control": "10.1.0.8:8306",
+    "PortRange": "7620,7635",
+    "AppAddr": "10.1.0.8:8301",
+    "Service": "huvo11a",
+    "Platform.Address": "10.200.1.7:8309",
+    "Bounds.Grace": "6s",
+    "Bounds.BudgetRatio": "0.2",
+    "Bounds.BudgetExtra": "60",
+    "Bounds.BudgetWindow": "10s",
+    "Bounds.ProbesPerS": "60",
+    "A.NewField": "whatever",
+}
+NEEDED_SETTINGS = sorted(SETTINGS.keys() - {"Node", "A.NewField"})
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": "Shop.example",
+            "Prefix": "/a/",
+            "Kind": "idempotent",
+            "Timeout": "1000ms",
+            "Slo": "0.5s",
+            "Priority": 2,
+            "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+            "Attempts": 2,
+        },
+        {
+            "Name": "r-2",
+            "Host": "shop.example",
+            "Prefix": "/a/b/",
+            "Kind": "non_idempotent",
+            "Timeout": "1200ms",
+            "Slo": "600ms",
+            "Priority": 1,
+            "Service": "s2",
+            "Attempts": 1,
+        },
+    ],
+    "Services": [
+        {"Name": "s1", "HealthPath": "/h", "MaxConns": 9, "ColdStart": "3s", "ColdPerS": 8.4}
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 100,
+        "HeaderTimeout": "3s",
+        "IdleTimeout": "15s",
+    },
+}
+NEEDED_FIELDS = [
+    ("Version",),
+    ("Routes",),
+    ("Services",),
+    ("Limits",),
+    ("Routes", 0, "Host"),
+    ("Routes", 0, "Prefix"),
+    ("Routes", 0, "Kind"),
+    ("Routes", 0, "Timeout"),
+    ("Routes", 1, "Service"),
+    ("Services", 0, "ColdPerS"),
+    ("Limits", "IdleTimeout"),
+]
+HEARTBEAT = {
+    "Address": "10.1.0.8:8301",
+    "Info": {"Service": "s1", "Version": "v1", "Zone": "za", "Slots": 9},
+    "Status": {"State": "ready", "Seq": 4, "ColdLeft": "1500ms"},
+    "born": 1_780_000_000_000,
+}
+HEARTBEAT_FIELDS = [
+    ("Address",),
+    ("Info",),
+    ("Status",),
+    ("Info", "Service"),
+    ("Info", "Version"),
+    ("Info", "Slots"),
+    ("Status", "State"),
+    ("Status", "Seq"),
+]
+# Values that no field of these messages may have.
+DAMAGE = [None, True, [], {}, "", "?", -1, 1.5]
+
+
+def damage(content, path, value):
+    """Return the content with one field removed, or replaced by a value."""
+    changed = deepcopy(content)
+    holder = changed
+    for part in path[:-1]:
+        holder = holder[part]
+    if value is KeyError:
+        del holder[path[-1]]
+    else:
+        holder[path[-1]] = value
+    return changed
+
+
+def damages():
+    """Return how a field may be damaged."""
+    return st.sampled_from([KeyError, *DAMAGE])
+
+
+@then("a duration is read back from its text, and any other text is refused")
+def check_durations(context):
+    @seed(context.seed)
+    @given(st.integers(0, 10**9))
+    def check_round_trip(milliseconds):
+        assert parse_duration(f"{milliseconds}ms") == timedelta(milliseconds=milliseconds)
+
+    @seed(context.seed)
+    @given(st.one_of(st.text(max_size=8), st.integers(), st.none(), st.floats()))
+    def check_refusal(value):
+        try:
+            found = parse_duration(value)
+        except ValueError:
+            return
+        # What is taken has a number and a unit.
+        assert value.rstrip("ms") and found >= timedelta(0)
+
+    check_round_trip()
+    check_refusal()
+
+
+@then("a settings file gives the product's settings, and a missing or bad value is named")
+def check_settings(context):
+    settings = make_settings(SETTINGS)
+    assert (settings.http_port, settings.peer_port) == (8304, 7620)
+    assert settings.platform_url == "http://10.200.1.7:8309"
+    assert get_addresses(SETTINGS)["Listen.Control"] == ("10.1.0.8", 8306)
+    for name in NEEDED_SETTINGS:
+        check_named({key: value for key, value in SETTINGS.items() if key != name}, name)
+    for name in ("Listen.Outbound", "AppAddr", "Bounds.Grace"):
+        check_named({**SETTINGS, name: "nonsense"}, "nonsense")
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.conf"
+        path.write_text("Node=a\nno separator here\n")
+        try:
+            read_file(path)
+        except SettingsError as error:
+            assert ":2:" in str(error), error
+        else:
+            raise AssertionError("a line without '=' was taken")
+
+
+def check_named(values, expected):
+    """Check that bad settings are refused by an error that names the place."""
+    try:
+        settings = make_settings(values)
+        get_addresses(values)
+    except SettingsError as error:
+        assert expected in str(error), (expected, str(error))
+    except KeyError as error:
+        assert error.args[0] == expected
+    else:
+        raise AssertionError((expected, settings))
+
+
+@then("a configuration becomes a table of routes, and any damaged one is refused with its place")
+def check_configurations(context):
+    table = decode_configuration(RawDocument(DocumentKind.ROUTES, "main", CONFIGURATION)).unwrap()
+    assert find_route(table, "SHOP.example:80", "/a/b/c").name == "r-2"
+    assert find_route(table, "shop.example", "/a/c?x=/a/b/").name == "r-1"
+    assert find_route(table, "shop.example", "/b/") is None
+    assert find_route(table, "other.example", "/a/") is None
+    assert not table.routes_by_host["shop.example"][0].is_idempotent
+
+    @seed(context.seed)
+    @given(st.sampled_from(NEEDED_FIELDS), damages())
+    def check_refusal(path, value):
+        spec = damage(CONFIGURATION, path, value)
+        assume(not (path == ("Routes",) and value == []))
+        assume(not (path == ("Services",) and value == []))
+        decoded = decode_configuration(RawDocument(DocumentKind.ROUTES, "main", spec))
+        if decoded.is_ok():
+            # Any text is a host or the name of a service, and any positive number a rate.
+            is_text = path[-1] in ("Host", "Service") and value == "?"
+            is_rate = path[-1] == "ColdPerS" and value == 1.5
+            assert is_text or is_rate, (path, value)
+            return
+        # An absent service is told by the name of the route.
+        assert str(path[-1]) in decoded.err_value or "r-2" in decoded.err_value
+
+    check_refusal()
+
+
+@then("an order keeps its state only for the version that it names")
+def check_orders(context):
+    spec = {"Service": "s1", "ToVersion": "v2", "Duration": "12s"}
+    document = RawDocument(DocumentKind.ROLLOUT, "s1", spec, created_revision=5)
+    order = decode_rollout(document).unwrap()
+    assert order.state is RolloutState.NEW and order.duration == timedelta(seconds=12)
+    for state in (RolloutState.RUNNING, RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK):
+        status = encode_rollout_status(order, state)
+        told = RawDocument(DocumentKind.ROLLOUT, "s1", spec, status, created_revision=5)
+        assert decode_rollout(told).unwrap().state is state
+        later = {**spec, "ToVersion": "v3"}
+        reused = RawDocument(DocumentKind.ROLLOUT, "s1", later, status, created_revision=5)
+        assert decode_rollout(reused).unwrap().state is RolloutState.NEW
+
+
+@then("a heartbeat is read whole, and any damaged one names no target")
+def check_heartbeats(context):
+    beat = decode_heartbeat("i-1", json.dumps(HEARTBEAT).encode()).unwrap()
+    assert (beat.host, beat.port) == ("10.1.0.8", 8301)
+    assert beat.heartbeat.cold_for == timedelta(seconds=1.5)
+    assert not beat.heartbeat.is_draining
+
+    @seed(context.seed)
+    @given(st.sampled_from(HEARTBEAT_FIELDS), damages())
+    def check_refusal(path, value):
+        content = damage(HEARTBEAT, path, value)
+        decoded = decode_heartbeat("i-1", json.dumps(content).encode())
+        if decoded.is_ok():
+            assert path[-1] in ("Service", "Version") and value == "?", (path, value)
+            return
+        assert path[0] in decoded.err_value
+
+    @seed(context.seed)
+    @given(st.binary(max_size=200))
+    def check_bytes(body):
+        assert decode_heartbeat("i-1", body).is_err()
+
+    check_refusal()
+    check_bytes()
+
+
+@then("load headers are read, and any other text is no load")
+def check_load(context):
+    assert parse_load("3,0,8") == TargetLoad(3, 0, 8, None)
+    assert parse_load("3, 1, 8, 500") == TargetLoad(3, 1, 8, 5.0)
+
+    @seed(context.seed)
+    @given(st.text(alphabet="0123456789,-. ax\u0663", max_size=12))
+    def check_any(text):
+        load = parse_load(text)
+        if load is not None:
+            assert text.count(",") >= 2
+            assert min(load.running, load.waiting, load.slots) >= 0
+
+    check_any()
--- /dev/null
+++ b/features/steps/response_steps.py
@@ -0,0 +1,195 @@
+"""Responses of targets, well formed and not, over real sockets where it matters."""
+
+import itertools
+from contextlib import contextmanager, suppress
+
+import gevent
+from behave import then
+from gevent.server import StreamServer
+from geventhttpclient.response import HTTPParseError
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.verdicts import Refusal, Response, Verdict
+from comfreyhitch.ingress.answers import check_response
+from comfreyhitch.ingress.responses import ResponseReader
+from comfreyhitch.ingress.target import TargetConnections, TargetRequest, call_target
+from comfreyhitch.platform.names import TARGET_DIALECT
+
+SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: 1\r\n\r\nhello"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" + SIZED
+STAMPED = (
+    b"HTTP/1.1 200 OK\r\nX-Comfreyhitch-Request-Id: r1\r\n"
+    b"X-Comfreyhitch-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+)
+BODY_BYTES = 400_000
+
+
+def feed(data, cuts):
+    """Return the reader after bytes that are cut at some places, and then end."""
+    reader = ResponseReader("GET")
+    places = [0, *sorted(cuts), len(data)]
+    for start, end in itertools.pairwise(places):
+        if start < end:
+            reader.feed(data[start:end])
+    return reader
+
+
+@contextmanager
+def serving(handle):
+    """Run a target that handles each connection by a function; yield connections to it."""
+    server = StreamServer(("127.0.0.1", 0), lambda sock, _: handle(sock))
+    server.start()
+    try:
+        clock = Clock.from_system()
+        yield TargetConnections.from_address("127.0.0.1", server.server_port, clock, TARGET_DIALECT)
+    finally:
+        server.stop()
+
+
+def send(connections, body=b"", request_id="r1"):
+    """Send one request, and return its outcome."""
+    request = TargetRequest(
+        method="POST" if body else "GET",
+        path="/",
+        headers=[("Host", "a"), (TARGET_DIALECT.request_id, request_id)],
+        body=body,
+        deadline=connections.clock.monotonic() + 5.0,
+        needs_new_connection=False,
+        body_limit_bytes=1_000_000,
+        request_id=request_id,
+    )
+    return call_target(connections, request, None, lambda: None)
+
+
+def read_head(sock):
+    """Read one request without a body; return False at the end of the connection."""
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        part = b"" if sock.closed else sock.recv(65_536)
+        if not part:
+            return False
+        data += part
+    return True
+
+
+@then("a response is read the same however its bytes are cut, and one that is cut short never")
+def check_pieces(context):
+    whole = st.sampled_from([SIZED, CHUNKED, INTERIM])
+
+    @seed(context.seed)
+    @given(whole, st.lists(st.integers(0, 90), max_size=6))
+    def check_cut(data, cuts):
+        reader = feed(data, [cut for cut in cuts if cut < len(data)])
+        assert reader.is_final and reader.is_reusable
+        assert (reader.status_code, reader.body) == (200, b"hello")
+
+    @seed(context.seed)
+    @given(whole, st.integers(1, 90))
+    def check_short(data, length):
+        reader = ResponseReader("GET")
+        reader.feed(data[: min(length, len(data) - 1)])
+        with suppress(HTTPParseError):
+            reader.feed(b"")
+        assert not reader.is_final
+
+    check_cut()
+    check_short()
+
+
+@then("bytes after the end belong to no request, and the connection is not used again")
+def check_extra(context):
+    extra = st.one_of(st.sampled_from([SIZED, CHUNKED]), st.binary(min_size=1, max_size=30))
+
+    @seed(context.seed)
+    @given(st.sampled_from([SIZED, CHUNKED]), extra, st.booleans())
+    def check(data, more, is_together):
+        reader = ResponseReader("GET")
+        if is_together:
+            reader.feed(data + more)
+        else:
+            reader.feed(data)
+            reader.feed(more)
+        assert (reader.status_code, reader.body) == (200, b"hello")
+        # A blank line after a response is no response, and nothing else is harmless.
+        assert not reader.is_reusable or not more.strip(b"\r\n")
+
+    check()
+
+
+@then("a response for another request, an encoded one, or a success without stamp is a failure")
+def check_own(context):
+    own = [("X-Comfreyhitch-Request-Id", "r1"), ("X-Comfreyhitch-Server-Stamp", "s")]
+    assert check_response(TARGET_DIALECT, Response(200, "OK", own), "r1", "i-1").is_ok()
+    bad = [
+        Response(200, "OK", [("X-Comfreyhitch-Request-Id", "r2"), own[1]]),
+        Response(200, "OK", own[1:]),
+        Response(200, "OK", own[:1]),
+        Response(200, "OK", [*own, ("Content-Encoding", "gzip")]),
+        # These promise that a request has not run, which nothing proves here.
+        Response(503, "Busy", own),
+        Response(429, "Busy", own),
+    ]
+    for response in bad:
+        failure = check_response(TARGET_DIALECT, response, "r1", "i-1").err_value
+        assert failure.verdict is Verdict.MAY_HAVE_RUN, response
+        assert failure.status not in (408, 421, 429, 503), response
+
+
+@then("only the target's own word or another's address proves that a request did not run")
+def check_not_run(context):
+    refused = Response(503, "Busy", [("X-Comfreyhitch-Not-Executed", "1")])
+    failure = check_response(TARGET_DIALECT, refused, "r1", "i-1").err_value
+    assert (failure.verdict, failure.refusal) == (Verdict.NOT_RUN, Refusal.TARGET_REFUSED)
+    other = Response(421, "Misdirected", [("X-Comfreyhitch-Instance-Id", "i-2")])
+    failure = check_response(TARGET_DIALECT, other, "r1", "i-1").err_value
+    assert (failure.verdict, failure.refusal) == (Verdict.NOT_RUN, Refusal.WRONG_INSTANCE)
+    unexpected = check_response(TARGET_DIALECT, other, "r1", "").err_value
+    assert unexpected.verdict is Verdict.MAY_HAVE_RUN
+
+
+@then("its answer is returned, nothing more of the body is sent, and the connection is closed")
+def check_early(context):
+    received = []
+
+    def answer_early(sock):
+        sock.recv(1000)
+        sock.sendall(STAMPED)
+        gevent.sleep(0.2)
+        size = 0
+        while part := sock.recv(65_536):
+            size += len(part)
+        received.append(size)
+
+    with serving(answer_early) as connections:
+        outcome = send(connections, body=b"x" * 20 * BODY_BYTES)
+        assert outcome.ok_value.body == b"ok", outcome
+        assert not connections.idle
+        gevent.sleep(0.4)
+    assert received and received[0] < 20 * BODY_BYTES - 1000
+
+
+@then("a kept connection is used again only while it is open and silent")
+def check_kept(context):
+    accepted = []
+    endings = {
+        "open": lambda sock: None,
+        "closed": lambda sock: sock.close(),
+        "stray": lambda sock: sock.sendall(STAMPED),
+    }
+    for name, end in endings.items():
+        accepted.clear()
+
+        def answer(sock, end=end):
+            accepted.append(sock)
+            while read_head(sock):
+                sock.sendall(STAMPED)
+                end(sock)
+
+        with serving(answer) as connections:
+            for _ in range(2):
+                assert send(connections).is_ok(), name
+                gevent.sleep(0.05)
+        assert len(accepted) == (1 if name == "open" else 2), name
--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,89 @@
+"""Properties of routes and splits."""
+
+from collections import Counter
+from datetime import timedelta
+from random import Random
+
+from behave import then
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.verdicts import Refusal, Verdict
+from comfreyhitch.egress.routed_calls import RoutedRequest, classify_routed
+from comfreyhitch.routing.matching import find_route
+from comfreyhitch.routing.models import CallerLimits, Route, RouteTable, WeightedService
+from comfreyhitch.routing.splitting import Splitter, choose_service
+from features.steps.property_steps import FakeClock, make_member
+
+LIMITS = CallerLimits(16384, 1000, timedelta(seconds=3), timedelta(seconds=15))
+
+
+def make_route(name="r", prefix="/", services=(("s1", 1.0),), **changes):
+    """Return a route."""
+    values = {
+        "name": name,
+        "host": "a.example",
+        "prefix": prefix,
+        "is_idempotent": True,
+        "max_targets": 2,
+        "timeout": timedelta(seconds=1),
+        "objective": timedelta(milliseconds=500),
+        "priority": 1,
+        "services": tuple(WeightedService(service, weight) for service, weight in services),
+    }
+    return Route(**{**values, **changes})
+
+
+@then("the longest prefix of the host wins, for any set of routes")
+def check_longest(context):
+    segment = st.sampled_from(["a", "b", "ab"])
+    prefixes = st.lists(segment, max_size=3).map(
+        lambda parts: "/" + "".join(f"{p}/" for p in parts)
+    )
+
+    @seed(context.seed)
+    @given(st.lists(prefixes, unique=True, max_size=8), prefixes)
+    def check(known, path):
+        routes = [make_route(name=prefix, prefix=prefix) for prefix in known]
+        table = RouteTable.from_routes(1, LIMITS, routes, [])
+        matching = [prefix for prefix in known if path.startswith(prefix)]
+        found = find_route(table, "A.example", path)
+        assert (found and found.name) == max(matching, key=len, default=None)
+
+    check()
+
+
+@then("each service of a split gets its part to within one request, for any weights")
+def check_split(context):
+    weights = st.lists(st.integers(0, 100), min_size=2, max_size=4).filter(sum)
+
+    @seed(context.seed)
+    @given(weights, st.integers(1, 300), st.integers(0, 2**32))
+    def check(parts, count, number):
+        services = tuple((f"s{index}", float(part)) for index, part in enumerate(parts))
+        route = make_route(services=services)
+        splitter = Splitter(Random(number))
+        got = Counter(choose_service(splitter, route) for _ in range(count))
+        total = sum(parts)
+        for name, part in services:
+            # The random start adds up to one request to the error of the rotation.
+            assert abs(got[name] - count * part / total) <= 2.0, (parts, count, got)
+
+    check()
+
+
+@then("a request is refused as not run before a configuration is known, and as unknown after")
+def check_unknown(context):
+    blackboard = Blackboard(clock=FakeClock().make(), own=make_member())
+    splitter = Splitter(Random(1))
+    request = RoutedRequest("GET", "a.example", "/x/", [], b"", "id", 5.0, 0.0)
+    failure = classify_routed(blackboard, splitter, request).err_value
+    assert (failure.refusal, failure.status) == (Refusal.NO_CONFIGURATION, 503)
+    blackboard.route_table = RouteTable.from_routes(1, LIMITS, [make_route(prefix="/y/")], [])
+    failure = classify_routed(blackboard, splitter, request).err_value
+    assert (failure.refusal, failure.status) == (Refusal.NO_ROUTE, 404)
+    assert failure.verdict is Verdict.NOT_RUN
+    blackboard.route_table = RouteTable.from_routes(2, LIMITS, [make_route(prefix="/x/")], [])
+    call = classify_routed(blackboard, splitter, request).ok_value
+    assert call.deadline == 1.0, "the route's timeout is shorter than the caller's"
--- /dev/null
+++ b/features/steps/target_life_steps.py
@@ -0,0 +1,136 @@
+"""Properties of a target's life and of the gate for cold targets."""
+
+from datetime import timedelta
+
+from behave import then
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from comfreyhitch.admission.warming import BURST_REQUESTS, WarmingGate, admit_cold
+from comfreyhitch.ingress.lifecycle import (
+    Heartbeat,
+    HeartbeatResult,
+    TargetLife,
+    TargetState,
+    is_cold,
+    suspect,
+    take_departure,
+    take_health,
+    take_heartbeat,
+)
+
+LEAVING = (TargetState.DRAINING, TargetState.GONE)
+
+
+def make_beat(number=1, sequence=1, **changes):
+    """Return a heartbeat of an incarnation; a higher number is born later."""
+    values = {
+        "instance_id": f"i-{number}",
+        "service": "s1",
+        "version": f"v{number}",
+        "slots": 9,
+        "is_draining": False,
+        "sequence": sequence,
+        "born_ms": 1000 * number,
+    }
+    return Heartbeat(**{**values, **changes})
+
+
+@then("heartbeats in any order leave the newest incarnation with its newest state")
+def check_order(context):
+    sent = st.tuples(st.integers(1, 4), st.integers(1, 6))
+
+    @seed(context.seed)
+    @given(st.lists(sent, min_size=1, max_size=20))
+    def check(beats):
+        life = TargetLife()
+        for number, sequence in beats:
+            take_heartbeat(life, make_beat(number, sequence), 0.0)
+        newest = max(number for number, _ in beats)
+        assert life.instance_id == f"i-{newest}"
+        assert life.sequence == max(sequence for number, sequence in beats if number == newest)
+
+    @seed(context.seed)
+    @given(st.lists(sent, min_size=1, max_size=20))
+    def check_same_id(beats):
+        life = TargetLife()
+        for number, sequence in beats:
+            take_heartbeat(life, make_beat(number, sequence, instance_id="i-0"), 0.0)
+        newest = max(number for number, _ in beats)
+        assert (life.born_ms, life.version) == (1000 * newest, f"v{newest}")
+
+    check()
+    check_same_id()
+
+
+@then("a target that has said that it leaves is not ready again in that incarnation")
+def check_leaving(context):
+    event = st.sampled_from(["ready", "draining", "delete", "health", "restart"])
+
+    @seed(context.seed)
+    @given(st.lists(event, min_size=1, max_size=12))
+    def check(events):
+        life = TargetLife()
+        sequence = 0
+        number = 1
+        is_leaving = False
+        for name in events:
+            sequence += 1
+            if name == "restart":
+                number += 1
+                is_leaving = False
+                take_heartbeat(life, make_beat(number, sequence), float(sequence))
+                continue
+            if name == "health":
+                take_health(life, f"i-{number}", True, timedelta(0), float(sequence))
+            elif name == "delete":
+                is_leaving |= take_departure(life, f"i-{number}", float(sequence))
+            else:
+                is_draining = name == "draining"
+                beat = make_beat(number, sequence, is_draining=is_draining)
+                result = take_heartbeat(life, beat, float(sequence))
+                is_leaving |= is_draining and result is not HeartbeatResult.STALE
+            assert not is_leaving or life.state in LEAVING, (events, life)
+
+    check()
+
+
+@then("a healthy answer or a heartbeat makes the target ready, and only health ends the doubt")
+def check_start(context):
+    life = TargetLife()
+    take_health(life, "i-1", False, None, 1.0)
+    assert life.state is TargetState.STARTING and is_cold(life, 1.0)
+    take_health(life, "i-1", True, timedelta(0), 2.0)
+    assert life.state is TargetState.READY and not is_cold(life, 2.0)
+    heard = TargetLife()
+    take_heartbeat(heard, make_beat(cold_for=timedelta(seconds=3)), 1.0)
+    assert heard.state is TargetState.READY and is_cold(heard, 1.0)
+    take_health(heard, "i-1", True, None, 2.0)
+    assert is_cold(heard, 2.0), "the heartbeat said cold until 4.0"
+    assert not is_cold(heard, 4.1)
+    suspect(heard)
+    assert is_cold(heard, 9.0)
+    assert take_health(heard, "i-2", True, timedelta(0), 9.0), "another incarnation has answered"
+    assert is_cold(heard, 9.0)
+
+
+@then("a cold target gets no more in any second than its rate and a burst of two")
+def check_cold_rate(context):
+    gaps = st.lists(st.floats(0.0, 0.5), min_size=1, max_size=200)
+
+    @seed(context.seed)
+    @given(st.floats(0.5, 50.0), gaps)
+    def check(rate, pauses):
+        now = 100.0
+        gate = WarmingGate.from_rate(rate, now)
+        assert not admit_cold(gate, now), "a daemon that has just started spent its share before"
+        admitted = []
+        for pause in pauses:
+            now += pause
+            if admit_cold(gate, now):
+                admitted.append(now)
+        for start in admitted:
+            within = sum(start <= moment <= start + 1.0 for moment in admitted)
+            assert within <= rate + max(BURST_REQUESTS, 1.0) + 1e-6, (rate, within)
+
+    check()
--- /dev/null
+++ b/features/target_life.feature
@@ -0,0 +1,13 @@
+Feature: A target's life is known from its heartbeats and its health path
+
+  Scenario: Late and repeated heartbeats
+    Then heartbeats in any order leave the newest incarnation with its newest state
+
+  Scenario: A target that leaves
+    Then a target that has said that it leaves is not ready again in that incarnation
+
+  Scenario: A daemon that restarts beside a target
+    Then a healthy answer or a heartbeat makes the target ready, and only health ends the doubt
+
+  Scenario: Cold targets
+    Then a cold target gets no more in any second than its rate and a burst of two
