Spend fewer bytes between zones: tell small fleets directly, wait nearby

The daemon that has a fact first now tells all others of a small fleet, a start syncs with two peers, documents are announced only, and the gate may wait longer. At a stop the daemon also goes on accepting until callers know: before, new connections were left in the backlog, unanswered.

--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -102,7 +102,9 @@
                 blackboard, store, detector, decoders, lambda: follow_profile(ingress)
             )
         )
-        store.observers.append(lambda facts: spread(broadcaster, facts))
+        store.spread = lambda facts, is_from_peer: spread(
+            broadcaster, facts, is_from_peer=is_from_peer
+        )
         return cls(
             settings=settings,
             clock=clock,
--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -115,7 +115,7 @@
     def push(self, facts: list[Fact]) -> None:
         """Take in facts."""
         store = self._services.store
-        merge_facts(store, read_facts(store, facts))
+        merge_facts(store, read_facts(store, facts), is_from_peer=True)
 
 
 def make_handler_factory(
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -27,8 +27,9 @@
     publish_own(daemon.detector, draining=True)
     logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
     peer_server, frontend, *other_servers = daemon.servers
-    frontend.stop_accepting()
+    # Callers go on coming until they have been told to go elsewhere.
     gevent.sleep(daemon.settings.stop_linger.total_seconds())
+    frontend.close()
     is_drained = _wait_until_idle(daemon)
     handed_on = hand_on_claims(daemon.claims)
     publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -37,6 +37,7 @@
 # An answer that has begun to arrive is given this long to arrive whole.
 READ_TIMEOUT_SECONDS = 5.0
 FAILURE_STATUS = 500
+DEADLINE_STATUS = 504
 STALLED_IN_FLIGHT = 2
 
 
@@ -109,6 +110,12 @@
         attempt.view.overdue += 1
 
 
+def record_silence(attempt: Attempt, now: float) -> None:
+    """Count a failure of a target that has answered nothing since a try was sent."""
+    if attempt.view.reported_at <= attempt.sent_at:
+        record_failure(attempt.view, now)
+
+
 def is_stalled(attempt: Attempt) -> bool:
     """Return whether the target has answered none of several requests since this one."""
     view = attempt.view
@@ -170,7 +177,11 @@
     outcome = read_answer(answer)
     if outcome.is_ok():
         record_service_latency(egress, call.service, now - attempt.sent_at)
-        if outcome.ok_value.status >= FAILURE_STATUS:
+        status = outcome.ok_value.status
+        if status == DEADLINE_STATUS:
+            # The request was too long for its deadline, which may be its own fault.
+            pass
+        elif status >= FAILURE_STATUS:
             record_failure(attempt.view, now)
         else:
             record_success(attempt.view)
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -24,14 +24,16 @@
 ) -> Choose:
     """Return a choice of the least loaded of a few candidates, own zone first."""
 
-    def rank(candidate: Candidate, now: float) -> tuple[bool, bool, bool, float]:
+    def rank(candidate: Candidate, now: float) -> tuple[bool, bool, bool, bool, float]:
         view = get_view(views_by_address, candidate.address)
         limit = view.reported_limit if view.reported_at else candidate.slots
         load = estimate_in_flight(view, now) / limit
         is_avoided = now < view.avoid_until
         is_hot = load >= HOT_LOAD or view.error_rate > HOT_ERROR_RATE
-        is_hot = is_hot or _is_stuck(view) or is_slow(view, now)
-        return is_avoided, is_hot, candidate.zone != own_zone, load
+        is_hot = is_hot or _is_stuck(view)
+        # A gate waits a moment for the usual pace, which is worth it nearby.
+        is_far = candidate.zone != own_zone
+        return is_avoided, is_hot, is_far, is_slow(view, now), load
 
     def choose(
         candidates: Sequence[Candidate], excluded: Collection[str], now: float
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -10,13 +10,13 @@
     is_stalled,
     mark_overdue,
     read_outcome,
+    record_silence,
     start_attempt,
     wait_for_any,
 )
 from comfreyhitch.egress.candidates import choose_candidate
 from comfreyhitch.egress.retries import Progress
 from comfreyhitch.egress.state import Egress, get_retry_budget
-from comfreyhitch.egress.views import record_failure
 from comfreyhitch.utils.token_bucket import take
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -62,7 +62,7 @@
         for item in attempts:
             abandon_attempt(item)
     for item in attempts:
-        record_failure(item.view, clock.monotonic())
+        record_silence(item, clock.monotonic())
     # A try without an answer may have run, whatever became of the other.
     return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "no answer before the deadline"))
 
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -16,7 +16,7 @@
 MAX_TARGET_DEATHS = 2
 MAX_SLOW_REFUSALS = 3
 # Part of a call's objective for which it waits at the first gate for the usual pace.
-PATIENCE_SHARE = 0.15
+PATIENCE_SHARE = 0.2
 RETRIED_STATUSES = frozenset({502, 503, 504})
 # These refusals tell of a change that has not reached this daemon yet, so the
 # next try goes elsewhere for certain and is not a sign of overload.
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -151,7 +151,7 @@
 
 
 def _handle_datagram(detector: FailureDetector, datagram: Datagram) -> None:
-    merge_facts(detector.store, read_facts(detector.store, datagram.facts))
+    merge_facts(detector.store, read_facts(detector.store, datagram.facts), is_from_peer=True)
     if datagram.heads:
         delay = _get_fetch_delay(datagram.heads)
         gevent.spawn_later(delay, detector.fetch, datagram.sender, datagram.heads)
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -25,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_JOIN_PEERS = 5
+# These tell the others of a daemon that has just joined.
+ENOUGH_JOIN_PEERS = 2
 MAX_FAILED_JOINS = 5
 
 
@@ -81,9 +83,13 @@
     unknown = [address for address in addresses if address and address not in known]
     registration.random.shuffle(unknown)
     is_joined = True
+    joined = 0
     for address in unknown[:MAX_JOIN_PEERS]:
+        if joined >= ENOUGH_JOIN_PEERS:
+            break
         if sync_with_peer(registration.store, registration.pool, address):
             registration.failed_joins.pop(address, None)
+            joined += 1
             continue
         is_joined = False
         registration.failed_joins[address] = registration.failed_joins.get(address, 0) + 1
--- a/comfreyhitch/replication/broadcast.py
+++ b/comfreyhitch/replication/broadcast.py
@@ -8,6 +8,7 @@
 from comfreyhitch.replication.facts import (
     EPHEMERAL_KINDS,
     FactId,
+    FactKind,
     FactStore,
     StoredFact,
     make_head,
@@ -16,13 +17,17 @@
 from comfreyhitch.wire.generated.ttypes import Fact, FactHead
 
 FANOUT = 4
+# Up to this many peers are told of a fact directly by the daemon that has it first.
+SMALL_FLEET_PEERS = 24
+# Documents come from the store to every daemon, so peers are only told that they are there.
+DOCUMENT_FANOUT = 2
 # A datagram of this size is not split on any usual link.
 MAX_DATAGRAM_BYTES = 1200
 DATAGRAM_OVERHEAD_BYTES = 120
 FACT_OVERHEAD_BYTES = 48
 # Facts larger than this travel over TCP, and datagrams only announce them.
 MAX_INLINE_BYTES = 600
-TRANSMISSIONS_PER_LOG = 2
+TRANSMISSIONS_PER_LOG = 1
 MAX_PIGGYBACKED_FACTS = 16
 
 
@@ -48,17 +53,29 @@
         return cls(store, random, send, list_peers)
 
 
-def spread(broadcaster: Broadcaster, facts: list[StoredFact]) -> None:
-    """Send new facts to a few random peers, and keep them for later datagrams."""
-    spreading = [fact for fact in facts if fact.kind not in EPHEMERAL_KINDS]
-    if not spreading:
+def spread(broadcaster: Broadcaster, facts: list[StoredFact], *, is_from_peer: bool) -> None:
+    """Send new facts to peers at once, and keep them for later datagrams.
+
+    In a small fleet the daemon that has a fact first tells all others, and
+    anti-entropy makes up for what is lost; in a large one each passes it on.
+    """
+    peers = broadcaster.list_peers()
+    is_small = len(peers) <= SMALL_FLEET_PEERS
+    if is_from_peer and is_small:
         return
+    spreading = [fact for fact in facts if fact.kind not in EPHEMERAL_KINDS]
+    documents = [fact for fact in spreading if fact.kind is FactKind.DOCUMENT]
+    others = [fact for fact in spreading if fact.kind is not FactKind.DOCUMENT]
     for fact in spreading:
         broadcaster.sent_counts_by_id[fact.fact_id] = 0
-    peers = broadcaster.list_peers()
-    chosen = broadcaster.random.sample(peers, min(FANOUT, len(peers)))
-    for address in chosen:
-        send_facts(broadcaster, address, spreading)
+    if others:
+        chosen = peers if is_small else broadcaster.random.sample(peers, FANOUT)
+        for address in chosen:
+            send_facts(broadcaster, address, others)
+    if documents:
+        heads = [make_head(fact) for fact in documents]
+        for address in broadcaster.random.sample(peers, min(DOCUMENT_FANOUT, len(peers))):
+            broadcaster.send(address, [], heads)
 
 
 def send_facts(broadcaster: Broadcaster, address: str, facts: list[StoredFact]) -> None:
@@ -95,7 +112,7 @@
     heads: list[FactHead] = []
     size = DATAGRAM_OVERHEAD_BYTES
     for index, fact in enumerate(facts):
-        is_inline = len(fact.value) <= MAX_INLINE_BYTES
+        is_inline = fact.kind is not FactKind.DOCUMENT and len(fact.value) <= MAX_INLINE_BYTES
         size += FACT_OVERHEAD_BYTES + len(fact.key) + (len(fact.value) if is_inline else 0)
         if size > MAX_DATAGRAM_BYTES and index > 0:
             return inline, heads, index
--- a/comfreyhitch/replication/facts.py
+++ b/comfreyhitch/replication/facts.py
@@ -60,6 +60,7 @@
 
 Validator = Callable[[str, int, bytes], Result[object, str]]
 Observer = Callable[[list[StoredFact]], None]
+Spread = Callable[[list[StoredFact], bool], None]
 
 
 @dataclass(slots=True)
@@ -69,6 +70,8 @@
     clock: Clock
     validators_by_kind: dict[FactKind, Validator] = field(default_factory=dict)
     observers: list[Observer] = field(default_factory=list)
+    # Tells other daemons of new facts, and whether these came from one of them.
+    spread: Spread = lambda facts, is_from_peer: None
     facts_by_id: dict[FactId, StoredFact] = field(default_factory=dict)
     ids_by_bucket: list[set[FactId]] = field(
         default_factory=lambda: [set() for _ in range(BUCKET_COUNT)]
@@ -81,12 +84,15 @@
         return cls(clock)
 
 
-def merge_facts(store: FactStore, facts: Iterable[StoredFact]) -> list[StoredFact]:
+def merge_facts(
+    store: FactStore, facts: Iterable[StoredFact], *, is_from_peer: bool = False
+) -> list[StoredFact]:
     """Take in the facts that are new, tell the observers, and return them."""
     newer = [fact for fact in facts if _merge_fact(store, fact)]
     if newer:
         for observer in store.observers:
             observer(newer)
+        store.spread(newer, is_from_peer)
     return newer
 
 
--- a/comfreyhitch/replication/sync.py
+++ b/comfreyhitch/replication/sync.py
@@ -36,7 +36,7 @@
         exchanged = call_peer(
             pool, address, SYNC_TIMEOUT_SECONDS, lambda peer: peer.exchange(buckets, heads)
         )
-        merge_facts(store, read_facts(store, exchanged.newer))
+        merge_facts(store, read_facts(store, exchanged.newer), is_from_peer=True)
         if exchanged.wanted:
             facts = _make_messages(store, exchanged.wanted)
             call_peer(pool, address, SYNC_TIMEOUT_SECONDS, lambda peer: peer.push(facts))
@@ -70,7 +70,7 @@
     except PeerError as error:
         logger.debug("fetch failed", extra={"peer": address, "error": str(error)})
         return
-    merge_facts(store, read_facts(store, facts))
+    merge_facts(store, read_facts(store, facts), is_from_peer=True)
 
 
 def _make_messages(store: FactStore, heads: list[FactHead]) -> list[Fact]:
