--- a/comfreyhitch/telemetry/decisions.py
+++ b/comfreyhitch/telemetry/decisions.py
@@ -7,7 +7,7 @@
 from comfreyhitch.utils.token_bucket import TokenBucket, take
 
 FAILURE_LINES_PER_SECOND = 50.0
-SUCCESS_LINES_PER_SECOND = 500.0
+SUCCESS_LINES_PER_SECOND = 5.0
 
 
 @dataclass(slots=True)
--- a/comfreyhitch/testing/fleet.py
+++ b/comfreyhitch/testing/fleet.py
@@ -125,7 +125,7 @@
 def start_platform(fleet: Fleet) -> None:
     """Start the stand-in platform."""
     command = ["-m", "comfreyhitch.testing.platform", "--host", f"{fleet.prefix}.250"]
-    fleet.platform = _spawn(fleet, "platform", [*command, "--port", str(PLATFORM_PORT)], {})
+    fleet.platform = spawn(fleet, "platform", [*command, "--port", str(PLATFORM_PORT)], {})
     fleet.settings["platform_url"] = fleet.platform_url
     wait_until(lambda: _is_answering(f"{fleet.prefix}.250", PLATFORM_PORT), 10.0, "platform")
 
@@ -151,7 +151,7 @@
         values["advertised_address"] = instance.peer_address
         _start_relay(fleet, instance)
     environment = {f"COMFREYHITCH_{name.upper()}": value for name, value in values.items()}
-    instance.daemon = _spawn(
+    instance.daemon = spawn(
         fleet, f"{instance.name}-daemon", ["-m", "comfreyhitch.daemon"], environment
     )
 
@@ -163,7 +163,7 @@
     arguments += ["--service", instance.service, "--version", instance.version]
     arguments += ["--run-log", str(fleet.folder / "runs")]
     arguments += instance.target_arguments
-    instance.target = _spawn(fleet, f"{instance.name}-target", arguments, {})
+    instance.target = spawn(fleet, f"{instance.name}-target", arguments, {})
 
 
 def start_fleet(fleet: Fleet) -> None:
@@ -317,13 +317,14 @@
         return
     arguments = ["-m", "comfreyhitch.testing.relay", "--host", instance.relay_host]
     arguments += ["--target", f"{instance.host}:{PEER_PORT}", "--admin-port", str(ADMIN_PORT)]
-    fleet.relays[instance.name] = _spawn(fleet, f"{instance.name}-relay", arguments, {})
+    fleet.relays[instance.name] = spawn(fleet, f"{instance.name}-relay", arguments, {})
     wait_until(lambda: _is_answering(instance.relay_host, ADMIN_PORT), 10.0, "relay")
 
 
-def _spawn(
+def spawn(
     fleet: Fleet, name: str, arguments: list[str], environment: dict[str, str]
 ) -> subprocess.Popen:
+    """Start a process that logs into the fleet's folder."""
     kept = {key: value for key, value in os.environ.items() if not key.startswith("COMFREYHITCH_")}
     path = fleet.folder / f"{name}.log"
     with path.open("ab") as log:
--- /dev/null
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -0,0 +1,256 @@
+"""Run daemons on a stand-in of the platform: store, settings files and targets."""
+
+import json
+import subprocess
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from comfreyhitch.platform.client import PlatformClient, create_object, get_object, update_object
+from comfreyhitch.platform.models import Metadata, PlatformObject
+from comfreyhitch.platform.names import HEADER_DEADLINE_MS, HEADER_REQUEST_ID, PATH_READY
+from comfreyhitch.testing.fleet import (
+    PLATFORM_PORT,
+    Answer,
+    Fleet,
+    is_running,
+    kill,
+    request,
+    resume,
+    spawn,
+    start_platform,
+    wait_until,
+)
+
+OUTBOUND_PORT = 8304
+READY_PORT = 8302
+CONTROL_PORT = 8306
+APP_PORT = 8301
+PEER_PORT = 7620
+ADMIN_PORT = 7621
+HOST_NAME = "shop.example"
+ROUTE_TIMEOUT_MS = 2000
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """Hold one instance: a target and the daemon beside it."""
+
+    name: str
+    host: str
+    zone: str
+    service: str
+    version: str
+    target_arguments: list[str]
+    daemon: subprocess.Popen | None = None
+    target: subprocess.Popen | None = None
+    starts: int = 0
+
+
+@dataclass(slots=True)
+class PlatformFleet:
+    """Hold the instances of a fleet, and the configuration that it got last."""
+
+    fleet: Fleet
+    sidecars_by_name: dict[str, Sidecar] = field(default_factory=dict)
+    configuration: dict = field(default_factory=dict)
+
+    @property
+    def client(self) -> PlatformClient:
+        """Return a client for the store."""
+        return PlatformClient.from_url(self.fleet.platform_url)
+
+
+def start_platform_fleet(folder: Path, targets: list[tuple[str, str, list[str]]]) -> PlatformFleet:
+    """Run a daemon and a target for each service, zone and arguments; wait until all serve."""
+    fleet = PlatformFleet(Fleet.from_folder(folder))
+    start_platform(fleet.fleet)
+    services = sorted({service for service, _, _ in targets})
+    write_configuration(fleet, make_configuration(1, services))
+    for service, zone, arguments in targets:
+        add_sidecar(fleet, service, zone, arguments)
+    for sidecar in fleet.sidecars_by_name.values():
+        wait_until(lambda sidecar=sidecar: is_ready(sidecar), 15.0, f"{sidecar.name} is ready")
+    for service in services:
+        wait_until(lambda service=service: _serves_everywhere(fleet, service), 15.0, service)
+    return fleet
+
+
+def add_sidecar(
+    fleet: PlatformFleet, service: str, zone: str, arguments: list[str], version: str = "v1"
+) -> Sidecar:
+    """Start one more instance."""
+    number = len(fleet.sidecars_by_name) + 1
+    sidecar = Sidecar(
+        name=f"{service}-{number}",
+        host=f"{fleet.fleet.prefix}.{number}",
+        zone=zone,
+        service=service,
+        version=version,
+        target_arguments=arguments,
+    )
+    fleet.sidecars_by_name[sidecar.name] = sidecar
+    start_daemon(fleet, sidecar)
+    start_target(fleet, sidecar)
+    return sidecar
+
+
+def start_daemon(fleet: PlatformFleet, sidecar: Sidecar) -> None:
+    """Start the daemon of an instance with a settings file of its own."""
+    path = fleet.fleet.folder / f"{sidecar.name}.conf"
+    path.write_text(
+        "".join(f"{name}={value}\n" for name, value in _make_values(fleet, sidecar).items())
+    )
+    environment = {"COMFREYHITCH_CONFIG": str(path)}
+    command = ["-m", "comfreyhitch.platform"]
+    sidecar.daemon = spawn(fleet.fleet, f"{sidecar.name}-daemon", command, environment)
+
+
+def start_target(fleet: PlatformFleet, sidecar: Sidecar) -> None:
+    """Start a new incarnation of the target of an instance."""
+    sidecar.starts += 1
+    arguments = ["-m", "comfreyhitch.testing.platform_target"]
+    arguments += ["--address", f"{sidecar.host}:{APP_PORT}"]
+    arguments += ["--control", f"{sidecar.host}:{CONTROL_PORT}"]
+    arguments += ["--instance", f"i-{sidecar.name}-{sidecar.starts}"]
+    arguments += ["--service", sidecar.service, "--version", sidecar.version]
+    arguments += ["--zone", sidecar.zone, "--run-log", str(fleet.fleet.folder / "runs")]
+    arguments += sidecar.target_arguments
+    sidecar.target = spawn(fleet.fleet, f"{sidecar.name}-target", arguments, {})
+
+
+def make_configuration(version: int, services: list[str]) -> dict:
+    """Return a configuration with two routes for each service, /S/ and /S-once/."""
+    routes = [
+        {
+            "Name": f"r-{service}{suffix}",
+            "Host": HOST_NAME,
+            "Prefix": f"/{service}{suffix}/",
+            "Kind": kind,
+            "Timeout": f"{ROUTE_TIMEOUT_MS}ms",
+            "Slo": "500ms",
+            "Priority": 1,
+            "Attempts": 2,
+            "Service": service,
+        }
+        for service in services
+        for suffix, kind in (("", "idempotent"), ("-once", "non_idempotent"))
+    ]
+    profiles = [
+        {
+            "Name": service,
+            "HealthPath": "/health",
+            "MaxConns": 100,
+            "ColdStart": "3s",
+            "ColdPerS": 8.0,
+        }
+        for service in services
+    ]
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 1_000_000,
+        "HeaderTimeout": "3000ms",
+        "IdleTimeout": "15000ms",
+    }
+    return {"Version": version, "Routes": routes, "Services": profiles, "Limits": limits}
+
+
+def write_configuration(fleet: PlatformFleet, content: dict) -> None:
+    """Put a configuration in force, as an operator does."""
+    fleet.configuration = content
+    write_document(fleet, "config", "main", content)
+
+
+def write_document(fleet: PlatformFleet, kind: str, name: str, content: dict) -> None:
+    """Create or replace what an operator orders."""
+    item = PlatformObject(metadata=Metadata(name=name), spec=content)
+    if create_object(fleet.client, kind, item).is_err():
+        update_object(fleet.client, kind, item).unwrap()
+
+
+def read_state(fleet: PlatformFleet, service: str) -> str | None:
+    """Return what the system told of a service's rollout."""
+    status = get_object(fleet.client, "rollouts", service).unwrap().status
+    return None if status is None else status.get("State")
+
+
+def send(
+    sidecar: Sidecar,
+    path: str,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    deadline_ms: int = 5000,
+    headers: dict[str, str] | None = None,
+) -> tuple[str, Answer]:
+    """Send one request through the daemon of an instance; return its id and the answer."""
+    request_id = uuid.uuid4().hex
+    answer = request(
+        sidecar.host,
+        path,
+        method=method,
+        body=body,
+        headers={
+            "Host": HOST_NAME,
+            HEADER_REQUEST_ID: request_id,
+            HEADER_DEADLINE_MS: str(deadline_ms),
+            **(headers or {}),
+        },
+        port=OUTBOUND_PORT,
+    )
+    return request_id, answer
+
+
+def set_target_faults(sidecar: Sidecar, **faults: object) -> None:
+    """Change the faults of a running target."""
+    body = json.dumps(faults).encode()
+    request(sidecar.host, "/_standin/faults", method="POST", body=body, port=APP_PORT)
+
+
+def read_runs(fleet: PlatformFleet) -> list[tuple[str, str]]:
+    """Return the id and the target's incarnation of each run, killed ones included."""
+    path = fleet.fleet.folder / "runs"
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [tuple(line.split(" ", 1)) for line in lines]
+
+
+def is_ready(sidecar: Sidecar) -> bool:
+    """Return whether the daemon of an instance says that it is ready."""
+    return request(sidecar.host, PATH_READY, port=READY_PORT).status == 200
+
+
+def stop_platform_fleet(fleet: PlatformFleet) -> None:
+    """End every process of the fleet."""
+    processes = [fleet.fleet.platform]
+    for sidecar in fleet.sidecars_by_name.values():
+        processes += [sidecar.daemon, sidecar.target]
+    for process in processes:
+        if is_running(process):
+            resume(process)
+        kill(process)
+
+
+def _serves_everywhere(fleet: PlatformFleet, service: str) -> bool:
+    sidecars = fleet.sidecars_by_name.values()
+    return all(send(sidecar, f"/{service}/start")[1].status == 200 for sidecar in sidecars)
+
+
+def _make_values(fleet: PlatformFleet, sidecar: Sidecar) -> dict[str, str]:
+    host = sidecar.host
+    return {
+        "Node": sidecar.name,
+        "Zone": sidecar.zone,
+        "Region": "r",
+        "Listen.Outbound": f"{host}:{OUTBOUND_PORT}",
+        "Listen.ReadinessAddr": f"{host}:{READY_PORT}",
+        "Listen.Control": f"{host}:{CONTROL_PORT}",
+        "PortRange": f"{PEER_PORT},{PEER_PORT + 15}",
+        "AppAddr": f"{host}:{APP_PORT}",
+        "Service": sidecar.service,
+        "Platform.Address": f"{fleet.fleet.prefix}.250:{PLATFORM_PORT}",
+        "Bounds.Grace": "4s",
+        "Bounds.BudgetRatio": "0.2",
+        "Bounds.BudgetExtra": "60",
+        "Bounds.BudgetWindow": "10s",
+        "Bounds.ProbesPerS": "60",
+    }
--- /dev/null
+++ b/comfreyhitch/testing/platform_target.py
@@ -0,0 +1,279 @@
+"""Stand-in for a target on the platform: heartbeats, slots and queue, cold start, faults."""
+
+import argparse
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+from gevent.lock import BoundedSemaphore
+from gevent.pywsgi import WSGIServer
+from geventhttpclient import HTTPClient
+
+from comfreyhitch.platform.names import HEADER_REQUEST_ID, PATH_INSTANCES, TARGET_DIALECT
+from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
+
+HEALTH_PATH = "/health"
+HEARTBEAT_SECONDS = 0.5
+DRAIN_SECONDS = 2.5
+CRASH_EXIT_CODE = 9
+OVERLOAD_EXIT_CODE = 7
+USUAL_PACE = 100
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+@dataclass(slots=True)
+class TargetFaults:
+    """Hold the faults of a target; they are changed while it runs."""
+
+    failure_share: float = 0.0
+    lost_answer_share: float = 0.0
+    pace: int = USUAL_PACE
+    crash_path: str = ""
+
+
+@dataclass(slots=True)
+class PlatformTarget:
+    """Hold the state of one incarnation."""
+
+    instance_id: str
+    service: str
+    version: str
+    zone: str
+    address: str
+    slots: int
+    work_seconds: float
+    cold_seconds: float
+    cold_per_second: float
+    born_ms: int
+    run_log: int | None
+    random: Random
+    places: BoundedSemaphore
+    sequence: int = 0
+    waiting: int = 0
+    running: int = 0
+    is_draining: bool = False
+    cold_arrivals: list[float] = field(default_factory=list)
+    faults: TargetFaults = field(default_factory=TargetFaults)
+
+    @property
+    def cold_left_ms(self) -> int:
+        """Return for how many milliseconds the target stays cold."""
+        return max(0, int(self.born_ms + self.cold_seconds * 1000 - time.time() * 1000))
+
+
+def make_application(
+    target: PlatformTarget,
+) -> Callable[[dict[str, object], StartResponse], Iterable[bytes]]:
+    """Return the WSGI application of the target."""
+
+    def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if path == HEALTH_PATH:
+            return _answer_health(target, start_response)
+        if path == "/_standin/faults":
+            for name, value in json.loads(environ["wsgi.input"].read()).items():
+                setattr(target.faults, name, value)
+            return _reply(start_response, "200 OK", [], b"{}")
+        return _serve(target, environ, start_response)
+
+    return application
+
+
+def _serve(
+    target: PlatformTarget, environ: dict[str, object], start_response: StartResponse
+) -> Iterable[bytes]:
+    values = {key[5:].replace("_", "-").lower(): value for key, value in environ.items()}
+    request_id = values.get(HEADER_REQUEST_ID.lower(), "")
+    expected = values.get(TARGET_DIALECT.expected_instance.lower(), target.instance_id)
+    headers = [(HEADER_REQUEST_ID, request_id)]
+    if expected != target.instance_id:
+        headers.append((TARGET_DIALECT.instance, target.instance_id))
+        return _reply(start_response, "421 Misdirected Request", headers, b"")
+    if not request_id or target.waiting >= 2 * target.slots:
+        headers.append((TARGET_DIALECT.not_run, "1"))
+        return _reply(start_response, "503 Service Unavailable", headers, b"")
+    _note_cold(target)
+    body = environ["wsgi.input"].read()
+    target.waiting += 1
+    with target.places:
+        target.waiting -= 1
+        target.running += 1
+        try:
+            return _run(target, environ, start_response, request_id, body)
+        finally:
+            target.running -= 1
+
+
+def _run(
+    target: PlatformTarget,
+    environ: dict[str, object],
+    start_response: StartResponse,
+    request_id: str,
+    body: bytes,
+) -> Iterable[bytes]:
+    if target.run_log is not None:
+        # One write call a run, so that a killed target loses no line.
+        os.write(target.run_log, f"{request_id} {target.instance_id}\n".encode())
+    if target.faults.crash_path and environ["PATH_INFO"].startswith(target.faults.crash_path):
+        os._exit(CRASH_EXIT_CODE)
+    gevent.sleep(target.work_seconds * target.faults.pace / USUAL_PACE)
+    if target.random.random() < target.faults.lost_answer_share:
+        environ[SOCKET_ENVIRON_KEY].close()
+        return []
+    headers = [
+        (HEADER_REQUEST_ID, request_id),
+        (TARGET_DIALECT.stamp, f"{target.instance_id}.{request_id}"),
+        (TARGET_DIALECT.load, _describe_load(target)),
+    ]
+    if target.random.random() < target.faults.failure_share:
+        return _reply(start_response, "500 Internal Server Error", headers, b"stand-in failure")
+    content = {
+        "instance": target.instance_id,
+        "version": target.version,
+        "zone": target.zone,
+        "method": environ["REQUEST_METHOD"],
+        "path": environ["PATH_INFO"],
+        "query": environ["QUERY_STRING"],
+        "body": body.decode("latin-1"),
+        "headers": {key: value for key, value in environ.items() if key.startswith("HTTP_")},
+    }
+    return _reply(start_response, "200 OK", headers, json.dumps(content).encode())
+
+
+def _note_cold(target: PlatformTarget) -> None:
+    """End the process if it gets far more than it bears while it is cold."""
+    if not target.cold_left_ms:
+        return
+    now = time.monotonic()
+    target.cold_arrivals = [at for at in target.cold_arrivals if now - at < 1.0]
+    target.cold_arrivals.append(now)
+    if len(target.cold_arrivals) > 1.5 * target.cold_per_second + 5:
+        os._exit(OVERLOAD_EXIT_CODE)
+
+
+def _answer_health(target: PlatformTarget, start_response: StartResponse) -> Iterable[bytes]:
+    headers = [
+        (TARGET_DIALECT.instance, target.instance_id),
+        (TARGET_DIALECT.load, _describe_load(target)),
+        (TARGET_DIALECT.cold_ms, str(target.cold_left_ms)),
+    ]
+    status = "503 Service Unavailable" if target.is_draining else "200 OK"
+    return _reply(start_response, status, headers, b"")
+
+
+def _describe_load(target: PlatformTarget) -> str:
+    return f"{target.running},{target.waiting},{target.slots},{target.faults.pace}"
+
+
+def _reply(
+    start_response: StartResponse, status: str, headers: list[tuple[str, str]], body: bytes
+) -> list[bytes]:
+    start_response(status, headers)
+    return [body]
+
+
+def send_heartbeat(control: str, target: PlatformTarget) -> bool:
+    """Tell the daemon beside this target about it, and return whether it acknowledged."""
+    target.sequence += 1
+    content = {
+        "Address": target.address,
+        "born": target.born_ms,
+        "Info": {
+            "Service": target.service,
+            "Version": target.version,
+            "Zone": target.zone,
+            "Slots": target.slots,
+        },
+        "Status": {
+            "State": "draining" if target.is_draining else "ready",
+            "Seq": target.sequence,
+            "ColdLeft": f"{target.cold_left_ms}ms",
+        },
+    }
+    return _call_daemon(control, "PUT", target, json.dumps(content).encode())
+
+
+def _call_daemon(control: str, method: str, target: PlatformTarget, body: bytes) -> bool:
+    host, _, port = control.partition(":")
+    client = HTTPClient(host, int(port), concurrency=1, connection_timeout=1.0)
+    try:
+        path = f"{PATH_INSTANCES}{target.instance_id}"
+        return client.request(method, path, body).status_code == 200
+    except OSError:
+        return False
+    finally:
+        client.close()
+
+
+def _keep_beating(control: str, target: PlatformTarget) -> None:
+    while True:
+        send_heartbeat(control, target)
+        gevent.sleep(HEARTBEAT_SECONDS)
+
+
+def _leave(control: str, target: PlatformTarget) -> None:
+    target.is_draining = True
+    while not send_heartbeat(control, target):
+        gevent.sleep(0.1)
+    gevent.sleep(DRAIN_SECONDS)
+    _call_daemon(control, "DELETE", target, b"")
+    os._exit(0)
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description="Stand-in target on the platform")
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--control", required=True, help="address of the daemon's control port")
+    parser.add_argument("--instance", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--version", default="v1")
+    parser.add_argument("--zone", default="za")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--work-ms", type=float, default=20.0)
+    parser.add_argument("--cold-seconds", type=float, default=0.0)
+    parser.add_argument("--cold-per-second", type=float, default=8.0)
+    parser.add_argument("--run-log")
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run a stand-in target until it is ended."""
+    arguments = _parse_arguments()
+    run_log = None
+    if arguments.run_log:
+        run_log = os.open(arguments.run_log, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+    target = PlatformTarget(
+        instance_id=arguments.instance,
+        service=arguments.service,
+        version=arguments.version,
+        zone=arguments.zone,
+        address=arguments.address,
+        slots=arguments.slots,
+        work_seconds=arguments.work_ms / 1000,
+        cold_seconds=arguments.cold_seconds,
+        cold_per_second=arguments.cold_per_second,
+        born_ms=int(time.time() * 1000),
+        run_log=run_log,
+        random=Random(arguments.instance),
+        places=BoundedSemaphore(arguments.slots),
+    )
+    host, _, port = arguments.address.partition(":")
+    server = WSGIServer(
+        (host, int(port)), make_application(target), handler_class=QuietHandler, log=None
+    )
+    server.start()
+    gevent.spawn(_keep_beating, arguments.control, target)
+    gevent.signal_handler(signal.SIGTERM, lambda: gevent.spawn(_leave, arguments.control, target))
+    server.serve_forever()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/features/platform_path.feature
@@ -0,0 +1,48 @@
+Feature: Daemons serve callers on the platform, through its store, headers and heartbeats
+
+  Background:
+    Given a fleet on the platform
+      | service   | zone | target arguments |
+      | catalogue | za   |                  |
+      | catalogue | zb   |                  |
+      | payments  | za   |                  |
+      | payments  | zb   |                  |
+
+  Scenario: Requests of both kinds
+    When requests of both kinds go through each daemon
+    Then each ran once, with its method, path, query and body unchanged
+    And each target was told the caller's service and a deadline no later than the caller's
+
+  Scenario: What no configuration allows, and what changes while the store is down
+    Then an unknown path gets 404
+    When a new configuration adds a route and drops another
+    Then within 2 seconds every daemon follows it
+    When the store is down
+    Then every daemon still follows it
+    And a daemon that starts now learns it from the others
+
+  Scenario: A target that leaves, and one whose daemon is restarted
+    When a target says that it drains
+    Then it runs nothing more, and each request runs elsewhere
+    When a daemon is killed and started again beside its target
+    Then it serves again within 3 seconds
+
+  Scenario: An evacuated zone
+    When zone zb is evacuated
+    Then within 2 seconds nothing runs there
+    When the evacuation is taken back
+    Then requests run there again
+
+  Scenario: Deposits while targets and daemons are killed
+    When deposits are sent for 6 seconds while targets and daemons are killed
+    Then no deposit ran twice, and none that was refused as not run has run
+
+  Scenario: A planned stop under load
+    When a daemon is told to stop while requests go through it
+    Then it says that it is not ready, and cuts no request
+
+  Scenario: A good version and a bad one are ordered
+    When a version of catalogue that fails half of its requests is ordered within 8 s
+    Then it is rolled back in time
+    When a good version of catalogue is ordered within 8 s
+    Then it has succeeded in time
