Stop reading requests before a stop ends, and serve those that have arrived

The daemon now closes quiet connections when callers have had their time, serves what has arrived, and checks that it is idle again after its last calls.

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -29,13 +29,17 @@
     peer_server, frontend, *other_servers = daemon.servers
     # Callers go on coming until they have been told to go elsewhere.
     gevent.sleep(daemon.settings.stop_linger.total_seconds())
-    frontend.close()
-    is_drained = _wait_until_idle(daemon)
+    frontend.stop_reading()
+    # Requests that have just arrived are read now, and counted from then on.
+    gevent.sleep(POLL_SECONDS)
+    deadline = daemon.clock.monotonic() + daemon.settings.drain_timeout.total_seconds()
+    _wait_until_idle(daemon, deadline)
     handed_on = hand_on_claims(daemon.claims)
     publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
     _tell_everyone(daemon)
     if daemon.registration is not None:
         unregister(daemon.registration)
+    is_drained = _wait_until_idle(daemon, deadline)
     for server in (frontend, peer_server, *other_servers):
         server.stop(timeout=0)
     gevent.killall(daemon.greenlets)
@@ -43,8 +47,7 @@
     logger.info("stopped", extra={"drained": is_drained, "claims_handed_on": handed_on})
 
 
-def _wait_until_idle(daemon: Daemon) -> bool:
-    deadline = daemon.clock.monotonic() + daemon.settings.drain_timeout.total_seconds()
+def _wait_until_idle(daemon: Daemon, deadline: float) -> bool:
     while daemon.clock.monotonic() < deadline:
         if _is_idle(daemon):
             return True
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -1,9 +1,12 @@
 """HTTP server for callers."""
 
 import logging
+import socket
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 
 import gevent
+import gevent.socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from result import Err, Ok
 
@@ -22,9 +25,10 @@
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.ingress.target import RequestCancelledError
+from comfreyhitch.routing.models import CallerLimits
 from comfreyhitch.telemetry.decisions import log_decision, may_log
 from comfreyhitch.telemetry.metrics import observe_request
-from comfreyhitch.wire.sockets import tune_socket, watch_disconnect
+from comfreyhitch.wire.sockets import is_quiet, tune_socket, watch_disconnect
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +41,27 @@
 StartResponse = Callable[[str, Headers], object]
 
 
+class CallerServer(WSGIServer):
+    """Serve callers, and know which of their connections wait for a request."""
+
+    def __init__(self, *arguments: object, **options: object) -> None:
+        super().__init__(*arguments, **options)
+        self.idle_sockets: set[gevent.socket.socket] = set()
+        self.ended_sockets: set[gevent.socket.socket] = set()
+        self.get_limits: Callable[[], CallerLimits | None] = lambda: None
+
+    def stop_reading(self) -> None:
+        """Accept no connection and read no request any more; answer those that were read."""
+        self.close()
+        for sock in list(self.idle_sockets):
+            # A request that has arrived but was not read yet is still served.
+            if not is_quiet(sock):
+                continue
+            self.ended_sockets.add(sock)
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
 class CallerHandler(WSGIHandler):
     """Handle one caller's connection, with its headers as they came."""
 
@@ -44,6 +69,21 @@
         tune_socket(sock)
         super().__init__(sock, address, server)
 
+    def read_requestline(self) -> str:
+        """Return the next request's first line, empty if none comes in the time for it."""
+        limits = self.server.get_limits()
+        seconds = None if limits is None else limits.idle_timeout.total_seconds()
+        idle_sockets = self.server.idle_sockets
+        idle_sockets.add(self.socket)
+        try:
+            with gevent.Timeout(seconds, False):
+                line = super().read_requestline()
+                # What arrives as the connection is being closed counts as never read.
+                return "" if self.socket in self.server.ended_sockets else line
+        finally:
+            idle_sockets.discard(self.socket)
+        return ""
+
     def get_environ(self) -> dict[str, object]:
         """Return the WSGI environment with headers, socket and path of the request."""
         environ = super().get_environ()
@@ -67,14 +107,14 @@
         return status, response.replace(b"\r\n", verdict, 1)
 
 
-def make_frontend(egress: Egress, interface: CallerInterface) -> WSGIServer:
+def make_frontend(egress: Egress, interface: CallerInterface) -> CallerServer:
     """Return the server that callers talk to."""
     settings = egress.settings
 
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
         return _serve(egress, interface, environ, start_response)
 
-    return WSGIServer(
+    server = CallerServer(
         (str(settings.host), settings.http_port),
         application,
         handler_class=CallerHandler,
@@ -82,6 +122,8 @@
         error_log=logger,
         backlog=512,
     )
+    server.get_limits = interface.get_limits
+    return server
 
 
 def _serve(
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -1,5 +1,8 @@
 Feature: A planned stop is a graceful shutdown: it cuts no request in flight
 
+  Scenario: A request arrives just as the daemon stops reading
+    Then a request that waits unread at that moment is served, and an idle connection is closed
+
   Scenario: A daemon stops while requests run through both of its sides
     Given a running fleet
       | service   | zone | count | target arguments |
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -40,6 +40,7 @@
   Scenario: A planned stop under load
     When a daemon is told to stop while requests go through it
     Then it says that it is not ready, and cuts no request
+    And a kept connection without a request was closed while the daemon still ran
 
   Scenario: A good version and a bad one are ordered
     When a version of catalogue that fails half of its requests is ordered within 8 s
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import gevent
+import gevent.socket
 from behave import given, then, when
 
 from comfreyhitch.platform.client import delete_object
@@ -18,6 +19,7 @@
     wait_until,
 )
 from comfreyhitch.testing.platform_fleet import (
+    OUTBOUND_PORT,
     add_sidecar,
     is_ready,
     make_configuration,
@@ -278,7 +280,26 @@
     for _ in range(4):
         run_forever(context, call)
     gevent.sleep(0.5)
+    context.kept = gevent.socket.create_connection((context.stopped.host, OUTBOUND_PORT))
+    context.add_cleanup(context.kept.close)
+    # Work that is still running keeps the daemon from ending at once.
+    set_target_faults(list_sidecars(context, "payments")[1], pace=8000)
+    slow = gevent.spawn(send, context.stopped, "/payments/slow")
+    context.add_cleanup(slow.kill)
     stop_gracefully(context.stopped.daemon)
+    context.closing = gevent.spawn(watch_end, context)
+
+
+def watch_end(context):
+    """Return whether the kept connection was closed while the daemon still ran."""
+    context.kept.settimeout(6.0)
+    data = context.kept.recv(100)
+    return data == b"" and is_running(context.stopped.daemon)
+
+
+@then("a kept connection without a request was closed while the daemon still ran")
+def check_kept(context):
+    assert context.closing.get(timeout=1.0)
 
 
 @then("it says that it is not ready, and cuts no request")
--- /dev/null
+++ b/features/steps/stop_steps.py
@@ -0,0 +1,38 @@
+"""The moment at which a daemon stops reading requests."""
+
+import gevent
+import gevent.socket
+from behave import then
+
+from comfreyhitch.egress.frontend import CallerHandler, CallerServer
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@then("a request that waits unread at that moment is served, and an idle connection is closed")
+def check_stop_reading(context):
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2"), ("Connection", "close")])
+        return [b"ok"]
+
+    server = CallerServer(
+        ("127.0.0.1", 0), application, handler_class=CallerHandler, log=None, error_log=None
+    )
+    server.start()
+    callers = [gevent.socket.create_connection(("127.0.0.1", server.server_port)) for _ in "ab"]
+    gevent.sleep(0.05)
+    assert len(server.idle_sockets) == 2
+    # Both happen before the handler gets its turn.
+    callers[0]._sock.sendall(REQUEST)
+    server.stop_reading()
+    answers = []
+    for caller in callers:
+        caller.settimeout(2.0)
+        answer = b""
+        while part := caller.recv(1000):
+            answer += part
+        answers.append(answer)
+        caller.close()
+    server.stop(timeout=0)
+    assert answers[0].endswith(b"ok"), answers
+    assert answers[1] == b"", answers
