--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -63,8 +63,8 @@
     retry_window: PositiveDuration = Field(
         timedelta(seconds=10), description="time in which the shared retries are earned again"
     )
-    is_retry_extra_shared: bool = Field(
-        False, description="whether all daemons together share the retries saved up"
+    is_repeat_budget_shared: bool = Field(
+        False, description="whether all daemons share the retries saved up, and hedges draw on them"
     )
     choice_rule: Literal["load-aware", "least-in-flight", "round-robin", "random"] = Field(
         "load-aware", description="how a target is chosen; the others serve as baselines"
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -8,13 +8,14 @@
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.models import Candidate, TargetView
-from comfreyhitch.egress.state import Egress, make_request_id, record_service_latency
+from comfreyhitch.egress.state import Egress, make_request_id, record_latency
 from comfreyhitch.egress.views import (
     get_view,
     record_ended,
     record_failure,
     record_sent,
     record_success,
+    record_unreachable,
     take_report,
 )
 from comfreyhitch.ingress.models import read_answer
@@ -71,7 +72,7 @@
     except BaseException as error:
         record_ended(view)
         if isinstance(error, PeerError):
-            record_failure(view, clock.monotonic())
+            record_unreachable(view, clock.monotonic())
         raise
     return Attempt(request.request_id, candidate, view, connection, clock.monotonic())
 
@@ -143,14 +144,22 @@
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, str(error)))
 
 
-def get_patience(egress: Egress, service: str) -> float:
+def get_patience(egress: Egress, call: OutgoingCall) -> float:
     """Return after how many seconds an answer is late."""
-    latency_seconds = egress.latency_seconds_by_service.get(service)
+    latency_seconds = egress.latency_seconds_by_route.get((call.service, call.route))
     if latency_seconds is None:
         return DEFAULT_PATIENCE_SECONDS
     return max(MIN_PATIENCE_SECONDS, PATIENCE_LATENCY_FACTOR * latency_seconds)
 
 
+def _is_target_failure(failure: Failure) -> bool:
+    """Return whether a failure tells that the target is in trouble."""
+    if failure.refusal in (Refusal.TARGET_FAILED, Refusal.TARGET_UNREACHABLE):
+        return True
+    # A sound target says itself that a deadline has passed.
+    return failure.refusal is Refusal.DEADLINE and failure.verdict is Verdict.MAY_HAVE_RUN
+
+
 def _make_request(egress: Egress, call: OutgoingCall, remaining_seconds: float) -> CallRequest:
     return CallRequest(
         request_id=make_request_id(egress),
@@ -176,7 +185,7 @@
 ) -> Outcome:
     outcome = read_answer(answer)
     if outcome.is_ok():
-        record_service_latency(egress, call.service, now - attempt.sent_at)
+        record_latency(egress, call, now - attempt.sent_at)
         status = outcome.ok_value.status
         if status == DEADLINE_STATUS:
             # The request was too long for its deadline, which may be its own fault.
@@ -185,6 +194,6 @@
             record_failure(attempt.view, now)
         else:
             record_success(attempt.view)
-    elif outcome.err_value.refusal in (Refusal.TARGET_FAILED, Refusal.TARGET_UNREACHABLE):
+    elif _is_target_failure(outcome.err_value):
         record_failure(attempt.view, now)
     return outcome
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -28,7 +28,7 @@
         view = get_view(views_by_address, candidate.address)
         limit = view.reported_limit if view.reported_at else candidate.slots
         load = estimate_in_flight(view, now) / limit
-        is_avoided = now < view.avoid_until
+        is_avoided = now < view.avoid_until or candidate.is_suspect
         is_hot = load >= HOT_LOAD or view.error_rate > HOT_ERROR_RATE
         is_hot = is_hot or _is_stuck(view)
         # A gate waits a moment for the usual pace, which is worth it nearby.
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -83,6 +83,8 @@
     caller_request_id: str = ""
     max_targets: int = MAX_TARGETS
     table_version: int = 0
+    # Monotonic seconds at which the caller's request began to arrive.
+    arrived_at: float = 0.0
     # Time within which a response is worth most; None if nobody said.
     objective_seconds: float | None = None
     patience_seconds: float | None = None
--- a/comfreyhitch/egress/eligibility.py
+++ b/comfreyhitch/egress/eligibility.py
@@ -4,7 +4,7 @@
 
 from comfreyhitch.core.blackboard import Blackboard, get_refused_version_reason
 from comfreyhitch.egress.models import Candidate
-from comfreyhitch.membership.models import Member
+from comfreyhitch.membership.models import Member, MemberStatus
 from comfreyhitch.utils.hashing import rank_by_rendezvous
 
 # More candidates than this per service cost memory and leave the reports of
@@ -17,7 +17,10 @@
     candidates_by_service: dict[str, list[Candidate]] = defaultdict(list)
     for member in blackboard.members_by_address.values():
         if is_eligible(blackboard, member):
-            candidate = Candidate(member.address, member.zone, member.version, member.slots)
+            is_suspect = member.status is MemberStatus.SUSPECT
+            candidate = Candidate(
+                member.address, member.zone, member.version, member.slots, is_suspect
+            )
             candidates_by_service[member.service].append(candidate)
     for service, candidates in candidates_by_service.items():
         if len(candidates) > MAX_TRACKED_TARGETS:
--- a/comfreyhitch/egress/fencing.py
+++ b/comfreyhitch/egress/fencing.py
@@ -31,7 +31,7 @@
     clock = egress.blackboard.clock
     call = progress.call
     silent_at = attempt.sent_at + egress.settings.fence_after.total_seconds()
-    look_at = min(silent_at, attempt.sent_at + get_patience(egress, call.service))
+    look_at = min(silent_at, attempt.sent_at + get_patience(egress, call))
     is_connected = True
     try:
         while clock.monotonic() < call.deadline:
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -31,7 +31,7 @@
     clock = egress.blackboard.clock
     call = progress.call
     attempts = [attempt]
-    patience = get_patience(egress, call.service)
+    patience = get_patience(egress, call)
     last_at = call.deadline + ANSWER_GRACE_SECONDS
     late_at = attempt.sent_at + patience
     hedge_at: float | None = attempt.sent_at + patience * STALLED_HEDGE_SHARE
@@ -87,7 +87,9 @@
     # Within the first seconds only a hedge may help; after them the connection
     # may have gone silent, which a second try elsewhere cures as well.
     is_hedge = now < silent_at
-    budget = egress.hedge_budget if is_hedge else get_retry_budget(egress, progress.call.service)
+    has_own_budget = is_hedge and not egress.settings.is_repeat_budget_shared
+    retry_budget = get_retry_budget(egress, progress.call.service)
+    budget = egress.hedge_budget if has_own_budget else retry_budget
     next_look = silent_at if now < silent_at else None
     if progress.tries >= progress.call.max_targets:
         return None
--- a/comfreyhitch/egress/interface.py
+++ b/comfreyhitch/egress/interface.py
@@ -85,6 +85,9 @@
     Refusal.OVERLOADED: timedelta(milliseconds=200),
     Refusal.TARGET_STARTING: timedelta(milliseconds=300),
     Refusal.NO_CONFIGURATION: timedelta(milliseconds=500),
+    # Nothing is left that may serve it, which no moment of patience changes.
+    Refusal.NO_TARGET: timedelta(seconds=2),
+    Refusal.ZONE_OUT: timedelta(seconds=2),
 }
 _DEFAULT_RETRY_AFTER = timedelta(milliseconds=300)
 
--- a/comfreyhitch/egress/models.py
+++ b/comfreyhitch/egress/models.py
@@ -11,6 +11,7 @@
     zone: str
     version: str
     slots: int
+    is_suspect: bool = False
 
 
 @dataclass(slots=True)
--- a/comfreyhitch/egress/probes.py
+++ b/comfreyhitch/egress/probes.py
@@ -31,7 +31,7 @@
 def _find_stale_addresses(egress: Egress, now: float) -> list[str]:
     views_by_address = egress.blackboard.views_by_address
     stale = []
-    for service in egress.latency_seconds_by_service:
+    for service in {service for service, _ in egress.latency_seconds_by_route}:
         for candidate in egress.blackboard.candidates_by_service.get(service, []):
             view = get_view(views_by_address, candidate.address)
             if now - view.reported_at > MIN_REPORT_AGE_SECONDS:
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -17,6 +17,8 @@
 MAX_SLOW_REFUSALS = 3
 # Part of a call's objective for which it waits at the first gate for the usual pace.
 PATIENCE_SHARE = 0.2
+# Part of a call's objective after which it is refused rather than offered again.
+LOOKING_SHARE = 0.125
 RETRIED_STATUSES = frozenset({502, 503, 504})
 # These refusals tell of a change that has not reached this daemon yet, so the
 # next try goes elsewhere for certain and is not a sign of overload.
@@ -28,6 +30,7 @@
         Refusal.WRONG_SERVICE,
         Refusal.TARGET_STARTING,
         Refusal.TARGET_SLOW,
+        Refusal.PEER_UNREACHABLE,
     }
 )
 # A gate that refuses keeps the request from its target, so this is no try there.
@@ -36,8 +39,6 @@
     Refusal.TENANT_SHARE,
     Refusal.FENCED,
     Refusal.TARGET_COLD,
-    Refusal.TARGET_SLOW,
-    Refusal.PEER_UNREACHABLE,
 }
 ADMISSION_REFUSALS = frozenset(
     {Refusal.OVERLOADED, Refusal.TENANT_SHARE, Refusal.FENCED, Refusal.TARGET_COLD}
@@ -98,6 +99,8 @@
     cause = "status" if outcome.is_ok() else outcome.err_value.refusal
     if cause in FREE_REFUSALS:
         return True
+    if cause in ADMISSION_REFUSALS and _has_looked_long(progress, now):
+        return False
     # A request that is itself part of a retry further up is not retried, so
     # that tries do not multiply along a chain of calls.
     if call.attempt != progress.tries:
@@ -159,6 +162,14 @@
     return outcome
 
 
+def _has_looked_long(progress: Progress, now: float) -> bool:
+    """Return whether a caller had better be told now that there is no place."""
+    call = progress.call
+    if call.objective_seconds is None:
+        return False
+    return now - call.arrived_at > LOOKING_SHARE * call.objective_seconds
+
+
 def _has_tried_enough(progress: Progress) -> bool:
     failures = progress.tries - progress.gate_refusals
     return progress.refusals > MAX_REFUSALS or failures >= progress.call.max_targets
--- a/comfreyhitch/egress/routed_calls.py
+++ b/comfreyhitch/egress/routed_calls.py
@@ -61,6 +61,7 @@
             caller_request_id=request.request_id,
             max_targets=route.max_targets,
             table_version=table.version,
+            arrived_at=request.arrived_at,
             objective_seconds=route.objective.total_seconds(),
         )
     )
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -8,6 +8,7 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.egress.choice import Choose, make_choice
+from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.rollouts.exposure import ExposureCount
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
@@ -17,6 +18,7 @@
 # Hedges are earned by first tries; this many may be saved up.
 BUDGET_CAPACITY = 20.0
 LATENCY_WEIGHT = 0.05
+MAX_ROUTES = 10_000
 # A refusal by admission control costs far less than a request, so more tries
 # elsewhere are allowed after it than after a failure.
 REFUSAL_BUDGET = 0.5
@@ -38,7 +40,7 @@
     decisions: DecisionLog
     retry_budgets_by_service: dict[str, TokenBucket] = field(default_factory=dict)
     exposures_by_rollout: dict[str, ExposureCount] = field(default_factory=dict)
-    latency_seconds_by_service: dict[str, float] = field(default_factory=dict)
+    latency_seconds_by_route: dict[tuple[str, str], float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
     requests_in_progress: int = 0
 
@@ -75,11 +77,11 @@
     if budget is None:
         now = egress.blackboard.clock.monotonic()
         budget = TokenBucket.from_rate(0.0, settings.retry_extra, now)
-        if settings.is_retry_extra_shared:
+        if settings.is_repeat_budget_shared:
             # What was saved up before a restart may have been spent already.
             budget.tokens = 0.0
         egress.retry_budgets_by_service[service] = budget
-    if settings.is_retry_extra_shared:
+    if settings.is_repeat_budget_shared:
         daemons = max(1, len(egress.blackboard.members_by_address))
         budget.capacity = settings.retry_extra / daemons
         budget.rate = budget.capacity / settings.retry_window.total_seconds()
@@ -91,7 +93,10 @@
     return f"{egress.blackboard.own.boot_id}:{next(egress.request_numbers)}"
 
 
-def record_service_latency(egress: Egress, service: str, seconds: float) -> None:
-    """Follow how long requests of a service take."""
-    known = egress.latency_seconds_by_service.get(service, seconds)
-    egress.latency_seconds_by_service[service] = known + LATENCY_WEIGHT * (seconds - known)
+def record_latency(egress: Egress, call: OutgoingCall, seconds: float) -> None:
+    """Follow how long requests of a route take."""
+    key = (call.service, call.route)
+    known = egress.latency_seconds_by_route.get(key, seconds)
+    if len(egress.latency_seconds_by_route) >= MAX_ROUTES:
+        egress.latency_seconds_by_route.clear()
+    egress.latency_seconds_by_route[key] = known + LATENCY_WEIGHT * (seconds - known)
--- a/comfreyhitch/egress/views.py
+++ b/comfreyhitch/egress/views.py
@@ -9,6 +9,7 @@
 FIRST_AVOIDANCE_SECONDS = 0.1
 MAX_AVOIDANCE_SECONDS = 5.0
 NOT_ACCEPTING_SECONDS = 1.0
+UNREACHABLE_SECONDS = 1.0
 SLOWNESS_LIFETIME_SECONDS = 0.1
 
 
@@ -66,6 +67,12 @@
     return view.slowness >= SLOW_FACTOR and now - view.reported_at < SLOWNESS_LIFETIME_SECONDS
 
 
+def record_unreachable(view: TargetView, now: float) -> None:
+    """Note that a target's daemon can't be reached, and leave it alone for a while."""
+    record_failure(view, now)
+    view.avoid_until = max(view.avoid_until, now + UNREACHABLE_SECONDS)
+
+
 def is_full(view: TargetView, now: float) -> bool:
     """Return whether a target probably has no place left."""
     return estimate_in_flight(view, now) >= view.reported_limit
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -76,7 +76,7 @@
         "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
         "retry_extra": float(values["Bounds.BudgetExtra"]) * RETRY_EXTRA_SHARE,
         "retry_window": parse_duration(values["Bounds.BudgetWindow"]),
-        "is_retry_extra_shared": True,
+        "is_repeat_budget_shared": True,
         "hedge_budget": 0.0,
         "probe_rate": 0.0,
         "target_probe_rate": min(TARGET_PROBES_PER_SECOND, float(values["Bounds.ProbesPerS"]) / 2),
--- a/comfreyhitch/wire/connections.py
+++ b/comfreyhitch/wire/connections.py
@@ -19,7 +19,7 @@
 from comfreyhitch.wire.sockets import connect, is_disconnected, split_address, wait_readable
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
-CONNECT_TIMEOUT = timedelta(milliseconds=500)
+CONNECT_TIMEOUT = timedelta(milliseconds=200)
 MAX_IDLE = timedelta(seconds=20)
 MAX_IDLE_CONNECTIONS = 64
 
