--- a/comfreyhitch/core/headers.py
+++ b/comfreyhitch/core/headers.py
@@ -1,5 +1,7 @@
 """Names of the headers between callers, daemons and targets."""
 
+from collections.abc import Iterable
+
 HEADER_SERVICE = "Comfreyhitch-Service"
 HEADER_TENANT = "Comfreyhitch-Tenant"
 HEADER_TIMEOUT = "Comfreyhitch-Timeout-Ms"
@@ -22,3 +24,11 @@
         "upgrade",
     }
 )
+
+
+def find_header(headers: Iterable[tuple[str, str]], name: str) -> str:
+    """Return the value of the first header of a name, empty without one."""
+    wanted = name.lower()
+    if not wanted:
+        return ""
+    return next((value for field, value in headers if field.lower() == wanted), "")
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -56,6 +57,8 @@
     detector: FailureDetector
     broadcaster: Broadcaster
     border: Border
+    # Reads the settings again; raises `SettingsError` if they are wrong.
+    read_settings: Callable[[], Settings] | None = None
     platform: PlatformClient | None = None
     registration: Registration | None = None
     document_followers: list[Follower] = field(default_factory=list)
@@ -122,10 +125,6 @@
             platform=_make_platform_client(settings, metrics),
         )
 
-    def reload(self) -> None:
-        """Note a request to read the settings again."""
-        logger.info("reload was asked for; settings are read at the start only")
-
 
 def make_own_member(settings: Settings, clock: Clock) -> Member:
     """Return the record of a daemon that has just started."""
--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -1,6 +1,8 @@
 """Run one daemon until it is told to stop."""
 
 import signal
+from collections.abc import Callable
+from pathlib import Path
 
 import gevent
 
@@ -8,21 +10,52 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.border import OWN_BORDER, Border
+from comfreyhitch.daemon.reloading import reload_settings
 from comfreyhitch.daemon.shutdown import stop_gracefully
 from comfreyhitch.daemon.startup import start
 from comfreyhitch.telemetry.logs import configure_logging
 
 EXIT_BAD_SETTINGS = 2
+FILE_CHECK_SECONDS = 1.0
 
 
-def run(settings: Settings, border: Border = OWN_BORDER) -> None:
-    """Run a daemon until it is told to stop."""
+def run(
+    settings: Settings,
+    border: Border = OWN_BORDER,
+    read_settings: Callable[[], Settings] | None = None,
+    settings_path: Path | None = None,
+) -> None:
+    """Run a daemon until it is told to stop.
+
+    Settings in a file are followed when it changes, with a signal or without.
+    """
     handler = configure_logging(settings.log_level, settings.advertised_peer_address)
     daemon = Daemon.from_settings(settings, Clock.from_system(), border)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, daemon.stopping.set)
-    gevent.signal_handler(signal.SIGHUP, daemon.reload)
+    daemon.read_settings = read_settings
+    gevent.signal_handler(signal.SIGHUP, reload_settings, daemon)
+    if settings_path is not None:
+        gevent.spawn(_watch_file, daemon, settings_path)
     start(daemon)
     daemon.stopping.wait()
     stop_gracefully(daemon)
     handler.flush_at_exit()
+
+
+def _watch_file(daemon: Daemon, path: Path) -> None:
+    content = _read_content(path)
+    while True:
+        gevent.sleep(FILE_CHECK_SECONDS)
+        found = _read_content(path)
+        if found is not None and found != content:
+            content = found
+            reload_settings(daemon)
+
+
+def _read_content(path: Path) -> bytes | None:
+    try:
+        return path.read_bytes()
+    except OSError:
+        # The file is being replaced; the next look finds it.
+        return None
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -27,6 +27,7 @@
     publish_own(daemon.detector, draining=True)
     logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
     peer_server, frontend, *other_servers = daemon.servers
+    leaving = gevent.spawn(_unregister, daemon)
     # Callers go on coming until they have been told to go elsewhere.
     gevent.sleep(daemon.settings.stop_linger.total_seconds())
     frontend.stop_reading()
@@ -37,16 +38,20 @@
     handed_on = hand_on_claims(daemon.claims)
     publish_own(daemon.detector, status=MemberStatus.LEFT, draining=True)
     _tell_everyone(daemon)
-    if daemon.registration is not None:
-        unregister(daemon.registration)
     is_drained = _wait_until_idle(daemon, deadline)
     for server in (frontend, peer_server, *other_servers):
         server.stop(timeout=0)
-    gevent.killall(daemon.greenlets)
+    gevent.killall([*daemon.greenlets, leaving])
     daemon.pool.close()
     logger.info("stopped", extra={"drained": is_drained, "claims_handed_on": handed_on})
 
 
+def _unregister(daemon: Daemon) -> None:
+    # A store that answers slowly must not hold up the stop.
+    if daemon.registration is not None:
+        unregister(daemon.registration)
+
+
 def _wait_until_idle(daemon: Daemon, deadline: float) -> bool:
     while daemon.clock.monotonic() < deadline:
         if _is_idle(daemon):
--- /dev/null
+++ b/comfreyhitch/ingress/accounting.py
@@ -0,0 +1,58 @@
+"""Count and log the calls that a gate has handled."""
+
+from comfreyhitch.core.headers import find_header
+from comfreyhitch.core.verdicts import Outcome, Verdict, describe_outcome
+from comfreyhitch.ingress.models import IncomingCall
+from comfreyhitch.ingress.state import Ingress
+from comfreyhitch.telemetry.decisions import log_decision, may_log
+from comfreyhitch.telemetry.metrics import observe_call
+
+SERVER_ERROR_STATUS = 500
+
+
+def record_call(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
+    """Count and log what became of one call."""
+    _count_call(ingress, call, outcome)
+    is_failure = outcome.is_err() or outcome.ok_value.status >= SERVER_ERROR_STATUS
+    if not may_log(ingress.decisions, is_failure=is_failure):
+        return
+    now = ingress.blackboard.clock.monotonic()
+    life = ingress.life
+    fields: dict[str, object] = {
+        "caller_request_id": find_header(call.headers, ingress.dialect.request_id),
+        "request_id": call.request_id,
+        "service": call.service,
+        "route": call.route,
+        "attempt": call.attempt,
+        "outcome": describe_outcome(outcome),
+        "ms": round((now - call.arrived_at) * 1000, 1),
+        "waited_ms": round((call.sent_at - call.arrived_at) * 1000, 1) if call.sent_at else None,
+        "slowness": call.pace_at_send and call.pace_at_send.slowness,
+        "pace_age_ms": call.pace_at_send
+        and round((call.sent_at - call.pace_at_send.read_at) * 1000),
+        "running": ingress.queue.running,
+        "waiting": len(ingress.queue.waiting),
+        "limit": ingress.queue.limit.limit,
+        "instance_id": life.instance_id,
+        "target_state": life.state.value,
+        "heartbeat_age_ms": round((now - life.heard_at) * 1000),
+    }
+    if outcome.is_err():
+        fields["detail"] = outcome.err_value.detail
+    log_decision(ingress.decisions, "call failed" if is_failure else "call", fields)
+
+
+def _describe_pace(call: IncomingCall) -> dict[str, object]:
+    reading = call.pace_at_send
+    if reading is None:
+        return {}
+    age_seconds = call.sent_at - reading.read_at
+    return {"slowness": reading.slowness, "pace_age_ms": round(age_seconds * 1000)}
+
+
+def _count_call(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
+    if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
+        ingress.metrics.ingress.refusals.inc({"cause": outcome.err_value.refusal.value})
+        return
+    seconds = ingress.blackboard.clock.monotonic() - call.arrived_at
+    observe_call(ingress.metrics, call.tenant, call.traffic_class, seconds)
--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -18,7 +18,8 @@
 )
 from comfreyhitch.admission.warming import admit_cold
 from comfreyhitch.core.blackboard import get_refused_version_reason, is_quarantined
-from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
+from comfreyhitch.core.headers import find_header
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.idempotency.claims import (
     acquire_claim,
     make_claim,
@@ -26,6 +27,7 @@
     settle_claim,
 )
 from comfreyhitch.idempotency.registry import make_scope
+from comfreyhitch.ingress.accounting import SERVER_ERROR_STATUS, record_call
 from comfreyhitch.ingress.health import report_if_crashed, take_load
 from comfreyhitch.ingress.lifecycle import TargetState, is_cold, suspect
 from comfreyhitch.ingress.models import IncomingCall
@@ -42,12 +44,9 @@
 from comfreyhitch.ingress.state import Ingress, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
-from comfreyhitch.telemetry.decisions import log_decision, may_log
-from comfreyhitch.telemetry.metrics import observe_call
 from comfreyhitch.utils.recent import add_recent, is_recent
 from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
 
-SERVER_ERROR_STATUS = 500
 CRASH_CHECK_SECONDS = 0.02
 
 
@@ -55,8 +54,7 @@
     """Return the target's response, or a failure that says whether the call may have run."""
     failure = _find_refusal(ingress, call)
     if failure is not None:
-        _count_refusal(ingress, failure)
-        _log_call(ingress, call, Err(failure))
+        record_call(ingress, call, Err(failure))
         return Err(failure)
     ingress.calls_in_progress += 1
     try:
@@ -66,61 +64,10 @@
             outcome = _run_recorded(ingress, call)
     finally:
         ingress.calls_in_progress -= 1
-    _record_metrics(ingress, call, outcome)
-    _log_call(ingress, call, outcome)
+    record_call(ingress, call, outcome)
     return outcome
 
 
-def _log_call(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
-    is_failure = outcome.is_err() or outcome.ok_value.status >= SERVER_ERROR_STATUS
-    if not may_log(ingress.decisions, is_failure=is_failure):
-        return
-    now = ingress.blackboard.clock.monotonic()
-    life = ingress.life
-    fields: dict[str, object] = {
-        "caller_request_id": _find_value(call, ingress.dialect.request_id),
-        "request_id": call.request_id,
-        "service": call.service,
-        "route": call.route,
-        "attempt": call.attempt,
-        "outcome": describe_outcome(outcome),
-        "ms": round((now - call.arrived_at) * 1000, 1),
-        "waited_ms": round((call.sent_at - call.arrived_at) * 1000, 1) if call.sent_at else None,
-        "slowness": call.pace_at_send and call.pace_at_send.slowness,
-        "pace_age_ms": call.pace_at_send
-        and round((call.sent_at - call.pace_at_send.read_at) * 1000),
-        "running": ingress.queue.running,
-        "waiting": len(ingress.queue.waiting),
-        "limit": ingress.queue.limit.limit,
-        "instance_id": life.instance_id,
-        "target_state": life.state.value,
-        "heartbeat_age_ms": round((now - life.heard_at) * 1000),
-    }
-    if outcome.is_err():
-        fields["detail"] = outcome.err_value.detail
-    log_decision(ingress.decisions, "call failed" if is_failure else "call", fields)
-
-
-def _describe_pace(call: IncomingCall) -> dict[str, object]:
-    reading = call.pace_at_send
-    if reading is None:
-        return {}
-    age_seconds = call.sent_at - reading.read_at
-    return {"slowness": reading.slowness, "pace_age_ms": round(age_seconds * 1000)}
-
-
-def _record_metrics(ingress: Ingress, call: IncomingCall, outcome: Outcome) -> None:
-    if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
-        _count_refusal(ingress, outcome.err_value)
-        return
-    seconds = ingress.blackboard.clock.monotonic() - call.arrived_at
-    observe_call(ingress.metrics, call.tenant, call.traffic_class, seconds)
-
-
-def _count_refusal(ingress: Ingress, failure: Failure) -> None:
-    ingress.metrics.ingress.refusals.inc({"cause": failure.refusal.value})
-
-
 def _find_refusal(ingress: Ingress, call: IncomingCall) -> Failure | None:
     blackboard = ingress.blackboard
     own = blackboard.own
@@ -341,16 +288,11 @@
         # A target that is told apart by its id limits its connections as well.
         needs_new_connection=not call.is_idempotent and not dialect.expected_instance,
         body_limit_bytes=ingress.settings.body_limit_bytes,
-        request_id=_find_value(call, dialect.request_id),
+        request_id=find_header(call.headers, dialect.request_id),
         expected_instance=expected_instance,
     )
 
 
-def _find_value(call: IncomingCall, field_name: str) -> str:
-    wanted = field_name.lower()
-    return next((value for name, value in call.headers if name.lower() == wanted), "")
-
-
 def _learn_from_outcome(
     ingress: Ingress, call: IncomingCall, outcome: Outcome, started_at: float
 ) -> None:
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -5,6 +5,7 @@
 from result import Err, Ok
 
 from comfreyhitch.admission.pacing import PaceReading
+from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Outcome, Refusal, Response
 from comfreyhitch.ingress.lifecycle import (
     TargetState,
@@ -108,25 +109,18 @@
 
 def take_load(ingress: Ingress, response: Response, now: float) -> None:
     """Take in the load that a response tells."""
-    text = _find_value(response, ingress.dialect.load)
+    text = find_header(response.headers, ingress.dialect.load)
     load = parse_load(text) if text else None
     if load is not None and load.slowness is not None:
         ingress.pace = PaceReading(load.slowness, now)
 
 
 def _read_instance(ingress: Ingress, response: Response) -> str:
-    return _find_value(response, ingress.dialect.instance)
+    return find_header(response.headers, ingress.dialect.instance)
 
 
 def _read_cold_time(ingress: Ingress, response: Response) -> timedelta | None:
-    text = _find_value(response, ingress.dialect.cold_ms)
+    text = find_header(response.headers, ingress.dialect.cold_ms)
     if not text.isascii() or not text.isdigit() or int(text) > MAX_COLD_MS:
         return None
     return timedelta(milliseconds=int(text))
-
-
-def _find_value(response: Response, field_name: str) -> str:
-    wanted = field_name.lower()
-    if not wanted:
-        return ""
-    return next((value for name, value in response.headers if name.lower() == wanted), "")
--- a/comfreyhitch/platform/__main__.py
+++ b/comfreyhitch/platform/__main__.py
@@ -37,7 +37,7 @@
         documents=DOCUMENT_SOURCES,
         make_servers=lambda daemon: make_servers(daemon, addresses),
     )
-    run(settings, border)
+    run(settings, border, lambda: make_settings(read_file(path)), path)
     return 0
 
 
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -10,6 +10,8 @@
 from comfreyhitch.platform.durations import parse_duration
 
 ENVIRONMENT_PATH = "COMFREYHITCH_CONFIG"
+# Stands in deploy/system.toml as well.
+METRICS_PORT = 9464
 # A daemon ends within this part of the time that the platform gives it at a stop.
 STOP_SHARE = 0.85
 LINGER_SHARE = 0.5
@@ -62,7 +64,7 @@
         "host": outbound_host,
         "http_port": outbound_port,
         "peer_port": int(first_port),
-        "admin_port": int(first_port) + 1,
+        "admin_port": METRICS_PORT,
         "zone": values["Zone"],
         "region": values["Region"],
         "service": values["Service"],
