--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -312,9 +312,7 @@
     assert len(context.answers) > 20
 
 
-@when(
-    "a version of catalogue that fails half of its requests is ordered within {seconds:d} s"
-)
+@when("a version of catalogue that fails half of its requests is ordered within {seconds:d} s")
 def order_bad(context, seconds):
     order_version(context, "v2", seconds, {"failure_share": 0.5})
 
