--- a/comfreyhitch/management/application.py
+++ b/comfreyhitch/management/application.py
@@ -8,6 +8,7 @@
 from comfreyhitch.management.commands.daemon import DaemonCommand
 from comfreyhitch.management.commands.demo import DemoCommand
 from comfreyhitch.management.commands.edit import EditCommand
+from comfreyhitch.management.commands.explain import ExplainCommand
 from comfreyhitch.management.commands.get import GetCommand
 from comfreyhitch.management.commands.members import MembersCommand
 from comfreyhitch.management.commands.status import StatusCommand
@@ -22,6 +23,7 @@
         DaemonCommand(),
         DemoCommand(),
         EditCommand(),
+        ExplainCommand(),
         GetCommand(),
         MembersCommand(),
         StatusCommand(),
--- a/comfreyhitch/management/commands/check.py
+++ b/comfreyhitch/management/commands/check.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 import comfreyhitch.conf.checks  # noqa: F401  Registers the checks.
 from comfreyhitch.conf.exceptions import SettingsError
@@ -14,6 +14,7 @@
 from comfreyhitch.management.common import report_errors
 from comfreyhitch.management.documents import check_document, read_document
 from comfreyhitch.management.exit_codes import ExitCode
+from comfreyhitch.platform.settings import get_addresses, make_settings, read_file
 
 
 class CheckCommand(Command):
@@ -22,13 +23,18 @@
     name = "check"
     description = "Check settings and a document, offline"
     arguments: ClassVar = [argument("document", "path of a YAML document", optional=True)]
+    options: ClassVar = [
+        option("platform-file", None, "path of a settings file of the platform", flag=False)
+    ]
     help = """Exit code 0 means that all is well, 2 that something has to be corrected.
 
     comfreyhitch check document.yaml"""
 
     def handle(self) -> int:
         """Print every error with its place."""
-        errors = [*_check_settings(), *_check_document(self.argument("document"))]
+        path = self.option("platform-file")
+        settings_errors = _check_settings() if path is None else _check_platform_file(Path(path))
+        errors = [*settings_errors, *_check_document(self.argument("document"))]
         if errors:
             return report_errors(self, errors)
         self.line("no errors")
@@ -43,6 +49,18 @@
     return [str(error) for error in run_checks(settings)]
 
 
+def _check_platform_file(path: Path) -> list[str]:
+    try:
+        values = read_file(path)
+        settings = make_settings(values)
+        get_addresses(values)
+    except SettingsError as error:
+        return str(error).splitlines()
+    except KeyError as error:
+        return [f"{path}: {error.args[0]} is missing; the platform has to set it"]
+    return [str(error) for error in run_checks(settings)]
+
+
 def _check_document(path: str | None) -> list[str]:
     if path is None:
         return []
--- a/features/commands.feature
+++ b/features/commands.feature
@@ -1,5 +1,8 @@
 Feature: Operators are told clearly what is wrong and what is done
 
+  Scenario: The story of one request
+    Then explain tells a request's lines in order from several logs, and what its daemons believed
+
   Scenario: Broken settings and documents are refused with an error that names the place
     Then these settings stop the start with an error that names the setting
       | variable                    | value     | error says                 |
--- /dev/null
+++ b/features/steps/story_steps.py
@@ -0,0 +1,48 @@
+"""The story of one request, told from logs."""
+
+import json
+import subprocess
+import sys
+
+from behave import then
+
+
+def make_line(time, daemon, message, **fields):
+    """Return a line of a daemon's log, behind what the platform puts before it."""
+    content = {"time": time, "daemon": daemon, "message": message, **fields}
+    return f"  0.5 node {json.dumps(content)}"
+
+
+def explain(*arguments):
+    """Run the command."""
+    command = [sys.executable, "-m", "comfreyhitch", "explain", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+@then("explain tells a request's lines in order from several logs, and what its daemons believed")
+def check_story(context):
+    first = [
+        make_line("t1", "d1", "zone is out", zone="za"),
+        make_line("t4", "d1", "request failed", caller_request_id="r1", outcome="no-target"),
+        make_line("t5", "d1", "request", caller_request_id="r2", outcome="200"),
+    ]
+    second = [
+        "not a log line",
+        make_line("t3", "d2", "call failed", caller_request_id="r1.x", lines_left_out=7),
+        '{"time": "cut',
+    ]
+    paths = []
+    for name, lines in (("first", first), ("second", second)):
+        path = context.folder / f"{name}.log"
+        path.write_text("\n".join(lines))
+        paths.append(str(path))
+    told = explain("r1", *paths)
+    assert told.returncode == 0, told
+    lines = told.stdout.splitlines()
+    assert lines[0].startswith("t3 d2 call failed") and lines[1].startswith("t4 d1 request failed")
+    assert "7 others were left out" in lines[2]
+    assert lines[4].strip().startswith("t1 d1 zone is out"), lines
+    assert "r2" not in told.stdout
+    assert explain("unknown", *paths).returncode == 1
+    missing = explain("r1", "/nowhere.log")
+    assert missing.returncode == 2 and "/nowhere.log" in missing.stderr, missing
