--- /dev/null
+++ b/features/steps/retry_budget_steps.py
@@ -0,0 +1,118 @@
+"""The budget of repeats that all daemons share, and what draws on it."""
+
+from datetime import timedelta
+
+from behave import then
+from hypothesis import given, seed
+from hypothesis import strategies as st
+from result import Err
+
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
+from comfreyhitch.egress.classify import OutgoingCall
+from comfreyhitch.egress.retries import GATE_REFUSALS, Progress, record_try, should_retry
+from comfreyhitch.egress.state import Egress, get_retry_budget
+from comfreyhitch.sections.models import TrafficClass
+from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.utils.token_bucket import deposit, take
+from comfreyhitch.wire.connections import PeerPool
+from features.steps.property_steps import FakeClock, make_member
+
+RATIO = 0.16
+EXTRA = 30.0
+WINDOW = timedelta(seconds=10)
+
+
+def make_egress(clock, daemons=1):
+    """Return the egress of one of several daemons."""
+    settings = Settings(
+        retry_budget=RATIO,
+        retry_extra=EXTRA,
+        retry_window=WINDOW,
+        is_repeat_budget_shared=True,
+        hedge_budget=0.0,
+    )
+    blackboard = Blackboard(clock=clock, own=make_member())
+    for number in range(daemons):
+        member = make_member(address=f"127.0.0.{number + 1}:8081")
+        blackboard.members_by_address[member.address] = member
+    pool = PeerPool.from_address("127.0.0.1:8081", "127.0.0.1", clock)
+    return Egress.from_settings(settings, blackboard, pool, Metrics.create())
+
+
+def make_call(max_targets):
+    """Return an idempotent call."""
+    return OutgoingCall(
+        service="s1",
+        method="GET",
+        path="/",
+        headers=[],
+        body=b"",
+        tenant="default",
+        traffic_class=TrafficClass.NORMAL,
+        is_idempotent=True,
+        idempotency_key="",
+        fingerprint="f",
+        route="r",
+        attempt=1,
+        deadline=100.0,
+        max_targets=max_targets,
+    )
+
+
+@then("in any window all daemons together repeat no more than the share and the extra allow")
+def check_shared(context):
+    event = st.tuples(st.integers(0, 4), st.floats(0.0, 0.3), st.integers(0, 5))
+
+    @seed(context.seed)
+    @given(st.lists(event, min_size=1, max_size=150))
+    def check(events):
+        clock = FakeClock()
+        egresses = [make_egress(clock.make(), daemons=5) for _ in range(5)]
+        requests, repeats = [], []
+        for position, pause, wanted in events:
+            clock.seconds += pause
+            budget = get_retry_budget(egresses[position], "s1")
+            deposit(budget, RATIO)
+            requests.append(clock.seconds)
+            for _ in range(wanted):
+                if take(budget, clock.seconds):
+                    repeats.append(clock.seconds)
+        for start in repeats:
+            end = start + WINDOW.total_seconds()
+            # What was saved up before the window is at most one part of the extra.
+            allowed = RATIO * sum(start <= at <= end for at in requests) + 2 * EXTRA
+            assert sum(start <= at <= end for at in repeats) <= allowed + 1e-6
+
+    check()
+
+
+@then("a refusal by a gate costs no target and no repeat, and a route's targets are never exceeded")
+def check_tries(context):
+    refusals = st.lists(st.sampled_from(sorted(Refusal)), min_size=1, max_size=12)
+
+    @seed(context.seed)
+    @given(refusals, st.integers(1, 3))
+    def check(causes, max_targets):
+        egress = make_egress(FakeClock().make())
+        budget = get_retry_budget(egress, "s1")
+        budget.tokens = budget.capacity
+        progress = Progress(make_call(max_targets))
+        reached = 0
+        for number, cause in enumerate(causes):
+            progress.tries += 1
+            reached += cause not in GATE_REFUSALS
+            before = budget.tokens
+            failure = Failure(Verdict.NOT_RUN, cause)
+            record_try(progress, f"t{number}", Err(failure))
+            is_tried_again = should_retry(egress, progress)
+            if cause in GATE_REFUSALS:
+                assert budget.tokens == before, cause
+            if not is_tried_again:
+                break
+            progress.call.attempt += 1
+            assert reached < max_targets or cause in GATE_REFUSALS
+        assert reached <= max_targets
+
+    check()
