Tell all others again after joining, and ask long rollouts for as many seconds as before

Found by the suite beside nine busy processes (5 of 84 scenarios red): a daemon's record went only to the few peers that it knew before it had joined, since the small fleet no longer passes facts on; the judge's windows had become half as long, so that half the seconds of slowness sufficed; the stand-in store kept watches whose caller had left. The scenario of zones stays open (KNOWN-RED).

--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -13,7 +13,7 @@
 from comfreyhitch.egress.probes import send_probes
 from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
-from comfreyhitch.membership.detector import list_reachable_peers, run_round
+from comfreyhitch.membership.detector import list_reachable_peers, publish_own, run_round
 from comfreyhitch.membership.registration import Registration, run_registration
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import send_facts
@@ -168,6 +168,8 @@
     """Sync with first peers until one answers, then recover what a restart lost."""
     while not _has_joined(daemon):
         gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
+    # What it said of itself before went to the few peers that it knew.
+    publish_own(daemon.detector)
     recover_claims(daemon.claims)
 
 
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -15,7 +15,7 @@
     publish_evidence,
 )
 from comfreyhitch.rollouts.judge import judge
-from comfreyhitch.rollouts.timeline import Stage, get_alpha, get_next_stage
+from comfreyhitch.rollouts.timeline import Stage, get_next_stage, get_strictness
 from comfreyhitch.wire.codec import encode
 from comfreyhitch.wire.generated.ttypes import VetoRecord
 
@@ -89,7 +89,7 @@
     publish_evidence(rollouts, order.rollout_id, order.service)
     evidence = collect_evidence(rollouts, order.rollout_id)
     stage = _get_stage(blackboard, order)
-    judgement = judge(evidence, order.to_version, get_alpha(stage))
+    judgement = judge(evidence, order.to_version, get_strictness(stage))
     if judgement.finding is not None:
         publish_order_veto(rollouts.store, order, judgement.finding)
         return
--- a/comfreyhitch/rollouts/timeline.py
+++ b/comfreyhitch/rollouts/timeline.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from enum import IntEnum
 
-from comfreyhitch.rollouts.judge import Judgement
+from comfreyhitch.rollouts.judge import Judgement, Strictness
 
 
 class Stage(IntEnum):
@@ -36,8 +36,8 @@
 # Requests that run at the old version end before it is given up.
 FULL_FOR = 0.1
 # Once a version gets much, a finding has to convince less.
-ALPHA_WHILE_FEW = 1e-4
-ALPHA_WHILE_MANY = 1e-2
+STRICTNESS_WHILE_FEW = Strictness(alpha=1e-4, failing_windows=2, slow_windows=3)
+STRICTNESS_WHILE_MANY = Strictness(alpha=1e-2, failing_windows=2, slow_windows=3)
 
 
 def get_next_stage(
@@ -63,6 +63,6 @@
     return stage is Stage.PROVEN and full_for >= duration * FULL_FOR
 
 
-def get_alpha(stage: Stage) -> float:
-    """Return the chance of a finding about a healthy version that is borne at each look."""
-    return ALPHA_WHILE_FEW if stage < Stage.RAMP else ALPHA_WHILE_MANY
+def get_strictness(stage: Stage) -> Strictness:
+    """Return how much it takes for a finding at a stage."""
+    return STRICTNESS_WHILE_FEW if stage < Stage.RAMP else STRICTNESS_WHILE_MANY
--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -10,16 +10,19 @@
 from urllib.parse import parse_qsl, unquote
 
 import gevent
+import gevent.socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from comfreyhitch.platform.client import API_PREFIX
-from comfreyhitch.testing.target import QuietHandler
+from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
+from comfreyhitch.wire.sockets import is_disconnected
 
 KEPT_EVENTS = 1000
 MAX_OBJECT_BYTES = 1024 * 1024
 MAX_WAIT_SECONDS = 30.0
 PAGE_ITEMS = 500
+DISCONNECT_CHECK_SECONDS = 0.5
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 Query = dict[str, str]
@@ -113,7 +116,7 @@
     verb = _get_verb(method, object_id, query)
     state.calls_by_verb[verb] += 1
     if method == "GET":
-        return _read(state, object_id, query)
+        return _read(state, object_id, query, environ[SOCKET_ENVIRON_KEY])
     content = _write(state, method, object_id, query, environ)
     if state.faults.lost_answers > 0:
         state.faults.lost_answers -= 1
@@ -134,9 +137,11 @@
     return "get" if object_id.name else "list"
 
 
-def _read(state: StoreState, object_id: ObjectId, query: Query) -> object:
+def _read(
+    state: StoreState, object_id: ObjectId, query: Query, sock: gevent.socket.socket
+) -> object:
     if "Watch" in query:
-        return _watch(state, object_id.kind, query)
+        return _watch(state, object_id.kind, query, sock)
     return _get(state, object_id) if object_id.name else _list(state, object_id.kind, query)
 
 
@@ -257,7 +262,7 @@
     changed.set()
 
 
-def _watch(state: StoreState, kind: str, query: Query) -> dict:
+def _watch(state: StoreState, kind: str, query: Query, sock: gevent.socket.socket) -> dict:
     since = int(query["Watch"])
     if since < state.oldest_revision:
         raise ApiError("410 Gone", {"Error": f"the history after {since} is gone"})
@@ -266,7 +271,9 @@
     try:
         with gevent.Timeout(min(MAX_WAIT_SECONDS, int(query.get("WaitMs", "0")) / 1000), False):
             while not state.faults.is_down and not _find_events(state, kind, since):
-                state.changed.wait()
+                if is_disconnected(sock):
+                    break
+                state.changed.wait(DISCONNECT_CHECK_SECONDS)
     finally:
         state.watches -= 1
     _refuse_if_down(state)
--- a/features/environment.py
+++ b/features/environment.py
@@ -42,8 +42,8 @@
         gevent.killall(context.traffic.callers)
     if context.fleet is not None:
         stop_fleet(context.fleet)
-        if scenario.status == "failed":
-            print_logs(context.folder)
+    if scenario.status == "failed":
+        print_logs(context.folder)
     context.scratch.cleanup()
 
 
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -45,5 +45,5 @@
   Scenario: A good version and a bad one are ordered
     When a version of catalogue that fails half of its requests is ordered within 8 s
     Then it is rolled back in time
-    When a good version of catalogue is ordered within 8 s
+    When a good version of catalogue is ordered within 14 s
     Then it has succeeded in time
--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -22,7 +22,13 @@
 )
 from comfreyhitch.rollouts.judge import Judgement, judge
 from comfreyhitch.rollouts.orders import get_deadline
-from comfreyhitch.rollouts.timeline import OUTCOME_AT, STAGE_RULES, Stage, get_alpha, get_next_stage
+from comfreyhitch.rollouts.timeline import (
+    OUTCOME_AT,
+    STAGE_RULES,
+    Stage,
+    get_next_stage,
+    get_strictness,
+)
 from features.steps.property_steps import FakeClock
 
 # From the rules of the orders: a version is bad from this share of failures on.
@@ -150,7 +156,7 @@
             record(log, behaviour, sent_stage, clock, random)
         if is_vetoed or number % (rate // JUDGEMENTS_PER_SECOND):
             continue
-        judgement = judge(collect(logs, clock), "v2", get_alpha(stage))
+        judgement = judge(collect(logs, clock), "v2", get_strictness(stage))
         is_vetoed = judgement.finding is not None
         elapsed = timedelta(seconds=clock.seconds)
         if elapsed < DURATION * OUTCOME_AT:
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -336,8 +336,9 @@
     for zone in ("za", "zb"):
         sidecar = add_sidecar(fleet, "catalogue", zone, [], version)
         wait_until(lambda sidecar=sidecar: has_answered(sidecar, faults), 5.0, sidecar.name)
+    # A version is proved by requests, so there are enough of them on a slow machine too.
     for sidecar in list_sidecars(context, "payments"):
-        for _ in range(2):
+        for _ in range(6):
             run_forever(context, lambda sidecar=sidecar: send(sidecar, "/catalogue/x"))
 
 
