Trace the three flaky scenarios: an outcome of another order, a test that blocked, overflow after the end

The check now reads the outcome of its own order, and a second daemon tells 'running' as well (scenario 'Who tells', red before: 1 teller).

--- a/comfreyhitch/egress/candidates.py
+++ b/comfreyhitch/egress/candidates.py
@@ -26,7 +26,11 @@
     candidate = egress.choose(drawn, tried, now)
     if candidate is None or not _is_full_new_version(egress, service, candidate, now):
         return candidate
-    return _find_old_version(egress, service, candidates, tried, now) or candidate
+    plan = blackboard.services_by_name[service].rollout
+    if shares.get(plan.from_version, 0.0) == 0.0:
+        return candidate
+    old = [item for item in candidates if item.version == plan.from_version]
+    return _find_free(egress, old, tried, now) or candidate
 
 
 def count_first_try(egress: Egress, service: str, version: str) -> None:
@@ -77,17 +81,12 @@
     return is_full(get_view(egress.blackboard.views_by_address, candidate.address), now)
 
 
-def _find_old_version(
-    egress: Egress,
-    service: str,
-    candidates: Sequence[Candidate],
-    tried: Collection[str],
-    now: float,
+def _find_free(
+    egress: Egress, candidates: Sequence[Candidate], tried: Collection[str], now: float
 ) -> Candidate | None:
-    """Return a target of the old version with a place left."""
-    plan = egress.blackboard.services_by_name[service].rollout
-    old = [item for item in candidates if item.version == plan.from_version]
-    other = egress.choose(old, tried, now)
-    if other is None or is_full(get_view(egress.blackboard.views_by_address, other.address), now):
+    """Return a target with a place left, or None."""
+    candidate = egress.choose(candidates, tried, now)
+    views_by_address = egress.blackboard.views_by_address
+    if candidate is None or is_full(get_view(views_by_address, candidate.address), now):
         return None
-    return other
+    return candidate
--- a/comfreyhitch/rollouts/order_recorder.py
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -42,7 +42,7 @@
         if order.state in ENDED:
             continue
         state = _get_due_state(recorder, order)
-        if state is not None and state is not order.state and _is_own_turn(recorder, order, state):
+        if state is not None and state is not order.state and is_own_turn(recorder, order, state):
             _write(recorder, name, order, state)
 
 
@@ -64,15 +64,14 @@
     return RolloutState.ROLLED_BACK
 
 
-def _is_own_turn(recorder: OrderRecorder, order: RolloutOrder, state: RolloutState) -> bool:
+def is_own_turn(recorder: OrderRecorder, order: RolloutOrder, state: RolloutState) -> bool:
+    """Return whether this daemon tells a state now; it still may have been told."""
     now = recorder.blackboard.clock.now()
     due_since = recorder.due_since_by_rollout.setdefault((order.rollout_id, state), now)
     if now < recorder.next_try_by_rollout.get(order.rollout_id, now):
         return False
     turn = _get_turn(recorder.blackboard, order)
-    # Only an outcome is worth a second daemon's call.
-    last_turn = MAX_TURNS if state in ENDED else 1
-    return turn < last_turn and now >= due_since + turn * TURN_INTERVAL
+    return turn < MAX_TURNS and now >= due_since + turn * TURN_INTERVAL
 
 
 def _get_turn(blackboard: Blackboard, order: RolloutOrder) -> int:
--- a/comfreyhitch/testing/fleet.py
+++ b/comfreyhitch/testing/fleet.py
@@ -296,6 +296,11 @@
     process.send_signal(signal.SIGTERM)
 
 
+def wait_for_end(process: subprocess.Popen, timeout_seconds: float) -> None:
+    """Wait until a process has ended, while callers go on; raise `TimeoutError` if it has not."""
+    wait_until(lambda: not is_running(process), timeout_seconds, "end of a process")
+
+
 def is_running(process: subprocess.Popen | None) -> bool:
     """Return whether a process was started and has not ended."""
     return process is not None and process.poll() is None
--- a/features/ordered_rollouts.feature
+++ b/features/ordered_rollouts.feature
@@ -11,3 +11,6 @@
 
   Scenario: The deadline
     Then daemons whose clocks differ or jump agree on the time that is left
+
+  Scenario: Who tells
+    Then each state is told by one daemon, and by the next in line when that one has died
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -44,3 +44,6 @@
     And steady traffic to workshop
     When workshop is to move from v1 to v2 although a freeze has begun meanwhile
     Then the move ends as rolled-back, and exactly one outcome is kept
+
+  Scenario: The new version is full
+    Then the old version takes what is too much for it, but nothing once the move is done
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -21,6 +21,7 @@
     start_daemon,
     start_target,
     stop_gracefully,
+    wait_for_end,
     wait_until,
     wait_until_joined,
 )
@@ -173,7 +174,7 @@
     start_daemon(context.fleet, restarted)
     wait_until_joined(context.fleet)
     stop_gracefully(leaving.daemon)
-    leaving.daemon.wait(15)
+    wait_for_end(leaving.daemon, 15.0)
     joining = add_instance(context.fleet, "payments", "zd")
     start_daemon(context.fleet, joining)
     start_target(context.fleet, joining)
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -20,6 +20,7 @@
     start_daemon,
     start_target,
     stop_gracefully,
+    wait_for_end,
     wait_until,
     wait_until_joined,
 )
@@ -79,7 +80,7 @@
     instance = list_in_zone(context, zone)[0]
     context.traffic.entrances.remove(instance)
     stop_gracefully(instance.daemon)
-    instance.daemon.wait(15)
+    wait_for_end(instance.daemon, 15.0)
     start_daemon(context.fleet, instance)
     wait_until_joined(context.fleet)
     context.traffic.entrances.append(instance)
@@ -271,7 +272,7 @@
     assert not bad, bad
     assert ran
     daemon = list_instances(context, "catalogue")[0].daemon
-    daemon.wait(max(0.1, context.stopped_at + seconds - time.monotonic()))
+    wait_for_end(daemon, max(0.1, context.stopped_at + seconds - time.monotonic()))
     assert daemon.returncode == 0, daemon.returncode
 
 
@@ -279,7 +280,7 @@
 def restart_in_turn(context, service):
     for instance in list_instances(context, service):
         stop_gracefully(instance.daemon)
-        instance.daemon.wait(15)
+        wait_for_end(instance.daemon, 15.0)
         start_daemon(context.fleet, instance)
         wait_until_joined(context.fleet)
 
--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -1,5 +1,6 @@
 """Ordered rollouts: exposure, stages, judgement and deadline."""
 
+import itertools
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +11,7 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
+from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.clock import MAX_SLEW, make_steady_now
 from comfreyhitch.documents.models import RolloutOrder, RolloutState
 from comfreyhitch.replication.facts import FactStore, make_message, merge_facts, read_facts
@@ -21,6 +23,12 @@
     may_expose,
 )
 from comfreyhitch.rollouts.judge import Judgement, judge
+from comfreyhitch.rollouts.order_recorder import (
+    MAX_TURNS,
+    TURN_INTERVAL,
+    OrderRecorder,
+    is_own_turn,
+)
 from comfreyhitch.rollouts.orders import get_deadline
 from comfreyhitch.rollouts.timeline import (
     OUTCOME_AT,
@@ -29,7 +37,7 @@
     get_next_stage,
     get_strictness,
 )
-from features.steps.property_steps import FakeClock
+from features.steps.property_steps import FakeClock, make_member
 
 # From the rules of the orders: a version is bad from this share of failures on.
 BAD_SHARE = 0.35
@@ -205,3 +213,33 @@
     passed = (now() - started).total_seconds()
     assert 10.0 <= passed <= 10.0 * (1 + MAX_SLEW) + 1e-6, passed
     assert RAMP_SHARE < 1.0
+
+
+@then("each state is told by one daemon, and by the next in line when that one has died")
+def check_turns(context):
+    daemons = 5
+    for state in (RolloutState.RUNNING, RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK):
+        clock = FakeClock()
+        recorders = make_recorders(daemons, clock)
+        first_turns = {}
+        for _ in range(30):
+            for name, recorder in recorders.items():
+                if is_own_turn(recorder, ORDER, state):
+                    first_turns.setdefault(name, clock.seconds)
+            clock.seconds += 0.1
+        turns = sorted(first_turns.values())
+        assert len(turns) == MAX_TURNS, (state, first_turns)
+        gaps = [later - earlier for earlier, later in itertools.pairwise(turns)]
+        # Time for the first one's word to come back through the store.
+        assert min(gaps) >= TURN_INTERVAL.total_seconds() - 0.11, (state, turns)
+
+
+def make_recorders(count, clock):
+    """Return the recorder of each daemon of a fleet in which all know all."""
+    members = {f"10.0.0.{number}:1": make_member(f"10.0.0.{number}:1") for number in range(count)}
+    recorders = {}
+    for address, own in members.items():
+        blackboard = Blackboard(clock=clock.make(), own=own)
+        blackboard.members_by_address.update(members)
+        recorders[address] = OrderRecorder(blackboard, None, None, None)
+    return recorders
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -1,6 +1,5 @@
 """Steps that run daemons on a stand-in of the platform."""
 
-import json
 import time
 from collections import Counter
 from random import Random
@@ -330,6 +329,7 @@
     """Order a version, start targets of it, and send steady traffic."""
     fleet = context.platform_fleet
     context.order_seconds = seconds
+    context.ordered_version = version
     context.ordered_at = time.monotonic()
     order = {"Service": "catalogue", "ToVersion": version, "Duration": f"{seconds}s"}
     write_document(fleet, "rollouts", "catalogue", order)
@@ -359,8 +359,13 @@
 
 
 def check_state(context, expected):
-    """Check that the system tells an outcome before the deadline."""
+    """Check that the system tells an outcome of this order before its deadline."""
     left = context.ordered_at + context.order_seconds - time.monotonic()
-    fleet = context.platform_fleet
-    wait_until(lambda: read_state(fleet, "catalogue") not in (None, "running"), left, "an outcome")
-    assert read_state(fleet, "catalogue") == expected, json.dumps(read_state(fleet, "catalogue"))
+    states = []
+
+    def has_ended():
+        states.append(read_state(context.platform_fleet, "catalogue", context.ordered_version))
+        return states[-1] not in (None, "running")
+
+    wait_until(has_ended, left, "an outcome")
+    assert states[-1] == expected, states[-1]
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -2,10 +2,16 @@
 
 from datetime import UTC, datetime, timedelta
 from random import Random
+from types import SimpleNamespace
 
 import gevent
 from behave import then, when
 
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.egress.candidates import choose_candidate
+from comfreyhitch.egress.choice import make_load_aware_choice
+from comfreyhitch.egress.models import Candidate
+from comfreyhitch.egress.views import get_view
 from comfreyhitch.rollouts.evidence import (
     EvidenceLog,
     get_window,
@@ -14,12 +20,13 @@
 )
 from comfreyhitch.rollouts.judge import judge
 from comfreyhitch.sections.acceptance import read_status
+from comfreyhitch.sections.models import RolloutPlan, ServicePolicy
 from comfreyhitch.sections.storage import get_section
 from comfreyhitch.testing.fleet import get_target_state, set_faults, set_platform_faults, wait_until
 from comfreyhitch.testing.traffic import select_seen
 from features.steps.configuration_steps import apply_section, get_client
 from features.steps.fleet_steps import list_instances
-from features.steps.property_steps import FakeClock
+from features.steps.property_steps import START, FakeClock, make_member
 
 HEALTHY_TRIALS = 300
 BAD_TRIALS = 40
@@ -214,3 +221,29 @@
         random = Random(context.seed)
         found = sum(run_trial(random, failure, slowness, route) for _ in range(BAD_TRIALS))
         assert found >= BAD_TRIALS * 0.95, (failure, slowness, route, found)
+
+
+@then("the old version takes what is too much for it, but nothing once the move is done")
+def check_overflow(context):
+    plan = RolloutPlan("r", "workshop", "v1", "v2", START, START + timedelta(hours=1))
+    clock = FakeClock()
+    clock.seconds = 100.0
+    blackboard = Blackboard(clock=clock.make(), own=make_member())
+    blackboard.services_by_name["workshop"] = ServicePolicy("workshop", rollout=plan)
+    blackboard.candidates_by_service["workshop"] = [
+        Candidate("10.0.0.1:1", "za", "v1", 10),
+        Candidate("10.0.0.2:1", "za", "v2", 10),
+    ]
+    full = get_view(blackboard.views_by_address, "10.0.0.2:1")
+    full.reported_at, full.reported_limit, full.reported_in_flight = clock.seconds, 4, 4
+    free = get_view(blackboard.views_by_address, "10.0.0.1:1")
+    free.reported_at, free.reported_limit = clock.seconds, 4
+    random = Random(context.seed)
+    choose = make_load_aware_choice(blackboard.views_by_address, "za", random)
+    egress = SimpleNamespace(blackboard=blackboard, choose=choose, random=random)
+    versions_by_share = {}
+    for share in (0.9, 1.0):
+        blackboard.shares_by_service["workshop"] = {"v1": 1.0 - share, "v2": share}
+        chosen = [choose_candidate(egress, "workshop", ()).version for _ in range(200)]
+        versions_by_share[share] = set(chosen)
+    assert versions_by_share == {0.9: {"v1"}, 1.0: {"v2"}}, versions_by_share
