Keep facts, probes, syncs and candidates in the own zone of a large fleet

Causes, from the code: each of 75 daemons passed every fact on to 4 of all others, and a random sample of 5 of 23 targets holds none of the own zone for about one request in eleven (computed).

A fact now crosses to 2 daemons of each other zone and spreads within zones from there; three quarters of probes and syncs stay near; 4 of 6 candidates are of the own zone; evidence about a version goes to 8 judges by rendezvous rank instead of all daemons of the service. Fleets of up to 24 peers tell all others directly, as before.

--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -23,7 +23,7 @@
 from comfreyhitch.ingress.state import Ingress, follow_profile
 from comfreyhitch.membership.detector import (
     FailureDetector,
-    list_reachable_peers,
+    group_reachable_peers,
     send_facts_datagram,
 )
 from comfreyhitch.membership.models import Member, MemberStatus
@@ -93,7 +93,7 @@
             store,
             random,
             lambda address, facts, heads: send_facts_datagram(detector, address, facts, heads),
-            lambda: list_reachable_peers(blackboard),
+            lambda: group_reachable_peers(blackboard),
         )
         detector.broadcaster = broadcaster
         report_crash = make_crash_reporter(blackboard, store)
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -13,13 +13,19 @@
 from comfreyhitch.egress.probes import send_probes
 from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
-from comfreyhitch.membership.detector import list_reachable_peers, publish_own, run_round
+from comfreyhitch.membership.detector import (
+    group_reachable_peers,
+    list_reachable_peers,
+    publish_own,
+    run_round,
+)
 from comfreyhitch.membership.registration import Registration, run_registration
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import StoredFact, expire_facts
+from comfreyhitch.replication.peers import Peers, choose_partner
 from comfreyhitch.replication.sync import sync_with_peer
-from comfreyhitch.rollouts.controller import RolloutController, run_rollouts
+from comfreyhitch.rollouts.controller import RolloutController, choose_judges, run_rollouts
 from comfreyhitch.rollouts.order_recorder import OrderRecorder, run_order_recorder
 from comfreyhitch.rollouts.orders import OrderController, run_orders
 from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
@@ -65,7 +71,7 @@
         blackboard=daemon.blackboard,
         store=daemon.store,
         evidence=daemon.evidence,
-        send_to_service=lambda service, facts: _send_to_service(daemon, service, facts),
+        send_to_judges=lambda rollout_id, facts: _send_to_judges(daemon, rollout_id, facts),
     )
     if daemon.border.documents:
         _start_orders(daemon, rollouts)
@@ -139,11 +145,10 @@
     gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
 
 
-def _send_to_service(daemon: Daemon, service: str, facts: list[StoredFact]) -> None:
-    for member in list(daemon.blackboard.members_by_address.values()):
-        is_peer = member.address != daemon.blackboard.own.address
-        if is_peer and member.service == service and member.is_reachable:
-            send_facts(daemon.broadcaster, member.address, facts)
+def _send_to_judges(daemon: Daemon, rollout_id: str, facts: list[StoredFact]) -> None:
+    for address in choose_judges(daemon.blackboard, rollout_id):
+        if address != daemon.blackboard.own.address:
+            send_facts(daemon.broadcaster, address, facts)
 
 
 def _keep_running(action: Callable[[], None]) -> None:
@@ -185,9 +190,13 @@
 
 
 def _sync_with_random_peer(daemon: Daemon) -> None:
-    peers = list_reachable_peers(daemon.blackboard) or list(daemon.settings.peers)
-    if peers:
-        sync_with_peer(daemon.store, daemon.pool, daemon.detector.random.choice(peers))
+    peers = group_reachable_peers(daemon.blackboard)
+    if not peers.all:
+        # Nobody is known, so the first peers of the settings are asked once more.
+        peers = Peers(list(daemon.settings.peers), {})
+    partner = choose_partner(peers, daemon.detector.random)
+    if partner is not None:
+        sync_with_peer(daemon.store, daemon.pool, partner)
 
 
 def _expire(daemon: Daemon) -> None:
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -11,7 +11,9 @@
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.egress.views import estimate_in_flight, get_view, is_slow
 
-SAMPLE_SIZE = 5
+# Candidates of the own zone come first, the others are there in case those are hot.
+NEAR_SAMPLE_SIZE = 4
+SAMPLE_SIZE = 6
 HOT_ERROR_RATE = 0.3
 # Beyond this part of its limit a target in another zone is as good as one nearby.
 HOT_LOAD = 0.75
@@ -38,7 +40,7 @@
     def choose(
         candidates: Sequence[Candidate], excluded: Collection[str], now: float
     ) -> Candidate | None:
-        sample = take_sample(candidates, excluded, random)
+        sample = take_sample(candidates, excluded, own_zone, random)
         return min(sample, key=lambda candidate: rank(candidate, now), default=None)
 
     return choose
@@ -107,8 +109,15 @@
 
 
 def take_sample(
-    candidates: Sequence[Candidate], excluded: Collection[str], random: Random
+    candidates: Sequence[Candidate], excluded: Collection[str], own_zone: str, random: Random
 ) -> list[Candidate]:
-    """Return a few of the candidates that are not excluded, in random order."""
+    """Return a few of the candidates that are not excluded, mostly of the own zone."""
     allowed = [item for item in candidates if item.address not in excluded]
-    return random.sample(allowed, min(SAMPLE_SIZE, len(allowed)))
+    if len(allowed) <= SAMPLE_SIZE:
+        random.shuffle(allowed)
+        return allowed
+    near = [item for item in allowed if item.zone == own_zone]
+    sample = random.sample(near, min(NEAR_SAMPLE_SIZE, len(near)))
+    taken = {item.address for item in sample}
+    others = [item for item in allowed if item.address not in taken]
+    return sample + random.sample(others, SAMPLE_SIZE - len(sample))
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -23,6 +23,7 @@
     merge_facts,
     read_facts,
 )
+from comfreyhitch.replication.peers import Peers, order_probes
 from comfreyhitch.telemetry.metrics import ControlMetrics
 from comfreyhitch.wire.codec import decode, encode
 from comfreyhitch.wire.generated.ttypes import Datagram, DatagramKind, Fact, FactHead
@@ -61,12 +62,22 @@
 
 def list_reachable_peers(blackboard: Blackboard) -> list[str]:
     """Return the addresses of all other members that may be alive."""
-    own = blackboard.own.address
-    return [
-        member.address
-        for member in blackboard.members_by_address.values()
-        if member.is_reachable and member.address != own
-    ]
+    return group_reachable_peers(blackboard).all
+
+
+def group_reachable_peers(blackboard: Blackboard) -> Peers:
+    """Return all other members that may be alive, those of the own zone apart."""
+    own = blackboard.own
+    near = []
+    far_by_zone: dict[str, list[str]] = {}
+    for member in blackboard.members_by_address.values():
+        if not member.is_reachable or member.address == own.address:
+            continue
+        if member.zone == own.zone:
+            near.append(member.address)
+        else:
+            far_by_zone.setdefault(member.zone, []).append(member.address)
+    return Peers(near, far_by_zone)
 
 
 def receive_datagrams(detector: FailureDetector) -> None:
@@ -184,8 +195,8 @@
 def _get_next_address(detector: FailureDetector) -> str | None:
     while True:
         if not detector.probe_order:
-            detector.probe_order = list_reachable_peers(detector.blackboard)
-            detector.random.shuffle(detector.probe_order)
+            peers = group_reachable_peers(detector.blackboard)
+            detector.probe_order = order_probes(peers, detector.random)
             if not detector.probe_order:
                 return None
         address = detector.probe_order.pop()
--- a/comfreyhitch/replication/broadcast.py
+++ b/comfreyhitch/replication/broadcast.py
@@ -14,11 +14,9 @@
     make_head,
     make_message,
 )
+from comfreyhitch.replication.peers import Peers, choose_told
 from comfreyhitch.wire.generated.ttypes import Fact, FactHead
 
-FANOUT = 4
-# Up to this many peers are told of a fact directly by the daemon that has it first.
-SMALL_FLEET_PEERS = 24
 # Documents come from the store to every daemon, so peers are only told that they are there.
 DOCUMENT_FANOUT = 2
 # A datagram of this size is not split on any usual link.
@@ -38,7 +36,7 @@
     store: FactStore
     random: Random
     send: Callable[[str, list[Fact], list[FactHead]], None]
-    list_peers: Callable[[], list[str]]
+    get_peers: Callable[[], Peers]
     sent_counts_by_id: dict[FactId, int] = field(default_factory=dict)
 
     @classmethod
@@ -47,21 +45,20 @@
         store: FactStore,
         random: Random,
         send: Callable[[str, list[Fact], list[FactHead]], None],
-        list_peers: Callable[[], list[str]],
+        get_peers: Callable[[], Peers],
     ) -> "Broadcaster":
         """Return a broadcaster with nothing to spread."""
-        return cls(store, random, send, list_peers)
+        return cls(store, random, send, get_peers)
 
 
 def spread(broadcaster: Broadcaster, facts: list[StoredFact], *, is_from_peer: bool) -> None:
     """Send new facts to peers at once, and keep them for later datagrams.
 
-    In a small fleet the daemon that has a fact first tells all others, and
-    anti-entropy makes up for what is lost; in a large one each passes it on.
+    In a small fleet the daemon that has a fact first tells all others; in a
+    large one each passes it on. Anti-entropy makes up for what is lost.
     """
-    peers = broadcaster.list_peers()
-    is_small = len(peers) <= SMALL_FLEET_PEERS
-    if is_from_peer and is_small:
+    told = choose_told(broadcaster.get_peers(), broadcaster.random, is_from_peer=is_from_peer)
+    if not told:
         return
     spreading = [fact for fact in facts if fact.kind not in EPHEMERAL_KINDS]
     documents = [fact for fact in spreading if fact.kind is FactKind.DOCUMENT]
@@ -69,12 +66,11 @@
     for fact in spreading:
         broadcaster.sent_counts_by_id[fact.fact_id] = 0
     if others:
-        chosen = peers if is_small else broadcaster.random.sample(peers, FANOUT)
-        for address in chosen:
+        for address in told:
             send_facts(broadcaster, address, others)
     if documents:
         heads = [make_head(fact) for fact in documents]
-        for address in broadcaster.random.sample(peers, min(DOCUMENT_FANOUT, len(peers))):
+        for address in broadcaster.random.sample(told, min(DOCUMENT_FANOUT, len(told))):
             broadcaster.send(address, [], heads)
 
 
@@ -90,7 +86,7 @@
 def take_piggyback(broadcaster: Broadcaster) -> tuple[list[Fact], list[FactHead]]:
     """Return the facts that the next datagram carries, the least sent ones first."""
     counts = broadcaster.sent_counts_by_id
-    limit = TRANSMISSIONS_PER_LOG * ceil(log2(len(broadcaster.list_peers()) + 2))
+    limit = TRANSMISSIONS_PER_LOG * ceil(log2(len(broadcaster.get_peers().all) + 2))
     facts = []
     for fact_id in sorted(counts, key=counts.__getitem__)[:MAX_PIGGYBACKED_FACTS]:
         fact = broadcaster.store.facts_by_id.get(fact_id)
--- a/comfreyhitch/rollouts/controller.py
+++ b/comfreyhitch/rollouts/controller.py
@@ -28,12 +28,15 @@
     is_judged,
 )
 from comfreyhitch.sections.models import RolloutPlan, ServicePolicy
+from comfreyhitch.utils.hashing import rank_by_rendezvous
 from comfreyhitch.wire.codec import encode
 from comfreyhitch.wire.generated.ttypes import CompletionRecord, VetoRecord
 
 logger = logging.getLogger(__name__)
 
 EVIDENCE_LIFETIME = timedelta(seconds=WINDOW_SECONDS * KEPT_WINDOWS)
+# Each daemon of a service sends evidence to so many, whatever the size of the service.
+MAX_JUDGES = 8
 OUTCOME_LIFETIME = timedelta(days=7)
 
 
@@ -44,7 +47,8 @@
     blackboard: Blackboard
     store: FactStore
     evidence: EvidenceLog
-    send_to_service: Callable[[str, list[StoredFact]], None]
+    # Sends facts to the judges of the rollout that is named.
+    send_to_judges: Callable[[str, list[StoredFact]], None]
     published_window_by_rollout: dict[str, int] = field(default_factory=dict)
 
 
@@ -102,8 +106,8 @@
     )
     if is_ended or now < plan.starts_at:
         return
-    publish_evidence(controller, plan.rollout_id, plan.service)
-    if not is_judged(plan, now):
+    publish_evidence(controller, plan.rollout_id)
+    if not is_judged(plan, now) or not is_judge(blackboard, plan.rollout_id):
         return
     judgement = judge(collect_evidence(controller, plan.rollout_id), plan.to_version)
     if judgement.finding is not None:
@@ -112,8 +116,22 @@
         _advance_stage(controller, plan, judgement)
 
 
-def publish_evidence(controller: RolloutController, rollout_id: str, service: str) -> None:
-    """Send what the own target's answers showed to the other daemons of the service."""
+def choose_judges(blackboard: Blackboard, rollout_id: str) -> list[str]:
+    """Return the addresses of the daemons of the own service that judge a rollout."""
+    addresses = {blackboard.own.address}
+    for member in blackboard.members_by_address.values():
+        if member.service == blackboard.own.service and member.is_reachable:
+            addresses.add(member.address)
+    return rank_by_rendezvous(f"judge {rollout_id}", addresses)[:MAX_JUDGES]
+
+
+def is_judge(blackboard: Blackboard, rollout_id: str) -> bool:
+    """Return whether this daemon gets the evidence about a rollout, and judges it."""
+    return blackboard.own.address in choose_judges(blackboard, rollout_id)
+
+
+def publish_evidence(controller: RolloutController, rollout_id: str) -> None:
+    """Send what the own target's answers showed to the judges of a rollout."""
     blackboard = controller.blackboard
     own = blackboard.own
     current = get_window(blackboard.clock)
@@ -128,7 +146,7 @@
     controller.published_window_by_rollout[rollout_id] = current - 1
     if facts:
         merge_facts(controller.store, facts)
-        controller.send_to_service(service, facts)
+        controller.send_to_judges(rollout_id, facts)
 
 
 def _make_evidence_facts(blackboard: Blackboard, evidence: Evidence) -> list[StoredFact]:
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -12,6 +12,7 @@
     OUTCOME_LIFETIME,
     RolloutController,
     collect_evidence,
+    is_judge,
     publish_evidence,
 )
 from comfreyhitch.rollouts.judge import judge
@@ -86,7 +87,9 @@
 
 def _judge(rollouts: RolloutController, order: RolloutOrder) -> None:
     blackboard = rollouts.blackboard
-    publish_evidence(rollouts, order.rollout_id, order.service)
+    publish_evidence(rollouts, order.rollout_id)
+    if not is_judge(blackboard, order.rollout_id):
+        return
     evidence = collect_evidence(rollouts, order.rollout_id)
     stage = _get_stage(blackboard, order)
     judgement = judge(evidence, order.to_version, get_strictness(stage))
