Split the step files by subject, and let a soak that can't start leave no process

The soak keeps a zone out for longer than its bound, so that the check can fail, goes on with the other seeds when one can't run, and lists a daemon that still runs long after it was told to stop.

--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -80,6 +80,17 @@
 ) -> PlatformFleet:
     """Run a daemon and a target for each service, zone and arguments; wait until all serve."""
     fleet = PlatformFleet(Fleet.from_folder(folder))
+    try:
+        _start_all(fleet, targets, has_relays=has_relays)
+    except TimeoutError:
+        stop_platform_fleet(fleet)
+        raise
+    return fleet
+
+
+def _start_all(
+    fleet: PlatformFleet, targets: list[tuple[str, str, list[str]]], *, has_relays: bool
+) -> None:
     start_platform(fleet.fleet)
     services = sorted({service for service, _, _ in targets})
     write_configuration(fleet, make_configuration(1, services))
@@ -89,7 +100,6 @@
         wait_until(lambda sidecar=sidecar: is_ready(sidecar), 15.0, f"{sidecar.name} is ready")
     for service in services:
         wait_until(lambda service=service: _serves_everywhere(fleet, service), 15.0, service)
-    return fleet
 
 
 def add_sidecar(
--- a/comfreyhitch/testing/soak/__main__.py
+++ b/comfreyhitch/testing/soak/__main__.py
@@ -25,16 +25,27 @@
     seeds = [*(arguments.seed or []), *(random.randrange(MAX_SEED) for _ in range(arguments.fresh))]
     failed = 0
     for seed in seeds:
-        with tempfile.TemporaryDirectory() as folder:
-            result = run_soak(seed, arguments.seconds, Path(folder))
-            failed += bool(result.broken)
-            if result.broken and arguments.keep is not None:
-                shutil.copytree(folder, arguments.keep / str(seed), dirs_exist_ok=True)
-        print(describe(result), flush=True)
+        broken, text = _run_one(seed, arguments.seconds, arguments.keep)
+        failed += broken
+        print(text, flush=True)
     print(f"{len(seeds) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
+def _run_one(seed: int, seconds: float, keep: Path | None) -> tuple[bool, str]:
+    """Return whether a soak broke a promise or could not end, and what to tell of it."""
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            result = run_soak(seed, seconds, Path(folder))
+            is_broken, text = bool(result.broken), describe(result)
+        except Exception as error:
+            # The other seeds go on; the logs of this one tell why it ended.
+            is_broken, text = True, f"seed {seed}: the soak itself failed: {error!r}"
+        if is_broken and keep is not None:
+            shutil.copytree(folder, keep / str(seed), dirs_exist_ok=True)
+        return is_broken, text
+
+
 def describe(result: SoakResult) -> str:
     """Return what a soak did and found, as text."""
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
--- a/comfreyhitch/testing/soak/faults.py
+++ b/comfreyhitch/testing/soak/faults.py
@@ -1,11 +1,14 @@
 """Bring the faults of a plan about, from outside the programs."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
+from signal import SIGHUP
 from subprocess import Popen
 from time import time
 
 import gevent
+from geventhttpclient.response import HTTPParseError
 from result import UnwrapError
 
 from comfreyhitch.platform.client import delete_object
@@ -26,6 +29,7 @@
     PLATFORM_PORT,
     PlatformFleet,
     Sidecar,
+    is_ready,
     make_configuration,
     set_relay,
     set_target_faults,
@@ -37,6 +41,9 @@
 from comfreyhitch.testing.soak.plan import PLANNED_KINDS, Fault, FaultKind
 
 RESTART_SECONDS = 0.3
+RELOAD_SECONDS = 0.2
+# A zone stays out for so much longer than targets there may still get work.
+ZONE_OUT_SECONDS = 6.0
 MAX_STOP_SECONDS = 8.0
 LINK_PORTS = (APP_PORT, PEER_PORT, PLATFORM_PORT)
 LINK_DELAY_SECONDS = 0.15
@@ -66,7 +73,7 @@
     accepted_at_by_version: dict[int, float] = field(default_factory=dict)
     version: int = 1
     busy: set[str] = field(default_factory=set)
-    # Ends of processes that nobody asked for.
+    # Ends of processes that nobody asked for, and those that were late.
     own_ends: list[str] = field(default_factory=list)
 
 
@@ -107,10 +114,8 @@
 
 def set_target_faults_if_up(sidecar: Sidecar, **faults: object) -> None:
     """Change the faults of a target unless it is down, which forgets them anyway."""
-    try:
+    with suppress(OSError, HTTPParseError):
         set_target_faults(sidecar, **faults)
-    except OSError:
-        return
 
 
 def _get_key(kind: FaultKind, sidecar: Sidecar) -> str:
@@ -125,15 +130,29 @@
 
 
 def _stop_daemon(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
-    stop_gracefully(sidecar.daemon)
-    wait_for_end(sidecar.daemon, MAX_STOP_SECONDS)
+    process = sidecar.daemon
+    stop_gracefully(process)
+    try:
+        wait_for_end(process, MAX_STOP_SECONDS)
+    except TimeoutError:
+        injector.own_ends.append(f"{sidecar.name}: still ran {MAX_STOP_SECONDS} s after a stop")
+        kill(process)
     _start_daemon_again(injector, sidecar)
 
 
 def _reload_daemon(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
-    if is_running(sidecar.daemon):
-        sidecar.daemon.send_signal(1)
-    gevent.sleep(0.2)
+    if is_running(sidecar.daemon) and _is_listening(sidecar):
+        sidecar.daemon.send_signal(SIGHUP)
+    gevent.sleep(RELOAD_SECONDS)
+
+
+def _is_listening(sidecar: Sidecar) -> bool:
+    """Return whether the daemon has started; before that a signal would end it."""
+    try:
+        is_ready(sidecar)
+    except (OSError, HTTPParseError):
+        return False
+    return True
 
 
 def _drain_target(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
@@ -213,7 +232,7 @@
         write_document(injector.fleet, "evacuations", sidecar.zone, {})
     except UnwrapError:
         return
-    gevent.sleep(fault.seconds)
+    gevent.sleep(ZONE_OUT_SECONDS + fault.seconds)
     while not _is_deleted(injector, sidecar.zone):
         gevent.sleep(0.2)
 
--- /dev/null
+++ b/features/fleet_views.py
@@ -0,0 +1,31 @@
+"""What scenarios read of a fleet, and which zones they take out."""
+
+from comfreyhitch.testing.fleet import (
+    get_admin,
+    get_target_state,
+)
+from features.steps.configuration_steps import apply_section
+
+
+def list_in_zone(context, zone):
+    """Return the instances of a zone."""
+    instances = context.fleet.instances_by_name.values()
+    found = [item for item in instances if item.zone == zone]
+    assert found, f"no instance in {zone}"
+    return found
+
+
+def count_requests(instances):
+    """Return how many requests reached the targets of some instances."""
+    return sum(get_target_state(item)["requests"] for item in instances)
+
+
+def set_zone(context, zone, state):
+    """Edit the section zones."""
+    apply_section(context, "zones", {"zones": {zone: {"state": state}}})
+
+
+def get_statuses(instance):
+    """Return the status of each member as one daemon sees it."""
+    members = get_admin(instance, "/v1/members") or []
+    return {item["address"]: item["status"] for item in members}
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -32,8 +32,8 @@
 from comfreyhitch.testing.target import QuietHandler
 from comfreyhitch.watching.follower import Follower, follow, read_once
 from comfreyhitch.watching.outages import Outage, end_outage
+from features.fakes import FakeClock, make_member
 from features.steps.platform_input_steps import CONFIGURATION
-from features.steps.property_steps import FakeClock, make_member
 
 DECODERS = {source.kind: source.decode for source in DOCUMENT_SOURCES}
 SOURCES_BY_KIND = {source.kind: source for source in DOCUMENT_SOURCES}
--- /dev/null
+++ b/features/steps/graceful_stop_steps.py
@@ -0,0 +1,53 @@
+"""Steps that stop daemons with requests in flight."""
+
+import time
+
+import gevent
+from behave import then, when
+
+from comfreyhitch.testing.fleet import (
+    request,
+    start_daemon,
+    stop_gracefully,
+    wait_for_end,
+    wait_until_joined,
+)
+from features.steps.fleet_steps import list_instances
+
+
+@when("12 requests are in flight and the first daemon of {service} is asked to stop")
+def stop_with_requests_in_flight(context, service):
+    instances = list_instances(context, service)
+    context.answers = []
+
+    def send(number):
+        entrance = instances[number % len(instances)]
+        headers = {"Comfreyhitch-Service": service}
+        context.answers.append(request(entrance.host, "/", headers=headers))
+
+    callers = [gevent.spawn(send, number) for number in range(12)]
+    gevent.sleep(0.2)
+    context.stopped_at = time.monotonic()
+    stop_gracefully(instances[0].daemon)
+    gevent.joinall(callers, raise_error=True)
+
+
+@then("all of them get their response, and the daemon has ended within {seconds:g} seconds")
+def check_nothing_was_cut(context, seconds):
+    bad = [item for item in context.answers if item.verdict not in ("ran", "not-run")]
+    ran = [item for item in context.answers if item.verdict == "ran"]
+    assert len(context.answers) == 12
+    assert not bad, bad
+    assert ran
+    daemon = list_instances(context, "catalogue")[0].daemon
+    wait_for_end(daemon, max(0.1, context.stopped_at + seconds - time.monotonic()))
+    assert daemon.returncode == 0, daemon.returncode
+
+
+@when("each daemon of {service} is stopped and started again in turn")
+def restart_in_turn(context, service):
+    for instance in list_instances(context, service):
+        stop_gracefully(instance.daemon)
+        wait_for_end(instance.daemon, 15.0)
+        start_daemon(context.fleet, instance)
+        wait_until_joined(context.fleet)
--- a/features/steps/neighbour_steps.py
+++ b/features/steps/neighbour_steps.py
@@ -18,7 +18,7 @@
     order_probes,
 )
 from comfreyhitch.rollouts.controller import MAX_JUDGES, choose_judges
-from features.steps.property_steps import FakeClock, make_member
+from features.fakes import FakeClock, make_member
 
 ZONES = ("za", "zb", "zc")
 LARGE_ZONE = 25
--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -37,7 +37,7 @@
     get_next_stage,
     get_strictness,
 )
-from features.steps.property_steps import FakeClock, make_member
+from features.fakes import FakeClock, make_member
 
 # From the rules of the orders: a version is bad from this share of failures on.
 BAD_SHARE = 0.35
--- /dev/null
+++ b/features/steps/probe_steps.py
@@ -0,0 +1,59 @@
+"""Steps for the budgets of probes, and for a target that turns cold."""
+
+import time
+
+import gevent
+from behave import given, then, when
+
+from comfreyhitch.testing.fleet import (
+    get_target_state,
+    is_running,
+    kill,
+    request,
+    start_target,
+)
+from features.steps.fleet_steps import list_instances
+
+
+@given("settings target_probe_rate {target_rate} and probe_rate {rate}")
+def set_probe_rates(context, target_rate, rate):
+    context.fleet_settings = {"target_probe_rate": target_rate, "probe_rate": rate}
+
+
+@then("no target was probed more often than {rate:g} a second allow")
+def check_target_probes(context, rate):
+    for instance in context.fleet.instances_by_name.values():
+        reads = get_target_state(instance)["health_reads"]
+        uptime = time.monotonic() - context.started_at
+        assert 0 < reads <= rate * uptime + 1, (instance.name, reads, uptime)
+
+
+@then("no daemon sent more probes than {rate:g} a second allow")
+def check_probes(context, rate):
+    context.probe_counts = {}
+    for instance in context.fleet.instances_by_name.values():
+        uptime = time.monotonic() - context.started_at
+        count = _read_metric(instance, "comfreyhitch_probes_total")
+        assert count <= rate * uptime + rate, (instance.name, count, uptime)
+        context.probe_counts[instance.service] = count
+
+
+@then("the admin port tells how many probes were sent")
+def check_probe_metric(context):
+    assert context.probe_counts["shopfront"] > 0
+
+
+def _read_metric(instance, name):
+    text = request(instance.host, "/metrics", port=8082).body.decode()
+    values = [line.rpartition(" ")[2] for line in text.splitlines() if line.startswith(name)]
+    return sum(float(value) for value in values)
+
+
+@when("the process of {service} ends and starts anew, cold for {seconds:g} seconds")
+def turn_cold(context, service, seconds):
+    instance = list_instances(context, service)[0]
+    kill(instance.target)
+    instance.target_arguments += ["--warm-up-seconds", str(seconds)]
+    start_target(context.fleet, instance)
+    gevent.sleep(1.0)
+    assert is_running(instance.target)
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -17,7 +17,7 @@
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.token_bucket import deposit, take
 from comfreyhitch.wire.connections import PeerPool
-from features.steps.property_steps import FakeClock, make_member
+from features.fakes import FakeClock, make_member
 
 RATIO = 0.16
 EXTRA = 30.0
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -24,9 +24,9 @@
 from comfreyhitch.sections.storage import get_section
 from comfreyhitch.testing.fleet import get_target_state, set_faults, set_platform_faults, wait_until
 from comfreyhitch.testing.traffic import select_seen
+from features.fakes import START, FakeClock, make_member
 from features.steps.configuration_steps import apply_section, get_client
 from features.steps.fleet_steps import list_instances
-from features.steps.property_steps import START, FakeClock, make_member
 
 HEALTHY_TRIALS = 300
 BAD_TRIALS = 40
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -14,7 +14,7 @@
 from comfreyhitch.routing.matching import find_route
 from comfreyhitch.routing.models import CallerLimits, Route, RouteTable, WeightedService
 from comfreyhitch.routing.splitting import Splitter, choose_service
-from features.steps.property_steps import FakeClock, make_member
+from features.fakes import FakeClock, make_member
 
 LIMITS = CallerLimits(16384, 1000, timedelta(seconds=3), timedelta(seconds=15))
 
--- /dev/null
+++ b/features/steps/schedule_property_steps.py
@@ -0,0 +1,57 @@
+"""Properties of the shares of rollouts and of the bound on chance."""
+
+from datetime import timedelta
+from math import comb
+
+from behave import then
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from comfreyhitch.rollouts.judge import bound_tail
+from comfreyhitch.rollouts.schedule import FINAL_SHARE, STAGE_CAPS, get_share
+from comfreyhitch.sections.models import Freeze, RolloutPlan
+from features.fakes import START
+
+PLAN = RolloutPlan("id", "payments", "v1", "v2", START, START + timedelta(hours=1))
+
+
+@then("the share of a new version stays within its stage, and is 0 once vetoed or frozen")
+def check_share(context):
+    @seed(context.seed)
+    @given(
+        seconds=st.integers(-600, 6000),
+        stage=st.integers(0, 3),
+        is_vetoed=st.booleans(),
+        is_frozen=st.booleans(),
+    )
+    def check(seconds, stage, is_vetoed, is_frozen):
+        now = START + timedelta(seconds=seconds)
+        freezes = (Freeze(now.weekday(), 0, 24),) if is_frozen else ()
+        share = get_share(
+            PLAN, now, stage=stage, is_vetoed=is_vetoed, is_completed=False, freezes=freezes
+        )
+        assert 0.0 <= share <= STAGE_CAPS[stage] <= FINAL_SHARE
+        if is_vetoed or is_frozen or seconds < 0:
+            assert share == 0.0
+
+    check()
+
+
+@then("the bound on chance is never below the true chance")
+def check_tail(context):
+    @seed(context.seed)
+    @given(total=st.integers(1, 60), share=st.floats(0.01, 0.5), data=st.data())
+    def check(total, share, data):
+        count = data.draw(st.integers(0, total))
+        probability = 1.0
+        exact = 0.0
+        for hits in range(total + 1):
+            probability = _binomial(total, hits, share)
+            exact += probability if hits >= count else 0.0
+        assert bound_tail(count, total, share) >= exact - 1e-9
+
+    check()
+
+
+def _binomial(total, hits, share):
+    return comb(total, hits) * share**hits * (1 - share) ** (total - hits)
--- a/features/steps/target_life_steps.py
+++ b/features/steps/target_life_steps.py
@@ -26,7 +26,7 @@
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.routing.models import CallerLimits, RouteTable, ServiceProfile
 from comfreyhitch.telemetry.metrics import Metrics
-from features.steps.property_steps import FakeClock, make_member
+from features.fakes import FakeClock, make_member
 
 COLD_RATE = 8.0
 LEAVING = (TargetState.DRAINING, TargetState.GONE)
--- /dev/null
+++ b/features/steps/zone_steps.py
@@ -0,0 +1,110 @@
+"""Steps that take zones out, bring them back, and lose them."""
+
+import time
+
+import gevent
+from behave import then, when
+
+from comfreyhitch.testing.fleet import (
+    call_service,
+    freeze,
+    get_admin,
+    kill,
+    resume,
+    set_platform_faults,
+    start_daemon,
+    stop_gracefully,
+    wait_for_end,
+    wait_until,
+    wait_until_joined,
+)
+from features.fleet_views import count_requests, list_in_zone, set_zone
+
+QUIET_SECONDS = 2.0
+
+
+@when("the section zones says that {zone} is {state}")
+def edit_zone(context, zone, state):
+    set_zone(context, zone, state)
+
+
+@then("zone {zone} gets no new work after {seconds:g} seconds")
+def check_zone_is_quiet(context, zone, seconds):
+    gevent.sleep(seconds)
+    before = count_requests(list_in_zone(context, zone))
+    gevent.sleep(QUIET_SECONDS)
+    after = count_requests(list_in_zone(context, zone))
+    assert after == before, (before, after)
+
+
+@then("zone {zone} gets new work within {seconds:g} seconds")
+def check_zone_works(context, zone, seconds):
+    before = count_requests(list_in_zone(context, zone))
+    wait_until(lambda: count_requests(list_in_zone(context, zone)) > before, seconds, zone)
+
+
+@when("the platform goes down and a daemon of {zone} restarts")
+def restart_daemon_without_platform(context, zone):
+    set_platform_faults(context.fleet, is_down=True)
+    instance = list_in_zone(context, zone)[0]
+    context.traffic.entrances.remove(instance)
+    stop_gracefully(instance.daemon)
+    wait_for_end(instance.daemon, 15.0)
+    start_daemon(context.fleet, instance)
+    wait_until_joined(context.fleet)
+    context.traffic.entrances.append(instance)
+
+
+@when("the platform comes back and the section zones says that {zone} is {state}")
+def restore_platform_and_edit(context, zone, state):
+    set_platform_faults(context.fleet, is_down=False)
+    set_zone(context, zone, state)
+
+
+@when("the daemon of zb is frozen, the zone taken out, and the daemon resumed after 4 seconds")
+def freeze_over_zone_out(context):
+    instance = list_in_zone(context, "zb")[0]
+    other = list_in_zone(context, "za")[0]
+    freeze(instance.daemon)
+    set_zone(context, "zb", "out")
+    wait_until(lambda: get_admin(other, "/v1/status")["zones_out"] == ["zb"], 10, "zone out")
+    gevent.sleep(4.0)
+    resume(instance.daemon)
+    context.requests_before = count_requests([instance])
+
+
+@then("the daemon of zb refuses new work from its first second on")
+def check_refuses_after_pause(context):
+    instance = list_in_zone(context, "zb")[0]
+    gevent.sleep(1.0)
+    for _ in range(20):
+        call_service(instance, "catalogue")
+    assert count_requests([instance]) == context.requests_before
+
+
+@when("every daemon and target of {zone} is killed")
+def kill_zone(context, zone):
+    gevent.sleep(1.0)
+    context.killed_at = time.monotonic()
+    for instance in list_in_zone(context, zone):
+        kill(instance.daemon)
+        kill(instance.target)
+
+
+@then("after {seconds:g} seconds every request of the steady traffic runs")
+def check_after_loss(context, seconds):
+    gevent.sleep(seconds + 3.0)
+    settled_at = context.killed_at + seconds
+    later = [item for item in context.traffic.seen if item.started_at > settled_at]
+    failed = [item for item in later if item.verdict != "ran"]
+    assert later
+    assert not failed, (len(failed), len(later), failed[:3])
+
+
+@then("none was told may-have-run that could be sent again")
+def check_retried(context):
+    seen = context.traffic.seen
+    unknown = [item for item in seen if item.verdict not in ("ran", "not-run")]
+    refused = [item for item in seen if item.verdict == "not-run"]
+    print(f"{len(refused)} of {len(seen)} requests were refused as not-run")
+    assert not unknown, unknown[:3]
