--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test test-explore bench lint format generate clean
+.PHONY: setup demo test test-explore soak bench lint format generate clean
 
 setup: $(VENV)/.ready
 
@@ -20,6 +20,9 @@
 test-explore: setup
 	$(BIN)/python .ci/run_tests.py --explore
 
+soak: setup
+	$(BIN)/python -m comfreyhitch.testing.soak --fresh 10 --keep soak-logs
+
 bench: setup
 	$(BIN)/python -m benchmarks
 
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -61,7 +61,7 @@
 
 
 def is_within_cold_rate(ingress: Ingress, now: float) -> bool:
-    """Return whether the target may get one more request now, cold or not."""
+    """Return whether the target may get one more request now, and count it if it is cold."""
     if not is_cold(ingress.life, now):
         return True
     if ingress.warming is None:
--- a/comfreyhitch/testing/soak/__main__.py
+++ b/comfreyhitch/testing/soak/__main__.py
@@ -49,7 +49,10 @@
 def describe(result: SoakResult) -> str:
     """Return what a soak did and found, as text."""
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
-    lines = [f"seed {result.seed}: {result.faults.total()} faults; answers {statuses}"]
+    lines = [
+        f"seed {result.seed}: {result.faults.total()} faults; answers {statuses}; "
+        f"longest stop, restart included, {result.longest_stop_seconds:.1f} s"
+    ]
     lines += [f"  BROKEN {line}" for line in result.broken[:SHOWN_LINES]]
     if len(result.broken) > SHOWN_LINES:
         lines.append(f"  and {len(result.broken) - SHOWN_LINES} more")
--- a/comfreyhitch/testing/soak/runner.py
+++ b/comfreyhitch/testing/soak/runner.py
@@ -19,7 +19,7 @@
 from comfreyhitch.testing.soak.callers import Caller, Sent, call_forever
 from comfreyhitch.testing.soak.checks import Observations, find_broken
 from comfreyhitch.testing.soak.faults import Injector, inject, note_end, restore
-from comfreyhitch.testing.soak.plan import draw_plan
+from comfreyhitch.testing.soak.plan import FaultKind, draw_plan
 
 SERVICES = ["catalogue", "payments"]
 ZONES = ["za", "zb"]
@@ -37,6 +37,7 @@
     broken: list[str]
     faults: Counter[str]
     statuses: Counter[int]
+    longest_stop_seconds: float
 
 
 def run_soak(seed: int, seconds: float, folder: Path) -> SoakResult:
@@ -129,4 +130,11 @@
         served_after=served_after,
     )
     faults = Counter(span.kind.value for span in injector.spans)
-    return SoakResult(seed, find_broken(seen), faults, Counter(item.status for item in sent))
+    stops = [span for span in injector.spans if span.kind is FaultKind.STOP_DAEMON]
+    return SoakResult(
+        seed=seed,
+        broken=find_broken(seen),
+        faults=faults,
+        statuses=Counter(item.status for item in sent),
+        longest_stop_seconds=max((stop.ended_at - stop.begun_at for stop in stops), default=0.0),
+    )
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -156,6 +156,8 @@
     assert (settings.http_port, settings.peer_port) == (8304, 7620)
     assert settings.platform_url == "http://10.200.1.7:8309"
     assert get_addresses(SETTINGS)["Listen.Control"] == ("10.1.0.8", 8306)
+    assert make_settings(SETTINGS, {"COMFREYHITCH_ZONE": "zx"}).zone == "zx"
+    check_named(SETTINGS, "no_such", {"COMFREYHITCH_NO_SUCH": "1"})
     for name in NEEDED_SETTINGS:
         check_named({key: value for key, value in SETTINGS.items() if key != name}, name)
     for name in ("Listen.Outbound", "AppAddr", "Bounds.Grace"):
@@ -171,10 +173,10 @@
             raise AssertionError("a line without '=' was taken")
 
 
-def check_named(values, expected):
+def check_named(values, expected, environment=None):
     """Check that bad settings are refused by an error that names the place."""
     try:
-        settings = make_settings(values, {})
+        settings = make_settings(values, environment or {})
         get_addresses(values)
     except SettingsError as error:
         assert expected in str(error), (expected, str(error))
