--- /dev/null
+++ b/comfreyhitch/testing/soak/actions.py
@@ -0,0 +1,252 @@
+"""Bring each kind of fault about, from outside the programs, and undo it."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from signal import SIGHUP
+from subprocess import Popen
+from time import time
+
+import gevent
+from geventhttpclient.response import HTTPParseError
+from result import UnwrapError
+
+from comfreyhitch.platform.client import delete_object
+from comfreyhitch.platform.exceptions import PlatformFailure
+from comfreyhitch.testing.fleet import (
+    freeze,
+    is_running,
+    kill,
+    request,
+    resume,
+    set_platform_faults,
+    stop_gracefully,
+    wait_for_end,
+)
+from comfreyhitch.testing.platform_fleet import (
+    APP_PORT,
+    PEER_PORT,
+    PLATFORM_PORT,
+    Sidecar,
+    is_ready,
+    make_configuration,
+    set_relay,
+    set_target_faults,
+    start_daemon,
+    start_target,
+    write_configuration,
+    write_document,
+)
+from comfreyhitch.testing.soak.plan import Fault, FaultKind
+from comfreyhitch.testing.soak.state import Injector, note_end
+
+RESTART_SECONDS = 0.3
+RELOAD_SECONDS = 0.2
+# A zone stays out for so much longer than targets there may still get work.
+ZONE_OUT_SECONDS = 6.0
+MAX_STOP_SECONDS = 8.0
+LINK_PORTS = (APP_PORT, PEER_PORT, PLATFORM_PORT)
+LINK_DELAY_SECONDS = 0.15
+STORE_DELAY_SECONDS = 1.0
+LOST_ANSWER_SHARE = 0.3
+LOST_STORE_ANSWERS = 3
+
+
+def set_target_faults_if_up(sidecar: Sidecar, **faults: object) -> None:
+    """Change the faults of a target unless it is down, which forgets them anyway."""
+    with suppress(OSError, HTTPParseError):
+        set_target_faults(sidecar, **faults)
+
+
+def _stop_daemon(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    process = sidecar.daemon
+    stop_gracefully(process)
+    try:
+        wait_for_end(process, MAX_STOP_SECONDS)
+    except TimeoutError:
+        injector.own_ends.append(f"{sidecar.name}: still ran {MAX_STOP_SECONDS} s after a stop")
+        kill(process)
+    _start_daemon_again(injector, sidecar)
+
+
+def _reload_daemon(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    if is_running(sidecar.daemon) and _is_listening(sidecar):
+        sidecar.daemon.send_signal(SIGHUP)
+    gevent.sleep(RELOAD_SECONDS)
+
+
+def _is_listening(sidecar: Sidecar) -> bool:
+    """Return whether the daemon has started; before that a signal would end it."""
+    try:
+        is_ready(sidecar)
+    except (OSError, HTTPParseError):
+        return False
+    return True
+
+
+def _drain_target(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    stop_gracefully(sidecar.target)
+    # A target whose daemon is away waits for the acknowledgement, and is ended at last.
+    try:
+        wait_for_end(sidecar.target, MAX_STOP_SECONDS)
+    except TimeoutError:
+        kill(sidecar.target)
+    _start_target_again(injector, sidecar)
+
+
+def _kill_daemon(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    kill(sidecar.daemon)
+    _start_daemon_again(injector, sidecar)
+
+
+def _kill_target(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    kill(sidecar.target)
+    _start_target_again(injector, sidecar)
+
+
+def _start_daemon_again(injector: Injector, sidecar: Sidecar) -> None:
+    note_end(injector, sidecar.name, sidecar.daemon)
+    gevent.sleep(RESTART_SECONDS)
+    if not is_running(sidecar.daemon):
+        start_daemon(injector.fleet, sidecar)
+
+
+def _start_target_again(injector: Injector, sidecar: Sidecar) -> None:
+    note_end(injector, sidecar.name, sidecar.target)
+    gevent.sleep(RESTART_SECONDS)
+    if not is_running(sidecar.target):
+        start_target(injector.fleet, sidecar)
+
+
+def _pause_daemon(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    _pause(sidecar.daemon, fault.seconds)
+
+
+def _pause_target(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    _pause(sidecar.target, fault.seconds)
+
+
+def _pause(process: Popen, seconds: float) -> None:
+    freeze(process)
+    gevent.sleep(seconds)
+    if is_running(process):
+        resume(process)
+
+
+def _change_routes(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    """Add a route of the next version, and drop that of the version before."""
+    version = injector.version + 1
+    content = make_configuration(version, injector.services)
+    first = content["Routes"][0]
+    content["Routes"].append({**first, "Name": f"r-v{version}", "Prefix": f"/v{version}/"})
+    # Operators keep trying while the store is away.
+    while True:
+        try:
+            write_configuration(injector.fleet, content)
+            break
+        except UnwrapError:
+            gevent.sleep(0.2)
+    injector.version = version
+    injector.accepted_at_by_version[version] = time()
+
+
+def _zone_out(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    try:
+        write_document(injector.fleet, "evacuations", sidecar.zone, {})
+    except UnwrapError:
+        return
+    gevent.sleep(ZONE_OUT_SECONDS + fault.seconds)
+    while not _is_deleted(injector, sidecar.zone):
+        gevent.sleep(0.2)
+
+
+def _is_deleted(injector: Injector, zone: str) -> bool:
+    """Delete the order that a zone is out; return whether it is gone, by this call or before."""
+    deleted = delete_object(injector.fleet.client, "evacuations", zone)
+    return deleted.is_ok() or deleted.err_value.failure is PlatformFailure.NOT_FOUND
+
+
+def _silence_link(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_relay(sidecar, port=_get_port(fault), silence=True)
+
+
+def _reset_link(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_relay(sidecar, port=_get_port(fault), reset=True)
+
+
+def _delay_link(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_relay(sidecar, port=_get_port(fault), delay_seconds=LINK_DELAY_SECONDS)
+    gevent.sleep(fault.seconds)
+    set_relay(sidecar, port=_get_port(fault), delay_seconds=0.0)
+
+
+def _cut_return(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_relay(sidecar, port=_get_port(fault), is_return_cut=True)
+    gevent.sleep(fault.seconds)
+    set_relay(sidecar, port=_get_port(fault), is_return_cut=False)
+
+
+def _get_port(fault: Fault) -> int:
+    return LINK_PORTS[fault.subject % len(LINK_PORTS)]
+
+
+def _store_down(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_platform_faults(injector.fleet.fleet, is_down=True)
+    gevent.sleep(fault.seconds)
+    set_platform_faults(injector.fleet.fleet, is_down=False)
+
+
+def _store_slow(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_platform_faults(injector.fleet.fleet, delay_seconds=STORE_DELAY_SECONDS)
+    gevent.sleep(fault.seconds)
+    set_platform_faults(injector.fleet.fleet, delay_seconds=0.0)
+
+
+def _store_loses_answers(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_platform_faults(injector.fleet.fleet, lost_answers=LOST_STORE_ANSWERS)
+
+
+def _store_forgets(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    host = injector.fleet.fleet.platform_url.removeprefix("http://").partition(":")[0]
+    request(host, "/_standin/compact", method="POST", port=PLATFORM_PORT)
+
+
+def _lose_answers(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_target_faults_if_up(sidecar, lost_answer_share=LOST_ANSWER_SHARE)
+    gevent.sleep(fault.seconds)
+    set_target_faults_if_up(sidecar, lost_answer_share=0.0)
+
+
+def _power_loss(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    sidecars = list(injector.fleet.sidecars_by_name.values())
+    for item in sidecars:
+        kill(item.daemon)
+        kill(item.target)
+    gevent.sleep(RESTART_SECONDS)
+    for item in sidecars:
+        if not is_running(item.daemon):
+            start_daemon(injector.fleet, item)
+        if not is_running(item.target):
+            start_target(injector.fleet, item)
+
+
+ACTIONS: dict[FaultKind, Callable[[Injector, Sidecar, Fault], None]] = {
+    FaultKind.STOP_DAEMON: _stop_daemon,
+    FaultKind.RELOAD_DAEMON: _reload_daemon,
+    FaultKind.DRAIN_TARGET: _drain_target,
+    FaultKind.CHANGE_ROUTES: _change_routes,
+    FaultKind.ZONE_OUT: _zone_out,
+    FaultKind.KILL_DAEMON: _kill_daemon,
+    FaultKind.PAUSE_DAEMON: _pause_daemon,
+    FaultKind.KILL_TARGET: _kill_target,
+    FaultKind.PAUSE_TARGET: _pause_target,
+    FaultKind.SILENCE_LINK: _silence_link,
+    FaultKind.RESET_LINK: _reset_link,
+    FaultKind.DELAY_LINK: _delay_link,
+    FaultKind.CUT_RETURN: _cut_return,
+    FaultKind.STORE_DOWN: _store_down,
+    FaultKind.STORE_SLOW: _store_slow,
+    FaultKind.STORE_LOSES_ANSWERS: _store_loses_answers,
+    FaultKind.STORE_FORGETS: _store_forgets,
+    FaultKind.LOSE_ANSWERS: _lose_answers,
+    FaultKind.POWER_LOSS: _power_loss,
+}
--- a/comfreyhitch/testing/soak/checks.py
+++ b/comfreyhitch/testing/soak/checks.py
@@ -7,8 +7,8 @@
 from comfreyhitch.testing.platform_fleet import LoggedRun
 from comfreyhitch.testing.platform_target import DRAIN_MARK, OVERLOAD_EXIT_CODE
 from comfreyhitch.testing.soak.callers import Sent, is_own_answer
-from comfreyhitch.testing.soak.faults import Span, is_unplanned
 from comfreyhitch.testing.soak.plan import FaultKind
+from comfreyhitch.testing.soak.state import Span, is_unplanned
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SUCCESS_STATUS = 200
--- a/comfreyhitch/testing/soak/runner.py
+++ b/comfreyhitch/testing/soak/runner.py
@@ -18,8 +18,9 @@
 )
 from comfreyhitch.testing.soak.callers import Caller, Sent, call_forever
 from comfreyhitch.testing.soak.checks import Observations, find_broken
-from comfreyhitch.testing.soak.faults import Injector, inject, note_end, restore
+from comfreyhitch.testing.soak.faults import inject, restore
 from comfreyhitch.testing.soak.plan import FaultKind, draw_plan
+from comfreyhitch.testing.soak.state import Injector, note_end
 
 SERVICES = ["catalogue", "payments"]
 ZONES = ["za", "zb"]
