--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -27,7 +27,7 @@
 class Announcement(BaseModel):
     """Validate what a target says of itself."""
 
-    model_config = ConfigDict(extra="forbid")
+    model_config = ConfigDict(extra="forbid", defer_build=True)
 
     service: Name
     version: Name
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -23,11 +23,11 @@
 from comfreyhitch.ingress.state import Ingress, follow_profile
 from comfreyhitch.membership.detector import (
     FailureDetector,
-    group_reachable_peers,
     send_facts_datagram,
 )
 from comfreyhitch.membership.models import Member, MemberStatus
 from comfreyhitch.membership.registration import Registration
+from comfreyhitch.membership.views import group_reachable_peers
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import Broadcaster, spread
 from comfreyhitch.replication.facts import FactStore
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -14,12 +14,15 @@
 from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import check_target
 from comfreyhitch.membership.detector import (
-    group_reachable_peers,
-    list_reachable_peers,
     publish_own,
     run_round,
 )
-from comfreyhitch.membership.registration import Registration, run_registration
+from comfreyhitch.membership.registration import (
+    Registration,
+    run_due_registration,
+    run_registration,
+)
+from comfreyhitch.membership.views import group_reachable_peers, list_reachable_peers
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import StoredFact, expire_facts
@@ -29,7 +32,7 @@
 from comfreyhitch.rollouts.order_recorder import OrderRecorder, run_order_recorder
 from comfreyhitch.rollouts.orders import OrderController, run_orders
 from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
-from comfreyhitch.sections.reader import SectionReader, is_reader, run_reader
+from comfreyhitch.sections.reader import SectionReader, run_reader
 from comfreyhitch.watching.follower import follow
 from comfreyhitch.watching.outages import Outage
 
@@ -38,7 +41,6 @@
 PROBE_INTERVAL = timedelta(milliseconds=100)
 EXPIRY_INTERVAL = timedelta(seconds=5)
 JOIN_RETRY_INTERVAL = timedelta(seconds=1)
-REGISTRATION_INTERVAL = timedelta(seconds=60)
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
 ORDER_INTERVAL = timedelta(milliseconds=250)
 DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
@@ -136,14 +138,7 @@
 
 
 def _register(daemon: Daemon, registration: Registration) -> None:
-    is_alone = not list_reachable_peers(daemon.blackboard)
-    # Only the readers look again and again, so that the number of calls
-    # follows the number of zones and not that of daemons.
-    is_missing = registration.is_required and not registration.is_registered
-    if is_alone or is_missing or registration.is_registered or is_reader(daemon.blackboard):
-        run_registration(registration)
-    is_settled = not is_alone and (registration.is_registered or not registration.is_required)
-    interval = REGISTRATION_INTERVAL if is_settled else JOIN_RETRY_INTERVAL
+    interval = run_due_registration(registration)
     gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
 
 
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -8,9 +8,12 @@
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.idempotency.recovery import hand_on_claims
-from comfreyhitch.membership.detector import list_reachable_peers, publish_own
+from comfreyhitch.membership.detector import (
+    publish_own,
+)
 from comfreyhitch.membership.models import MemberStatus
 from comfreyhitch.membership.registration import unregister
+from comfreyhitch.membership.views import list_reachable_peers
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import FactKind
 
--- a/comfreyhitch/documents/models.py
+++ b/comfreyhitch/documents/models.py
@@ -79,6 +79,8 @@
     kind: DocumentKind
     store_kind: str
     decode: DecodeDocument
+    # Whether a daemon that starts may begin with a list that is seconds old.
+    may_start_stale: bool = False
     # Returns the status that tells an operator how far a rollout has come.
     encode_status: "Callable[[RolloutOrder, RolloutState], dict[str, Any]] | None" = None
 
--- a/comfreyhitch/documents/watching.py
+++ b/comfreyhitch/documents/watching.py
@@ -5,7 +5,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.documents.models import DocumentSource, RawDocument, dump_document
 from comfreyhitch.platform.client import PlatformClient
-from comfreyhitch.platform.models import ObjectChange, ObjectList, PlatformObject
+from comfreyhitch.platform.models import FRESH, STALE, ObjectChange, ObjectList, PlatformObject
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
 from comfreyhitch.watching.follower import Follower
 from comfreyhitch.watching.outages import Outage
@@ -47,6 +47,7 @@
         take_list=take_list,
         take_change=take_change,
         outage=outage,
+        first_list_mode=STALE if source.may_start_stale else FRESH,
     )
 
 
@@ -80,10 +81,13 @@
 
 
 def _get_deletion_revision(source: DocumentSource, store: FactStore, item: PlatformObject) -> int:
-    # An event may bear the revision of the last change before the deletion.
     key = RawDocument(source.kind, item.metadata.name).key
     held = store.facts_by_id.get((FactKind.DOCUMENT, key))
-    return max(item.metadata.revision, 0 if held is None else held.version + 1)
+    revision = item.metadata.revision
+    # An event may bear the revision of the last change before the deletion. A document
+    # that is newer than that was ordered since, and a peer was faster than the watch.
+    is_of_held = held is not None and held.version == revision
+    return revision + 1 if is_of_held else revision
 
 
 def _find_deleted(source: DocumentSource, store: FactStore, listed: ObjectList) -> list[StoredFact]:
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -15,6 +15,7 @@
 
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.membership.models import Member, MemberStatus, encode_member
+from comfreyhitch.membership.views import group_reachable_peers, list_reachable_peers
 from comfreyhitch.replication.broadcast import Broadcaster, send_facts, take_piggyback
 from comfreyhitch.replication.facts import (
     FactKind,
@@ -23,7 +24,7 @@
     merge_facts,
     read_facts,
 )
-from comfreyhitch.replication.peers import Peers, order_probes
+from comfreyhitch.replication.peers import order_probes
 from comfreyhitch.telemetry.metrics import ControlMetrics
 from comfreyhitch.wire.codec import decode, encode
 from comfreyhitch.wire.generated.ttypes import Datagram, DatagramKind, Fact, FactHead
@@ -60,26 +61,6 @@
     rounds: int = 0
 
 
-def list_reachable_peers(blackboard: Blackboard) -> list[str]:
-    """Return the addresses of all other members that may be alive."""
-    return group_reachable_peers(blackboard).all
-
-
-def group_reachable_peers(blackboard: Blackboard) -> Peers:
-    """Return all other members that may be alive, those of the own zone apart."""
-    own = blackboard.own
-    near = []
-    far_by_zone: dict[str, list[str]] = {}
-    for member in blackboard.members_by_address.values():
-        if not member.is_reachable or member.address == own.address:
-            continue
-        if member.zone == own.zone:
-            near.append(member.address)
-        else:
-            far_by_zone.setdefault(member.zone, []).append(member.address)
-    return Peers(near, far_by_zone)
-
-
 def receive_datagrams(detector: FailureDetector) -> None:
     """Handle datagrams until the socket is closed."""
     while True:
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -2,21 +2,24 @@
 
 import logging
 from dataclasses import dataclass, field
+from datetime import timedelta
 from random import Random
 
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.membership.models import MemberStatus
+from comfreyhitch.membership.views import list_reachable_peers
 from comfreyhitch.platform.client import (
     DAEMONS,
     PlatformClient,
     create_object,
     delete_object,
+    get_object,
     list_objects,
 )
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import Metadata, PlatformObject
+from comfreyhitch.platform.models import STALE, Metadata, PlatformObject
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.replication.sync import sync_with_peer
 from comfreyhitch.sections.reader import is_reader
@@ -28,6 +31,10 @@
 # These tell the others of a daemon that has just joined.
 ENOUGH_JOIN_PEERS = 2
 MAX_FAILED_JOINS = 5
+JOIN_RETRY_INTERVAL = timedelta(seconds=1)
+REGISTRATION_INTERVAL = timedelta(seconds=60)
+# A reader reads the list this often soon after it has joined.
+SOON_LOOKS = 2
 
 
 @dataclass(slots=True)
@@ -43,9 +50,31 @@
     is_registered: bool = False
     # Whether the list was read, and each daemon in it was reached that nobody knew.
     is_joined: bool = False
+    # How often the list was read since the last time that this daemon knew nobody.
+    looks: int = 0
     failed_joins: dict[str, int] = field(default_factory=dict)
 
 
+def run_due_registration(registration: Registration) -> timedelta:
+    """Read or check the registrations as is due, and return the time until the next look.
+
+    Only the readers read the list again and again, so that the number of calls
+    follows the number of zones and not that of daemons.
+    """
+    if not _is_settled(registration) or is_reader(registration.blackboard):
+        run_registration(registration)
+    elif registration.is_required:
+        _check_own(registration)
+    if not _is_settled(registration):
+        registration.looks = 0
+        return JOIN_RETRY_INTERVAL
+    registration.looks += 1
+    if is_reader(registration.blackboard) and registration.looks < SOON_LOOKS:
+        # Daemons that started at the same time may have joined others than this one.
+        return JOIN_RETRY_INTERVAL
+    return REGISTRATION_INTERVAL
+
+
 def run_registration(registration: Registration) -> bool:
     """Keep this daemon registered if it should be, and sync with unknown registrations.
 
@@ -80,6 +109,24 @@
         registration.is_registered = False
 
 
+def _is_settled(registration: Registration) -> bool:
+    if not list_reachable_peers(registration.blackboard):
+        return False
+    return registration.is_registered or not registration.is_required
+
+
+def _check_own(registration: Registration) -> None:
+    """Register again if the own registration was removed, as others do with one that is dead."""
+    own = registration.blackboard.own.address
+    match get_object(registration.client, DAEMONS, _make_name(own), STALE):
+        case Err(PlatformError(failure=PlatformFailure.NOT_FOUND)):
+            _register(registration, own)
+        case Err(error):
+            logger.info("registration can't be checked", extra={"error": str(error)})
+        case Ok(_):
+            pass
+
+
 def _join(registration: Registration, addresses: list[str]) -> bool:
     known = registration.blackboard.members_by_address
     unknown = [address for address in addresses if address and address not in known]
--- /dev/null
+++ b/comfreyhitch/membership/views.py
@@ -0,0 +1,24 @@
+"""What the members on the blackboard mean for this daemon."""
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.replication.peers import Peers
+
+
+def list_reachable_peers(blackboard: Blackboard) -> list[str]:
+    """Return the addresses of all other members that may be alive."""
+    return group_reachable_peers(blackboard).all
+
+
+def group_reachable_peers(blackboard: Blackboard) -> Peers:
+    """Return all other members that may be alive, those of the own zone apart."""
+    own = blackboard.own
+    near = []
+    far_by_zone: dict[str, list[str]] = {}
+    for member in blackboard.members_by_address.values():
+        if not member.is_reachable or member.address == own.address:
+            continue
+        if member.zone == own.zone:
+            near.append(member.address)
+        else:
+            far_by_zone.setdefault(member.zone, []).append(member.address)
+    return Peers(near, far_by_zone)
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -78,10 +78,11 @@
 
 
 def get_object(
-    client: PlatformClient, kind: str, name: str
+    client: PlatformClient, kind: str, name: str, mode: ReadMode = FRESH
 ) -> Result[PlatformObject, PlatformError]:
     """Return one object."""
-    return _read(client, "get", _make_path(kind, name), PlatformObject)
+    path = _make_path(kind, name) + _join(_make_query(mode))
+    return _read(client, "get", path, PlatformObject)
 
 
 def create_object(
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -169,8 +169,16 @@
 
 DOCUMENT_SOURCES = (
     DocumentSource(DocumentKind.ROUTES, KIND_CONFIGURATION, decode_configuration),
-    DocumentSource(DocumentKind.ROLLOUT, KIND_ROLLOUTS, decode_rollout, encode_rollout_status),
-    DocumentSource(DocumentKind.ZONE_OUT, KIND_EVACUATIONS, decode_evacuation),
+    DocumentSource(
+        DocumentKind.ROLLOUT,
+        KIND_ROLLOUTS,
+        decode_rollout,
+        may_start_stale=True,
+        encode_status=encode_rollout_status,
+    ),
+    DocumentSource(
+        DocumentKind.ZONE_OUT, KIND_EVACUATIONS, decode_evacuation, may_start_stale=True
+    ),
 )
 
 
--- /dev/null
+++ b/comfreyhitch/platform/program.py
@@ -0,0 +1,41 @@
+"""Run one daemon on the platform, with the settings file that it names."""
+
+import os
+import sys
+from pathlib import Path
+
+from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.daemon.border import Border
+from comfreyhitch.daemon.running import EXIT_BAD_SETTINGS, run
+from comfreyhitch.platform.callers import make_interface
+from comfreyhitch.platform.documents import DOCUMENT_SOURCES
+from comfreyhitch.platform.names import TARGET_DIALECT
+from comfreyhitch.platform.servers import make_servers
+from comfreyhitch.platform.settings import (
+    ENVIRONMENT_PATH,
+    get_addresses,
+    make_settings,
+    read_file,
+)
+
+DEFAULT_PATH = "/etc/comfreyhitch/node.conf"
+
+
+def run_on_platform() -> int:
+    """Run a daemon until it is told to stop, and return the exit code."""
+    path = Path(os.environ.get(ENVIRONMENT_PATH, DEFAULT_PATH))
+    try:
+        values = read_file(path)
+        settings = make_settings(values, os.environ)
+        addresses = get_addresses(values)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    border = Border(
+        dialect=TARGET_DIALECT,
+        make_interface=make_interface,
+        documents=DOCUMENT_SOURCES,
+        make_servers=lambda daemon: make_servers(daemon, addresses),
+    )
+    run(settings, border, lambda: make_settings(read_file(path), os.environ), path)
+    return 0
--- a/comfreyhitch/sections/models.py
+++ b/comfreyhitch/sections/models.py
@@ -88,7 +88,8 @@
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid")
+    # Daemons that read no sections need no validators for them.
+    model_config = ConfigDict(extra="forbid", defer_build=True)
 
 
 class RouteModel(_Model):
--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -68,6 +68,21 @@
     max_watches: int = 0
     changed: Event = field(default_factory=Event)
     faults: PlatformFaults = field(default_factory=PlatformFaults)
+    # What lists that may be stale still show, if they lag behind.
+    stale_copy: "StaleCopy | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class StaleCopy:
+    """Hold the objects of an earlier revision."""
+
+    objects_by_kind: dict[str, dict[str, dict]]
+    revision: int
+
+
+def keep_stale_copy(state: StoreState) -> None:
+    """Let lists that may be stale show what there is now, whatever changes."""
+    state.stale_copy = StaleCopy(deepcopy(state.objects_by_kind), state.revision)
 
 
 def make_application(
@@ -168,12 +183,14 @@
 
 def _list(state: StoreState, kind: str, query: Query) -> dict:
     after = query.get("after", "")
-    named = sorted(state.objects_by_kind.get(kind, {}).items())
+    may_be_stale = "Serializable" in query and state.stale_copy is not None
+    source = state.stale_copy if may_be_stale else state
+    named = sorted(source.objects_by_kind.get(kind, {}).items())
     found = [item for name, item in named if name > after]
     return {
         "items": found[:PAGE_ITEMS],
         "HasMore": len(found) > PAGE_ITEMS,
-        "StoreRevision": state.revision,
+        "StoreRevision": source.revision,
     }
 
 
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -11,7 +11,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.platform.client import PlatformClient, list_objects, wait_for_changes
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import STALE, ObjectChange, ObjectList
+from comfreyhitch.platform.models import FRESH, STALE, ObjectChange, ObjectList, ReadMode
 from comfreyhitch.watching.outages import Outage, become_prober, end_outage, wait_for_return
 
 logger = logging.getLogger(__name__)
@@ -48,6 +48,8 @@
     take_list: Callable[[ObjectList], None]
     take_change: Callable[[ObjectChange], None]
     wait_seconds: float = DEFAULT_WAIT_SECONDS
+    # A stale list costs less, and the watch from its revision brings what it lacks.
+    first_list_mode: ReadMode = FRESH
     # Shared by the followers of one daemon.
     outage: Outage = field(default_factory=Outage)
     revision: int | None = None
@@ -92,11 +94,13 @@
 
 
 def _list(follower: Follower) -> PlatformError | None:
-    # Only a linearizable list can be trusted not to take a version back.
-    match list_objects(follower.client, follower.kind):
+    # Once history is gone, only a linearizable list can be trusted to be of now.
+    mode = follower.first_list_mode
+    match list_objects(follower.client, follower.kind, mode):
         case Err(error):
             return error
         case Ok(listed):
+            follower.first_list_mode = FRESH
             follower.take_list(listed)
             follower.revision = listed.revision
             return None
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -26,9 +26,9 @@
 )
 from comfreyhitch.platform.documents import DOCUMENT_SOURCES
 from comfreyhitch.platform.exceptions import PlatformFailure
-from comfreyhitch.platform.models import Metadata, PlatformObject
+from comfreyhitch.platform.models import Metadata, ObjectChange, PlatformObject
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
-from comfreyhitch.testing.platform import StoreState, make_application
+from comfreyhitch.testing.platform import StoreState, keep_stale_copy, make_application
 from comfreyhitch.testing.target import QuietHandler
 from comfreyhitch.watching.follower import Follower, follow, read_once
 from comfreyhitch.watching.outages import Outage, end_outage
@@ -177,6 +177,39 @@
     assert not blackboard.zones_out
 
 
+@then("the watch brings what the list lacked, with its history or without")
+def check_stale_start(context):
+    write(context, DocumentKind.ZONE_OUT, "za", {})
+    keep_stale_copy(context.store_state)
+    delete_object(context.client, "evacuations", "za").unwrap()
+    write(context, DocumentKind.ZONE_OUT, "zb", {})
+    for has_history in (True, False):
+        blackboard, store = make_replica(Clock.from_system())
+        follower = make_follower(context, DocumentKind.ZONE_OUT, store)
+        assert read_once(follower) is None
+        assert blackboard.zones_out == {"za"}
+        if not has_history:
+            context.store_state.events.clear()
+            context.store_state.oldest_revision = context.store_state.revision
+        read_once(follower)
+        read_once(follower)
+        assert blackboard.zones_out == {"zb"}, has_history
+
+
+@then("a late event of a deletion takes nothing back that was ordered since")
+def check_late_deletion(context):
+    blackboard, store = make_replica(Clock.from_system())
+    follower = make_follower(context, DocumentKind.ZONE_OUT, store)
+    merge_facts(store, [make_document_fact(DocumentKind.ZONE_OUT, "za", 50, {})])
+    late = PlatformObject(metadata=Metadata(name="za", revision=45), spec={})
+    follower.take_change(ObjectChange(object=late, is_deleted=True))
+    assert blackboard.zones_out == {"za"}
+    # The event of a deletion may bear the revision of the last change before it.
+    current = late.model_copy(update={"metadata": Metadata(name="za", revision=50)})
+    follower.take_change(ObjectChange(object=current, is_deleted=True))
+    assert not blackboard.zones_out
+
+
 @then("a conditional write fails over a newer revision, and a lost answer leaves the write done")
 def check_writes(context):
     write(context, DocumentKind.ROLLOUT, "s1", {"Service": "s1"})
--- /dev/null
+++ b/features/steps/registration_steps.py
@@ -0,0 +1,65 @@
+"""How many calls a daemon makes to join the others."""
+
+from collections import Counter
+from dataclasses import replace
+from datetime import timedelta
+from random import Random
+
+from behave import then
+
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.membership.registration import Registration, run_due_registration
+from comfreyhitch.platform.client import DAEMONS, delete_object, list_objects
+from comfreyhitch.replication.facts import FactStore
+from comfreyhitch.sections.reader import is_reader
+from features.fakes import make_member
+
+DAEMON_ADDRESSES = [f"127.0.0.{number}:7000" for number in range(1, 9)]
+JOINED_INTERVAL = timedelta(seconds=60)
+
+
+def make_registration(context, address, calls):
+    """Return the registration of a daemon that knows all others, as after a sync with one."""
+    clock = Clock.from_system()
+    blackboard = Blackboard(clock=clock, own=make_member(address=address))
+    for other in DAEMON_ADDRESSES:
+        blackboard.members_by_address[other] = make_member(address=other)
+    return Registration(
+        blackboard,
+        FactStore.from_clock(clock),
+        None,
+        replace(context.client, count_call=lambda verb: calls.update([verb])),
+        Random(context.seed),
+        is_required=True,
+    )
+
+
+@then("one that has joined has registered once and listed once, and a reader once more")
+def check_calls(context):
+    readers = 0
+    for address in DAEMON_ADDRESSES:
+        calls = Counter()
+        registration = make_registration(context, address, calls)
+        while run_due_registration(registration) < JOINED_INTERVAL:
+            pass
+        readers += is_reader(registration.blackboard)
+        expected = Counter(create=1, list=1 + is_reader(registration.blackboard))
+        assert calls == expected, (address, calls)
+    assert readers == 2
+    found = list_objects(context.client, DAEMONS).unwrap()
+    assert {item.spec["address"] for item in found.items} == set(DAEMON_ADDRESSES)
+
+
+@then("one whose registration was removed registers again")
+def check_removed(context):
+    calls = Counter()
+    registration = make_registration(context, DAEMON_ADDRESSES[0], calls)
+    while run_due_registration(registration) < JOINED_INTERVAL:
+        pass
+    name = DAEMON_ADDRESSES[0].replace(".", "-").replace(":", "-")
+    delete_object(context.client, DAEMONS, name).unwrap()
+    for _ in range(2):
+        run_due_registration(registration)
+    found = list_objects(context.client, DAEMONS).unwrap()
+    assert DAEMON_ADDRESSES[0] in {item.spec["address"] for item in found.items}
