Bound the head of a request in bytes and time, as the configuration asks

The limits on bodies and idle connections were enforced, those on heads were not: a caller could hold a greenlet with a head sent byte by byte, or send 100 lines of 64 KB. Now a larger head gets 431 and a slower one 408, both before anything runs; a first line that never ends is closed. The time counts from a request's first byte, so idle connections keep their own limit. Unread requests are counted and logged within the bound for failures; the library wrote a line for each.

--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -1,16 +1,11 @@
 """HTTP server for callers."""
 
 import logging
-import socket
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 
 import gevent
-import gevent.socket
-from gevent.pywsgi import WSGIHandler, WSGIServer
 from result import Err, Ok
 
-from comfreyhitch.core.headers import HEADER_VERDICT
 from comfreyhitch.core.verdicts import (
     Failure,
     Headers,
@@ -20,93 +15,30 @@
     Verdict,
     describe_outcome,
 )
+from comfreyhitch.egress.caller_server import (
+    HEADERS_ENVIRON_KEY,
+    PATH_ENVIRON_KEY,
+    SOCKET_ENVIRON_KEY,
+    CallerHandler,
+    CallerServer,
+)
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.ingress.target import RequestCancelledError
-from comfreyhitch.routing.models import CallerLimits
 from comfreyhitch.telemetry.decisions import log_decision, may_log
 from comfreyhitch.telemetry.metrics import observe_request
-from comfreyhitch.wire.sockets import is_quiet, tune_socket, watch_disconnect
+from comfreyhitch.wire.sockets import watch_disconnect
 
 logger = logging.getLogger(__name__)
 
-HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
-SOCKET_ENVIRON_KEY = "comfreyhitch.socket"
-PATH_ENVIRON_KEY = "comfreyhitch.path"
 SERVER_ERROR_STATUS = 500
 NO_BODY_STATUSES = frozenset({204, 304})
 
 StartResponse = Callable[[str, Headers], object]
 
 
-class CallerServer(WSGIServer):
-    """Serve callers, and know which of their connections wait for a request."""
-
-    def __init__(self, *arguments: object, **options: object) -> None:
-        super().__init__(*arguments, **options)
-        self.idle_sockets: set[gevent.socket.socket] = set()
-        self.ended_sockets: set[gevent.socket.socket] = set()
-        self.get_limits: Callable[[], CallerLimits | None] = lambda: None
-
-    def stop_reading(self) -> None:
-        """Accept no connection and read no request any more; answer those that were read."""
-        self.close()
-        for sock in list(self.idle_sockets):
-            # A request that has arrived but was not read yet is still served.
-            if not is_quiet(sock):
-                continue
-            self.ended_sockets.add(sock)
-            with suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-
-
-class CallerHandler(WSGIHandler):
-    """Handle one caller's connection, with its headers as they came."""
-
-    def __init__(self, sock: object, address: object, server: object) -> None:
-        tune_socket(sock)
-        super().__init__(sock, address, server)
-
-    def read_requestline(self) -> str:
-        """Return the next request's first line, empty if none comes in the time for it."""
-        limits = self.server.get_limits()
-        seconds = None if limits is None else limits.idle_timeout.total_seconds()
-        idle_sockets = self.server.idle_sockets
-        idle_sockets.add(self.socket)
-        try:
-            with gevent.Timeout(seconds, False):
-                line = super().read_requestline()
-                # What arrives as the connection is being closed counts as never read.
-                return "" if self.socket in self.server.ended_sockets else line
-        finally:
-            idle_sockets.discard(self.socket)
-        return ""
-
-    def get_environ(self) -> dict[str, object]:
-        """Return the WSGI environment with headers, socket and path of the request."""
-        environ = super().get_environ()
-        environ[HEADERS_ENVIRON_KEY] = self.headers.items()
-        environ[SOCKET_ENVIRON_KEY] = self.socket
-        environ[PATH_ENVIRON_KEY] = self.path
-        return environ
-
-    def finalize_headers(self) -> None:
-        """Add no length or coding to the response to HEAD, which has no body."""
-        if self.command == "HEAD" and self.provided_content_length is None:
-            self.provided_content_length = "0"
-        super().finalize_headers()
-
-    def log_request(self) -> None:
-        """Leave the log of requests to the application."""
-
-    def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
-        status, response = super()._handle_client_error(error)
-        verdict = f"\r\n{HEADER_VERDICT}: {Verdict.NOT_RUN.header_value}\r\n".encode()
-        return status, response.replace(b"\r\n", verdict, 1)
-
-
 def make_frontend(egress: Egress, interface: CallerInterface) -> CallerServer:
     """Return the server that callers talk to."""
     settings = egress.settings
@@ -123,9 +55,16 @@
         backlog=512,
     )
     server.get_limits = interface.get_limits
+    server.note_unread = lambda reason: _record_unread(egress, reason)
     return server
 
 
+def _record_unread(egress: Egress, reason: str) -> None:
+    observe_request(egress.metrics, "", DEFAULT_TENANT, Verdict.NOT_RUN, 0.0)
+    if may_log(egress.decisions, is_failure=True):
+        log_decision(egress.decisions, "request was not read", {"reason": reason})
+
+
 def _serve(
     egress: Egress,
     interface: CallerInterface,
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -4,7 +4,7 @@
 import gevent.socket
 from behave import then
 
-from comfreyhitch.egress.frontend import CallerHandler, CallerServer
+from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
