Start daemons without pydantic: settings and the platform's messages are checked by msgspec

By import time pydantic and the building of its models were a third of a start. Every daemon has to check its settings and the configuration before its first request, so importing it later gains nothing.

msgspec is its nearest kin that fits: validated models at the border, errors that name the place. Settings are a plain dataclass now, and each wrong value is still told with its setting; sections of the operators' document stay with pydantic, whose modules a daemon without sections never imports. Whether a daemon is one of its zone's readers moved to membership/views.py. All of platform_input (properties of damaged input), commands, documents, configuration, platform_path, retry_budget and target_life green.

--- a/comfreyhitch/conf/loader.py
+++ b/comfreyhitch/conf/loader.py
@@ -1,11 +1,12 @@
 """Read settings from flags and environment variables."""
 
 from collections.abc import Mapping
+from dataclasses import fields
+from datetime import timedelta
 
-from pydantic import ValidationError
-
-from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.conf.exceptions import BadSettingsError, SettingsError, WrongValue
 from comfreyhitch.conf.models import Settings
+from comfreyhitch.conf.validation import UNKNOWN, make_settings
 
 ENVIRONMENT_PREFIX = "COMFREYHITCH_"
 
@@ -25,9 +26,9 @@
     values = _read_environment(environment)
     values.update({name.replace("-", "_"): value for name, value in flags.items()})
     try:
-        return Settings.model_validate(_convert_values(values))
-    except ValidationError as error:
-        raise SettingsError(_describe_errors(error)) from None
+        return make_settings(_convert_values(values))
+    except BadSettingsError as error:
+        raise SettingsError(_describe_errors(error.wrong)) from None
 
 
 def read_overrides(environment: Mapping[str, str], reserved: str) -> dict[str, object]:
@@ -40,15 +41,15 @@
 def export_settings(settings: Settings) -> dict[str, str]:
     """Return the environment variables that describe settings other than the defaults."""
     variables = {}
-    for name in settings.model_fields_set:
-        value = getattr(settings, name)
-        if value is None:
+    for item in fields(Settings):
+        value = getattr(settings, item.name)
+        if value == item.default:
             continue
         if isinstance(value, tuple):
             value = ",".join(value)
-        if hasattr(value, "total_seconds"):
+        if isinstance(value, timedelta):
             value = value.total_seconds()
-        variables[get_environment_name(name)] = str(value)
+        variables[get_environment_name(item.name)] = str(value)
     return variables
 
 
@@ -61,36 +62,19 @@
 
 
 def _convert_values(values: Mapping[str, str]) -> dict[str, object]:
-    converted: dict[str, object] = {}
-    for name, value in values.items():
-        annotation = Settings.model_fields.get(name)
-        if name == "peers":
-            converted[name] = tuple(part for part in value.split(",") if part)
-        elif annotation is not None and isinstance(annotation.default, type(_DURATION)):
-            converted[name] = _parse_seconds(value)
-        else:
-            converted[name] = value
+    converted: dict[str, object] = dict(values)
+    if "peers" in values:
+        converted["peers"] = tuple(part for part in values["peers"].split(",") if part)
     return converted
 
 
-_DURATION = Settings.model_fields["default_timeout"].default
-
-
-def _parse_seconds(value: str) -> float | str:
-    try:
-        return float(value)
-    except ValueError:
-        return value
-
-
-def _describe_errors(error: ValidationError) -> str:
+def _describe_errors(wrong: list[WrongValue]) -> str:
     lines = []
-    for item in error.errors():
-        setting = str(item["loc"][0])
-        flag = get_flag_name(setting)
-        variable = get_environment_name(setting)
-        if item["type"] == "extra_forbidden":
-            lines.append(f"{variable} (--{flag}): no such setting; remove it or correct its name")
+    for item in wrong:
+        flag = get_flag_name(item.name)
+        variable = get_environment_name(item.name)
+        if item.reason == UNKNOWN:
+            lines.append(f"{variable} (--{flag}): {UNKNOWN}; remove it or correct its name")
             continue
-        lines.append(f"{variable} (--{flag}): {item['msg']}, got {item['input']!r}; correct it")
+        lines.append(f"{variable} (--{flag}): {item.reason}, got {item.value!r}; correct it")
     return "\n".join(lines)
--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -1,104 +1,125 @@
-"""Validated settings of a daemon, with their defaults."""
+"""Settings of a daemon, with what each may be and their defaults."""
 
+from dataclasses import dataclass
 from datetime import timedelta
-from ipaddress import IPv4Address
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from msgspec import Meta
 
-Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9]([a-z0-9._-]{0,62})$")]
-Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-Port = Annotated[int, Field(ge=1, le=65535)]
-PositiveDuration = Annotated[timedelta, Field(gt=timedelta(0))]
+NAME_PATTERN = r"^[a-z0-9]([a-z0-9._-]{0,62})$"
+_BYTE = r"(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+_IP_NUMBER = rf"{_BYTE}(\.{_BYTE}){{3}}"
 
+Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
+IpNumber = Annotated[str, Meta(pattern=rf"^{_IP_NUMBER}$")]
+Address = Annotated[str, Meta(pattern=rf"^{_IP_NUMBER}:[0-9]{{1,5}}$")]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Share = Annotated[float, Meta(ge=0, le=1)]
 
-class Settings(BaseModel):
-    """Hold every setting; durations are seconds in flags and variables."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Hold every setting; durations are positive, and seconds in flags and variables."""
 
-    host: IPv4Address = Field(
-        IPv4Address("127.0.0.1"), description="IP number that the daemon listens on"
-    )
-    http_port: Port = Field(8080, description="port for callers")
-    peer_port: Port = Field(8081, description="TCP and UDP port for other daemons")
-    admin_port: Port = Field(8082, description="port for metrics, health and operators")
-    advertised_address: Address | None = Field(
-        None, description="address that other daemons use, if not host and peer-port"
-    )
-    zone: Name = Field("zone-a", description="availability zone of this instance")
-    region: Name = Field("region-a", description="region of this instance")
-    service: Name | None = Field(None, description="service of the target, if it never announces")
-    service_version: Name | None = Field(None, description="version of the target")
-    target_port: Port | None = Field(None, description="port of the target on this instance")
-    target_host: IPv4Address | None = Field(
-        None, description="IP number of the target, if it is not that of the daemon"
-    )
-    limit_rule: Literal["adaptive", "slots"] = Field(
-        "adaptive", description="whether the concurrency limit is learned or is the slots"
-    )
-    slots: Annotated[int, Field(ge=1, le=10_000)] = Field(
-        10, description="requests that the target can run at a time"
-    )
-    peers: tuple[Address, ...] = Field((), description="addresses of first peers, comma separated")
-    platform_url: str | None = Field(None, description="base URL of the platform's object API")
-    body_limit_bytes: Annotated[int, Field(ge=0, le=8 * 1024 * 1024)] = Field(
-        4 * 1024 * 1024, description="largest request or response body"
-    )
-    default_timeout: PositiveDuration = Field(
-        timedelta(seconds=10), description="deadline of a request that names none"
-    )
-    fence_after: PositiveDuration = Field(
-        timedelta(seconds=2), description="silence after which a request's fate is asked for"
-    )
-    retry_budget: Annotated[float, Field(ge=0, le=1)] = Field(
-        0.1, description="retries as a share of first tries"
-    )
-    hedge_budget: Annotated[float, Field(ge=0, le=1)] = Field(
-        0.05, description="hedged requests as a share of first tries"
-    )
-    retry_extra: Annotated[float, Field(ge=0)] = Field(
-        20.0, description="retries of a service that may be saved up"
-    )
-    retry_window: PositiveDuration = Field(
-        timedelta(seconds=10), description="time in which the shared retries are earned again"
-    )
-    is_repeat_budget_shared: bool = Field(
-        False, description="whether all daemons share the retries saved up, and hedges draw on them"
-    )
-    choice_rule: Literal["load-aware", "least-in-flight", "round-robin", "random"] = Field(
-        "load-aware", description="how a target is chosen; the others serve as baselines"
-    )
-    probe_rate: Annotated[float, Field(ge=0, le=1000)] = Field(
-        2.0, description="load probes to other daemons a second"
-    )
-    target_probe_rate: Annotated[float, Field(ge=0, le=100)] = Field(
-        0.5, description="most reads of the target's own health endpoint a second"
-    )
-    target_probe_interval: PositiveDuration = Field(
-        timedelta(seconds=2), description="time between reads of it while nothing is in doubt"
-    )
-    gossip_interval: PositiveDuration = Field(
-        timedelta(seconds=1), description="time between failure detector probes"
-    )
-    sync_interval: PositiveDuration = Field(
-        timedelta(seconds=10), description="time between anti-entropy exchanges"
-    )
-    drain_timeout: PositiveDuration = Field(
-        timedelta(seconds=30), description="longest wait for requests in flight at a stop"
-    )
-    stop_linger: PositiveDuration = Field(
-        timedelta(milliseconds=500), description="time at a stop for callers to go elsewhere"
-    )
-    registration: Literal["readers", "all"] = Field(
-        "readers", description="which daemons register in the platform for others to find"
-    )
-    key_retention: PositiveDuration = Field(
-        timedelta(minutes=10), description="time for which outcomes by Idempotency-Key are kept"
-    )
-    log_level: Annotated[str, StringConstraints(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = Field(
-        "INFO", description="least severe level that is logged"
-    )
+    host: Annotated[IpNumber, Meta(description="IP number that the daemon listens on")] = (
+        "127.0.0.1"
+    )
+    http_port: Annotated[Port, Meta(description="port for callers")] = 8080
+    peer_port: Annotated[Port, Meta(description="TCP and UDP port for other daemons")] = 8081
+    admin_port: Annotated[Port, Meta(description="port for metrics, health and operators")] = 8082
+    advertised_address: Annotated[
+        Address | None,
+        Meta(description="address that other daemons use, if not host and peer-port"),
+    ] = None
+    zone: Annotated[Name, Meta(description="availability zone of this instance")] = "zone-a"
+    region: Annotated[Name, Meta(description="region of this instance")] = "region-a"
+    service: Annotated[
+        Name | None, Meta(description="service of the target, if it never announces")
+    ] = None
+    service_version: Annotated[Name | None, Meta(description="version of the target")] = None
+    target_port: Annotated[Port | None, Meta(description="port of the target on this instance")] = (
+        None
+    )
+    target_host: Annotated[
+        IpNumber | None,
+        Meta(description="IP number of the target, if it is not that of the daemon"),
+    ] = None
+    limit_rule: Annotated[
+        Literal["adaptive", "slots"],
+        Meta(description="whether the concurrency limit is learned or is the slots"),
+    ] = "adaptive"
+    slots: Annotated[
+        Annotated[int, Meta(ge=1, le=10_000)],
+        Meta(description="requests that the target can run at a time"),
+    ] = 10
+    peers: Annotated[
+        tuple[Address, ...], Meta(description="addresses of first peers, comma separated")
+    ] = ()
+    platform_url: Annotated[
+        str | None, Meta(description="base URL of the platform's object API")
+    ] = None
+    body_limit_bytes: Annotated[
+        Annotated[int, Meta(ge=0, le=8 * 1024 * 1024)],
+        Meta(description="largest request or response body"),
+    ] = 4 * 1024 * 1024
+    default_timeout: Annotated[
+        timedelta, Meta(description="deadline of a request that names none")
+    ] = timedelta(seconds=10)
+    fence_after: Annotated[
+        timedelta, Meta(description="silence after which a request's fate is asked for")
+    ] = timedelta(seconds=2)
+    retry_budget: Annotated[Share, Meta(description="retries as a share of first tries")] = 0.1
+    hedge_budget: Annotated[
+        Share, Meta(description="hedged requests as a share of first tries")
+    ] = 0.05
+    retry_extra: Annotated[
+        Annotated[float, Meta(ge=0)], Meta(description="retries of a service that may be saved up")
+    ] = 20.0
+    retry_window: Annotated[
+        timedelta, Meta(description="time in which the shared retries are earned again")
+    ] = timedelta(seconds=10)
+    is_repeat_budget_shared: Annotated[
+        bool,
+        Meta(description="whether all daemons share the retries saved up, and hedges draw on them"),
+    ] = False
+    choice_rule: Annotated[
+        Literal["load-aware", "least-in-flight", "round-robin", "random"],
+        Meta(description="how a target is chosen; the others serve as baselines"),
+    ] = "load-aware"
+    probe_rate: Annotated[
+        Annotated[float, Meta(ge=0, le=1000)],
+        Meta(description="load probes to other daemons a second"),
+    ] = 2.0
+    target_probe_rate: Annotated[
+        Annotated[float, Meta(ge=0, le=100)],
+        Meta(description="most reads of the target's own health endpoint a second"),
+    ] = 0.5
+    target_probe_interval: Annotated[
+        timedelta, Meta(description="time between reads of it while nothing is in doubt")
+    ] = timedelta(seconds=2)
+    gossip_interval: Annotated[
+        timedelta, Meta(description="time between failure detector probes")
+    ] = timedelta(seconds=1)
+    sync_interval: Annotated[timedelta, Meta(description="time between anti-entropy exchanges")] = (
+        timedelta(seconds=10)
+    )
+    drain_timeout: Annotated[
+        timedelta, Meta(description="longest wait for requests in flight at a stop")
+    ] = timedelta(seconds=30)
+    stop_linger: Annotated[
+        timedelta, Meta(description="time at a stop for callers to go elsewhere")
+    ] = timedelta(milliseconds=500)
+    registration: Annotated[
+        Literal["readers", "all"],
+        Meta(description="which daemons register in the platform for others to find"),
+    ] = "readers"
+    key_retention: Annotated[
+        timedelta, Meta(description="time for which outcomes by Idempotency-Key are kept")
+    ] = timedelta(minutes=10)
+    log_level: Annotated[
+        Literal["DEBUG", "INFO", "WARNING", "ERROR"],
+        Meta(description="least severe level that is logged"),
+    ] = "INFO"
 
     @property
     def peer_address(self) -> str:
@@ -113,7 +134,7 @@
     @property
     def target_address_host(self) -> str:
         """Return the IP number of the target."""
-        return str(self.target_host or self.host)
+        return self.target_host or self.host
 
     @property
     def http_address(self) -> str:
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -6,8 +6,9 @@
 from dataclasses import asdict
 from typing import Annotated
 
+import msgspec
 from gevent.pywsgi import WSGIServer
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from msgspec import Meta, Struct
 
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
@@ -24,16 +25,14 @@
 AdminResponse = tuple[str, str, bytes]
 
 
-class Announcement(BaseModel):
+class Announcement(Struct, frozen=True, forbid_unknown_fields=True):
     """Validate what a target says of itself."""
 
-    model_config = ConfigDict(extra="forbid", defer_build=True)
-
     service: Name
     version: Name
     port: Port
-    slots: Annotated[int, Field(ge=1, le=10_000)] = 10
-    incarnation: Annotated[str, Field(max_length=128)] = ""
+    slots: Annotated[int, Meta(ge=1, le=10_000)] = 10
+    incarnation: Annotated[str, Meta(max_length=128)] = ""
     draining: bool = False
 
 
@@ -89,13 +88,9 @@
 ) -> AdminResponse:
     body = environ["wsgi.input"].read(MAX_ANNOUNCEMENT_BYTES)
     try:
-        announcement = Announcement.model_validate_json(body)
-    except ValidationError as error:
-        errors = [
-            f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
-            for item in error.errors()
-        ]
-        return _make_json("400 Bad Request", {"errors": errors})
+        announcement = msgspec.json.decode(body, type=Announcement)
+    except msgspec.DecodeError as error:
+        return _make_json("400 Bad Request", {"errors": [str(error)]})
     announce(announcement)
     return _make_json("200 OK", {"announced": announcement.service})
 
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -31,8 +31,6 @@
 from comfreyhitch.rollouts.controller import RolloutController, choose_judges, run_rollouts
 from comfreyhitch.rollouts.order_recorder import OrderRecorder, run_order_recorder
 from comfreyhitch.rollouts.orders import OrderController, run_orders
-from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
-from comfreyhitch.sections.reader import SectionReader, run_reader
 from comfreyhitch.watching.follower import follow
 from comfreyhitch.watching.outages import Outage
 
@@ -79,6 +77,9 @@
     if daemon.border.documents:
         _start_orders(daemon, rollouts)
         return
+    # What reads and writes sections costs a daemon without them part of its start.
+    from comfreyhitch.rollouts.recorder import OutcomeRecorder, run_recorder
+
     recorder = OutcomeRecorder(daemon.blackboard, daemon.store, daemon.platform)
     for action in (lambda: run_rollouts(rollouts), lambda: run_recorder(recorder)):
         daemon.greenlets.append(gevent.spawn(_repeat, ROLLOUT_INTERVAL, action))
@@ -102,6 +103,8 @@
     if daemon.border.documents:
         _start_document_followers(daemon, client)
     else:
+        from comfreyhitch.sections.reader import SectionReader, run_reader
+
         reader = SectionReader(daemon.blackboard, daemon.store, client, daemon.detector.random)
         daemon.greenlets.append(gevent.spawn(_keep_running, lambda: run_reader(reader)))
     daemon.registration = Registration(
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -14,8 +14,6 @@
 from comfreyhitch.membership.models import decode_member
 from comfreyhitch.replication.facts import FactKind, FactStore, Observer, StoredFact, Validator
 from comfreyhitch.rollouts.models import read_evidence_record
-from comfreyhitch.sections.merging import apply_sections
-from comfreyhitch.sections.parsing import parse_section_json
 from comfreyhitch.wire.codec import decode
 from comfreyhitch.wire.generated.ttypes import (
     CompletionRecord,
@@ -73,7 +71,7 @@
             else:
                 _apply(blackboard, detector, fact)
         if FactKind.SECTION in kinds:
-            apply_sections(blackboard, store)
+            _apply_sections(blackboard, store)
         if FactKind.DOCUMENT in kinds:
             on_documents()
         if kinds & ELIGIBILITY_KINDS:
@@ -97,6 +95,13 @@
     refresh_candidates(blackboard)
 
 
+def _apply_sections(blackboard: Blackboard, store: FactStore) -> None:
+    # Daemons that read no sections start without what validates them.
+    from comfreyhitch.sections.merging import apply_sections
+
+    apply_sections(blackboard, store)
+
+
 def _apply(blackboard: Blackboard, detector: FailureDetector, fact: StoredFact) -> None:
     match fact.kind:
         case FactKind.MEMBER:
@@ -185,6 +190,8 @@
 
 
 def _check_section(key: str, version: int, value: bytes) -> Result[object, str]:
+    from comfreyhitch.sections.parsing import parse_section_json
+
     decoded = decode(SectionRecord, value)
     if decoded.is_err():
         return decoded
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -1,6 +1,7 @@
 """Follow settings that change while the daemon runs."""
 
 import logging
+from dataclasses import fields, replace
 
 from comfreyhitch.conf.exceptions import SettingsError
 from comfreyhitch.conf.models import Settings
@@ -43,7 +44,7 @@
     applied = sorted(changed - START_ONLY_SETTINGS)
     logger.info("settings reloaded", extra={"applied": applied, "at_next_start": waiting})
     values = {name: getattr(wanted, name) for name in applied}
-    current = daemon.settings.model_copy(update=values)
+    current = replace(daemon.settings, **values)
     for holder in (daemon, daemon.egress, daemon.ingress):
         holder.settings = current
     daemon.ingress.target_probe_budget.rate = current.target_probe_rate
@@ -51,6 +52,5 @@
 
 def find_changes(current: Settings, wanted: Settings) -> set[str]:
     """Return the names of the settings that differ."""
-    return {
-        name for name in Settings.model_fields if getattr(current, name) != getattr(wanted, name)
-    }
+    names = [item.name for item in fields(Settings)]
+    return {name for name in names if getattr(current, name) != getattr(wanted, name)}
--- a/comfreyhitch/management/commands/daemon.py
+++ b/comfreyhitch/management/commands/daemon.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from dataclasses import fields
 from typing import ClassVar
 
 from cleo.commands.command import Command
@@ -18,8 +19,8 @@
 def make_settings_options() -> list:
     """Return one option for each setting."""
     return [
-        option(get_flag_name(name), None, field.description or "", flag=False)
-        for name, field in Settings.model_fields.items()
+        option(get_flag_name(item.name), None, item.type.__metadata__[-1].description, flag=False)
+        for item in fields(Settings)
     ]
 
 
@@ -36,7 +37,7 @@
 
     def handle(self) -> int:
         """Replace this process by the daemon, which needs less memory."""
-        names = [get_flag_name(name) for name in Settings.model_fields]
+        names = [get_flag_name(item.name) for item in fields(Settings)]
         flags = {name: value for name in names if (value := self.option(name)) is not None}
         try:
             settings = load_settings(os.environ, flags)
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -9,7 +9,7 @@
 
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.membership.models import MemberStatus
-from comfreyhitch.membership.views import list_reachable_peers
+from comfreyhitch.membership.views import is_reader, list_reachable_peers
 from comfreyhitch.platform.client import (
     DAEMONS,
     PlatformClient,
@@ -22,7 +22,6 @@
 from comfreyhitch.platform.models import STALE, Metadata, PlatformObject
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.replication.sync import sync_with_peer
-from comfreyhitch.sections.reader import is_reader
 from comfreyhitch.wire.connections import PeerPool
 
 logger = logging.getLogger(__name__)
--- a/comfreyhitch/membership/views.py
+++ b/comfreyhitch/membership/views.py
@@ -2,6 +2,9 @@
 
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.replication.peers import Peers
+from comfreyhitch.utils.hashing import rank_by_rendezvous
+
+READERS_PER_ZONE = 2
 
 
 def list_reachable_peers(blackboard: Blackboard) -> list[str]:
@@ -22,3 +25,15 @@
         else:
             far_by_zone.setdefault(member.zone, []).append(member.address)
     return Peers(near, far_by_zone)
+
+
+def is_reader(blackboard: Blackboard) -> bool:
+    """Return whether this daemon is one of the readers of its zone."""
+    own = blackboard.own
+    addresses = [
+        member.address
+        for member in blackboard.members_by_address.values()
+        if member.zone == own.zone and member.is_reachable
+    ]
+    ranked = rank_by_rendezvous(f"reader {own.zone}", addresses)
+    return own.address in ranked[:READERS_PER_ZONE] or not ranked
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -6,10 +6,10 @@
 from typing import Any, TypeVar
 from urllib.parse import quote
 
+import msgspec
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.url import URL
-from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
@@ -37,7 +37,7 @@
     429: PlatformFailure.UNAVAILABLE,
 }
 
-Model = TypeVar("Model", bound=BaseModel)
+Model = TypeVar("Model", bound=msgspec.Struct)
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +207,6 @@
 
 def _parse(model: type[Model], content: Any) -> Result[Model, PlatformError]:
     try:
-        return Ok(model.model_validate(content))
-    except ValidationError as error:
+        return Ok(msgspec.convert(content, model))
+    except msgspec.ValidationError as error:
         return Err(PlatformError(PlatformFailure.REFUSED, f"not a {model.__name__}: {error}"))
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -1,8 +1,9 @@
 """Decode the operators' documents: configuration, rollouts and evacuations."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta, Struct, field
 from result import Err, Ok, Result
 
 from comfreyhitch.documents.models import (
@@ -14,7 +15,7 @@
     RolloutState,
     ZoneOutOrder,
 )
-from comfreyhitch.platform.durations import Duration
+from comfreyhitch.platform.durations import Duration, decode_duration
 from comfreyhitch.platform.names import (
     KIND_CONFIGURATION,
     KIND_EVACUATIONS,
@@ -29,8 +30,9 @@
     WeightedService,
 )
 
-Count = Annotated[int, Field(ge=1, strict=True)]
-Text = Annotated[str, Field(min_length=1, max_length=256)]
+Model = TypeVar("Model", bound=Struct)
+Count = Annotated[int, Meta(ge=1)]
+Text = Annotated[str, Meta(min_length=1, max_length=256)]
 DEFAULT_MAX_CONNECTIONS = 100
 STATES_BY_WORD = {
     "running": RolloutState.RUNNING,
@@ -40,71 +42,65 @@
 WORDS_BY_STATE = {state: word for word, state in STATES_BY_WORD.items()}
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-
-class SplitModel(_Model):
+class SplitModel(Struct, frozen=True):
     """Validate one part of a route's requests."""
 
-    service: Text = Field(alias="Service")
-    weight: Annotated[float, Field(ge=0, strict=True, alias="Weight")]
+    service: Text = field(name="Service")
+    weight: Annotated[float, Meta(ge=0)] = field(name="Weight")
 
 
-class RouteModel(_Model):
+class RouteModel(Struct, frozen=True):
     """Validate one route; it names one service, or several with weights."""
 
-    name: Text = Field(alias="Name")
-    host: Text = Field(alias="Host")
-    prefix: Annotated[str, Field(pattern=r"^/(.*/)?$", alias="Prefix")]
-    kind: Literal["idempotent", "non_idempotent"] = Field(alias="Kind")
-    timeout: Duration = Field(alias="Timeout")
+    name: Text = field(name="Name")
+    host: Text = field(name="Host")
+    prefix: Annotated[str, Meta(pattern=r"^/(.*/)?$")] = field(name="Prefix")
+    kind: Literal["idempotent", "non_idempotent"] = field(name="Kind")
+    timeout: Duration = field(name="Timeout")
     # Time within which a response is worth most; not a promise.
-    objective: Duration = Field(alias="Slo")
+    objective: Duration = field(name="Slo")
     # 0 goes first.
-    priority: Annotated[int, Field(ge=0, strict=True, alias="Priority")] = 0
+    priority: Annotated[int, Meta(ge=0)] = field(default=0, name="Priority")
     # The most targets that one request may be sent to.
-    attempts: Count = Field(1, alias="Attempts")
-    service: Text | None = Field(None, alias="Service")
-    split: list[SplitModel] = Field([], alias="Split")
+    attempts: Count = field(default=1, name="Attempts")
+    service: Text | None = field(default=None, name="Service")
+    split: list[SplitModel] = field(default_factory=list, name="Split")
 
 
-class ServiceModel(_Model):
+class ServiceModel(Struct, frozen=True):
     """Validate what the configuration says of a service's targets."""
 
-    name: Text = Field(alias="Name")
-    health_path: Annotated[str, Field(pattern=r"^/", alias="HealthPath")]
-    max_connections: Annotated[int, Field(ge=1, strict=True, alias="MaxConns")] = (
-        DEFAULT_MAX_CONNECTIONS
-    )
-    cold_time: Duration = Field(alias="ColdStart")
-    cold_rate: Annotated[float, Field(gt=0, strict=True, alias="ColdPerS")]
+    name: Text = field(name="Name")
+    health_path: Annotated[str, Meta(pattern=r"^/")] = field(name="HealthPath")
+    cold_time: Duration = field(name="ColdStart")
+    cold_rate: Annotated[float, Meta(gt=0)] = field(name="ColdPerS")
+    max_connections: Count = field(default=DEFAULT_MAX_CONNECTIONS, name="MaxConns")
 
 
-class LimitsModel(_Model):
+class LimitsModel(Struct, frozen=True):
     """Validate the bounds on what callers send."""
 
-    header_bytes: Annotated[int, Field(gt=0, strict=True, alias="MaxHeaderBytes")]
-    body_bytes: Annotated[int, Field(ge=0, strict=True, alias="MaxBodyBytes")]
-    header_timeout: Duration = Field(alias="HeaderTimeout")
-    idle_timeout: Duration = Field(alias="IdleTimeout")
+    header_bytes: Annotated[int, Meta(gt=0)] = field(name="MaxHeaderBytes")
+    body_bytes: Annotated[int, Meta(ge=0)] = field(name="MaxBodyBytes")
+    header_timeout: Duration = field(name="HeaderTimeout")
+    idle_timeout: Duration = field(name="IdleTimeout")
 
 
-class ConfigurationModel(_Model):
+class ConfigurationModel(Struct, frozen=True):
     """Validate one version of the whole configuration."""
 
-    version: Annotated[int, Field(ge=0, strict=True, alias="Version")]
-    routes: list[RouteModel] = Field(alias="Routes")
-    services: list[ServiceModel] = Field(alias="Services")
-    limits: LimitsModel = Field(alias="Limits")
+    version: Annotated[int, Meta(ge=0)] = field(name="Version")
+    routes: list[RouteModel] = field(name="Routes")
+    services: list[ServiceModel] = field(name="Services")
+    limits: LimitsModel = field(name="Limits")
 
 
-class RolloutModel(_Model):
+class RolloutModel(Struct, frozen=True):
     """Validate the order to move a service to a version."""
 
-    service: Text = Field(alias="Service")
-    to_version: Text = Field(alias="ToVersion")
-    duration: Duration = Field(alias="Duration")
+    service: Text = field(name="Service")
+    to_version: Text = field(name="ToVersion")
+    duration: Duration = field(name="Duration")
 
 
 def decode_configuration(document: RawDocument) -> Result[Document, str]:
@@ -112,8 +108,8 @@
     if document.name != NAME_CONFIGURATION:
         return Err(f"{document.key}: only {NAME_CONFIGURATION} holds a configuration")
     try:
-        model = ConfigurationModel.model_validate(document.spec)
-    except ValidationError as error:
+        model = _convert(document, ConfigurationModel)
+    except msgspec.ValidationError as error:
         return Err(_describe(document, error))
     routes = []
     for route in model.routes:
@@ -143,8 +139,8 @@
 def decode_rollout(document: RawDocument) -> Result[Document, str]:
     """Return the order in a rollout document, or why there is none."""
     try:
-        model = RolloutModel.model_validate(document.spec)
-    except ValidationError as error:
+        model = _convert(document, RolloutModel)
+    except msgspec.ValidationError as error:
         return Err(_describe(document, error))
     return Ok(
         RolloutOrder(
@@ -211,9 +207,9 @@
     return STATES_BY_WORD.get(status.get("State"), RolloutState.NEW)
 
 
-def _describe(document: RawDocument, error: ValidationError) -> str:
-    places = [
-        f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
-        for item in error.errors()
-    ]
-    return f"{document.key}: {'; '.join(places)}"
+def _convert(document: RawDocument, model: type[Model]) -> Model:
+    return msgspec.convert(document.spec, model, dec_hook=decode_duration)
+
+
+def _describe(document: RawDocument, error: msgspec.ValidationError) -> str:
+    return f"{document.key}: {error}"
--- a/comfreyhitch/platform/durations.py
+++ b/comfreyhitch/platform/durations.py
@@ -2,9 +2,6 @@
 
 import re
 from datetime import timedelta
-from typing import Annotated
-
-from pydantic import BeforeValidator
 
 _PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _MILLISECONDS_BY_UNIT = {"ms": 1.0, "s": 1000.0}
@@ -24,4 +21,12 @@
     return timedelta(milliseconds=milliseconds)
 
 
-Duration = Annotated[timedelta, BeforeValidator(parse_duration)]
+class Duration(timedelta):
+    """Name the type of fields that hold a duration as the platform writes it."""
+
+
+def decode_duration(wanted: type, value: object) -> object:
+    """Return the duration for a field of its type; raise `ValueError` if there is none."""
+    if wanted is not Duration:
+        raise NotImplementedError(wanted)
+    return Duration(seconds=parse_duration(value).total_seconds())
--- a/comfreyhitch/platform/heartbeats.py
+++ b/comfreyhitch/platform/heartbeats.py
@@ -3,49 +3,48 @@
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StrictInt, StrictStr, ValidationError
+import msgspec
+from msgspec import Meta, Struct, field
 from result import Err, Ok, Result
 
 from comfreyhitch.ingress.lifecycle import Heartbeat
-from comfreyhitch.platform.durations import Duration
+from comfreyhitch.platform.durations import Duration, decode_duration
 
 MAX_SLOTS = 10_000
-ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+NOT_COLD = Duration(0)
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-
-class InfoModel(_Model):
+class InfoModel(Struct, frozen=True):
     """Validate what does not change during a target's life."""
 
-    service: Annotated[StrictStr, Field(min_length=1, alias="Service")]
-    version: Annotated[StrictStr, Field(min_length=1, alias="Version")]
-    zone: StrictStr = Field(alias="Zone")
-    slots: Annotated[StrictInt, Field(ge=1, le=MAX_SLOTS, alias="Slots")]
+    service: Annotated[str, Meta(min_length=1)] = field(name="Service")
+    version: Annotated[str, Meta(min_length=1)] = field(name="Version")
+    zone: str = field(name="Zone")
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)] = field(name="Slots")
 
 
-class StatusModel(_Model):
+class StatusModel(Struct, frozen=True):
     """Validate what changes from one heartbeat to the next."""
 
-    state: Literal["ready", "draining"] = Field(alias="State")
+    state: Literal["ready", "draining"] = field(name="State")
     # Goes up with each call of one incarnation.
-    sequence: Annotated[StrictInt, Field(ge=0, alias="Seq")]
+    sequence: Annotated[int, Meta(ge=0)] = field(name="Seq")
     # For how much longer the target bears only a little load.
-    cold_left: Duration = Field("0ms", alias="ColdLeft", validate_default=True)
+    cold_left: Duration = field(default=NOT_COLD, name="ColdLeft")
 
 
-class HeartbeatModel(_Model):
+class HeartbeatModel(Struct, frozen=True):
     """Validate one heartbeat; the id of its sender stands in the path of the call."""
 
-    address: Annotated[
-        StrictStr, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", alias="Address")
-    ]
-    info: InfoModel = Field(alias="Info")
-    status: StatusModel = Field(alias="Status")
+    address: Annotated[str, Meta(pattern=ADDRESS_PATTERN)] = field(name="Address")
+    info: InfoModel = field(name="Info")
+    status: StatusModel = field(name="Status")
     # Unix milliseconds of the start of this incarnation.
-    born: Annotated[StrictInt, Field(ge=0)] | None = None
+    born: Annotated[int, Meta(ge=0)] | None = None
+
+
+_decoder = msgspec.json.Decoder(HeartbeatModel, dec_hook=decode_duration)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,13 +59,9 @@
 def decode_heartbeat(instance_id: str, body: bytes) -> Result[AddressedHeartbeat, str]:
     """Return the heartbeat in a body, or why it is none."""
     try:
-        model = HeartbeatModel.model_validate_json(body)
-    except ValidationError as error:
-        places = [
-            f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
-            for item in error.errors()
-        ]
-        return Err("; ".join(places))
+        model = _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        return Err(str(error))
     host, _, port = model.address.rpartition(":")
     heartbeat = Heartbeat(
         instance_id=instance_id,
--- a/comfreyhitch/platform/models.py
+++ b/comfreyhitch/platform/models.py
@@ -3,60 +3,51 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field
+import msgspec
+from msgspec import Struct, field
 
 WRITER_MARK_ANNOTATION = "writer-mark"
 WRITER_ANNOTATION = "writer"
 
 
-class Metadata(BaseModel):
+class Metadata(Struct, frozen=True):
     """Validate the metadata of an object; `revision` is that of its last change."""
 
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
+    name: str = field(name="Name")
+    revision: int = field(default=0, name="Rev")
+    created_revision: int = field(default=0, name="CreateRevision")
+    finalizers: list[str] = field(default_factory=list, name="Finalizers")
+    is_deleting: bool = field(default=False, name="Deleting")
 
-    name: str = Field(alias="Name")
-    revision: int = Field(0, alias="Rev")
-    created_revision: int = Field(0, alias="CreateRevision")
-    finalizers: list[str] = Field([], alias="Finalizers")
-    is_deleting: bool = Field(False, alias="Deleting")
 
-
-class PlatformObject(BaseModel):
+class PlatformObject(Struct, frozen=True):
     """Validate an object with a spec and a status."""
 
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
-
-    metadata: Metadata = Field(alias="Metadata")
-    spec: Any = Field(None, alias="Spec")
-    status: Any = Field(None, alias="Status")
+    metadata: Metadata = field(name="Metadata")
+    spec: Any = field(default=None, name="Spec")
+    status: Any = field(default=None, name="Status")
 
 
-class ObjectList(BaseModel):
+class ObjectList(Struct, frozen=True):
     """Validate one page of a list; `revision` is that of the whole store."""
 
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
+    revision: int = field(name="StoreRevision")
+    items: list[PlatformObject] = field(default_factory=list)
+    has_more: bool = field(default=False, name="HasMore")
 
-    items: list[PlatformObject] = []
-    has_more: bool = Field(False, alias="HasMore")
-    revision: int = Field(alias="StoreRevision")
 
-
-class ObjectChange(BaseModel):
+class ObjectChange(Struct, frozen=True):
     """Validate one event of a watch."""
 
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
-
-    object: PlatformObject = Field(alias="Object")
-    is_deleted: bool = Field(False, alias="Deleted")
+    object: PlatformObject = field(name="Object")
+    is_deleted: bool = field(default=False, name="Deleted")
 
 
-class ChangeBatch(BaseModel):
+class ChangeBatch(Struct, frozen=True):
     """Validate the answer of a watch, which goes on from `revision`."""
 
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
-
-    events: list[ObjectChange] = []
-    revision: int = Field(alias="StoreRevision")
+    revision: int = field(name="StoreRevision")
+    events: list[ObjectChange] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +63,12 @@
 
 def dump_object(item: PlatformObject) -> dict[str, Any]:
     """Return the JSON content of an object; an unknown revision is left out."""
-    content = item.model_dump(by_alias=True)
+    content = msgspec.to_builtins(item)
     if not item.metadata.revision:
         del content["Metadata"]["Rev"]
     return content
+
+
+def replace_status(item: PlatformObject, status: Any) -> PlatformObject:
+    """Return an object with another status."""
+    return msgspec.structs.replace(item, status=status)
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -3,9 +3,8 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from pydantic import ValidationError
-
-from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.conf import validation
+from comfreyhitch.conf.exceptions import BadSettingsError, SettingsError
 from comfreyhitch.conf.loader import read_overrides
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.platform.durations import parse_duration
@@ -44,11 +43,11 @@
     """Return the product's settings, the environment's first; raise `SettingsError` if wrong."""
     try:
         overrides = read_overrides(environment, ENVIRONMENT_PATH)
-        return Settings.model_validate({**_translate(values), **overrides})
+        return validation.make_settings({**_translate(values), **overrides})
     except KeyError as error:
         raise SettingsError(f"{error.args[0]}: missing; the platform has to set it") from error
-    except ValueError as error:
-        raise SettingsError(f"settings of the platform: {_describe(error)}") from error
+    except (ValueError, BadSettingsError) as error:
+        raise SettingsError(f"settings of the platform: {error}") from error
 
 
 def get_addresses(values: Mapping[str, str]) -> dict[str, tuple[str, int]]:
@@ -75,11 +74,11 @@
         "platform_url": f"http://{values['Platform.Address']}",
         "registration": "all",
         "limit_rule": "slots",
-        "drain_timeout": grace * (STOP_SHARE - LINGER_SHARE),
-        "stop_linger": grace * LINGER_SHARE,
+        "drain_timeout": grace.total_seconds() * (STOP_SHARE - LINGER_SHARE),
+        "stop_linger": grace.total_seconds() * LINGER_SHARE,
         "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
         "retry_extra": float(values["Bounds.BudgetExtra"]) * RETRY_EXTRA_SHARE,
-        "retry_window": parse_duration(values["Bounds.BudgetWindow"]),
+        "retry_window": parse_duration(values["Bounds.BudgetWindow"]).total_seconds(),
         "is_repeat_budget_shared": True,
         "hedge_budget": 0.0,
         "probe_rate": 0.0,
@@ -93,9 +92,3 @@
     if not port.isdigit():
         raise ValueError(f"{address!r} is not an address with a port")
     return host, int(port)
-
-
-def _describe(error: ValueError) -> str:
-    if not isinstance(error, ValidationError):
-        return str(error)
-    return "; ".join(f"{item['loc'][0]}: {item['msg']}" for item in error.errors())
--- a/comfreyhitch/rollouts/order_recorder.py
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -9,7 +9,7 @@
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.documents.models import DocumentSource, RawDocument, RolloutOrder, RolloutState
 from comfreyhitch.platform.client import PlatformClient, get_object, update_status
-from comfreyhitch.platform.models import PlatformObject
+from comfreyhitch.platform.models import PlatformObject, replace_status
 from comfreyhitch.rollouts.orders import OrderController, get_deadline, publish_order_veto
 from comfreyhitch.rollouts.timeline import Stage, is_outcome_due, is_settled
 from comfreyhitch.utils.hashing import rank_by_rendezvous
@@ -105,7 +105,7 @@
         return
     if kept.state is state:
         return
-    updated = item.model_copy(update={"status": recorder.source.encode_status(order, state)})
+    updated = replace_status(item, recorder.source.encode_status(order, state))
     match update_status(recorder.client, recorder.source.store_kind, updated):
         case Err(error):
             # A lost answer or a race: the next try reads what is kept.
--- a/comfreyhitch/sections/parsing.py
+++ b/comfreyhitch/sections/parsing.py
@@ -10,14 +10,12 @@
     MINIMUM_ROLLOUT,
     Freeze,
     RolloutPlan,
-    RouteModel,
     RoutePolicy,
     Section,
-    SectionModel,
-    ServiceModel,
     ServicePolicy,
     TrafficClass,
 )
+from comfreyhitch.sections.validation import RouteModel, SectionModel, ServiceModel
 
 _WEEKDAYS = ("monday", "tuesday", "wednesday", "thursday", "friday", "saturday", "sunday")
 
--- a/comfreyhitch/sections/reader.py
+++ b/comfreyhitch/sections/reader.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.membership.views import is_reader
 from comfreyhitch.platform.client import SECTIONS, PlatformClient
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
 from comfreyhitch.platform.models import ObjectChange, ObjectList, PlatformObject
@@ -21,12 +22,10 @@
 )
 from comfreyhitch.sections.merging import make_section_fact
 from comfreyhitch.sections.storage import StoredSection, update_section_status
-from comfreyhitch.utils.hashing import rank_by_rendezvous
 from comfreyhitch.watching.follower import Follower, StoreUnavailableError, follow
 
 logger = logging.getLogger(__name__)
 
-READERS_PER_ZONE = 2
 WATCH_SECONDS = 25.0
 CHECK_SECONDS = 1.0
 
@@ -54,18 +53,6 @@
         reading.kill()
 
 
-def is_reader(blackboard: Blackboard) -> bool:
-    """Return whether this daemon is one of the readers of its zone."""
-    own = blackboard.own
-    addresses = [
-        member.address
-        for member in blackboard.members_by_address.values()
-        if member.zone == own.zone and member.is_reachable
-    ]
-    ranked = rank_by_rendezvous(f"reader {own.zone}", addresses)
-    return own.address in ranked[:READERS_PER_ZONE] or not ranked
-
-
 def take_object(reader: SectionReader, item: PlatformObject) -> None:
     """Publish the accepted content of a section, and accept an edit that is still open."""
     match StoredSection.from_object(item):
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -26,7 +26,7 @@
 )
 from comfreyhitch.platform.documents import DOCUMENT_SOURCES
 from comfreyhitch.platform.exceptions import PlatformFailure
-from comfreyhitch.platform.models import Metadata, ObjectChange, PlatformObject
+from comfreyhitch.platform.models import Metadata, ObjectChange, PlatformObject, replace_status
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
 from comfreyhitch.testing.platform import StoreState, keep_stale_copy, make_application
 from comfreyhitch.testing.target import QuietHandler
@@ -205,7 +205,7 @@
     follower.take_change(ObjectChange(object=late, is_deleted=True))
     assert blackboard.zones_out == {"za"}
     # The event of a deletion may bear the revision of the last change before it.
-    current = late.model_copy(update={"metadata": Metadata(name="za", revision=50)})
+    current = PlatformObject(metadata=Metadata(name="za", revision=50), spec={})
     follower.take_change(ObjectChange(object=current, is_deleted=True))
     assert not blackboard.zones_out
 
@@ -214,17 +214,15 @@
 def check_writes(context):
     write(context, DocumentKind.ROLLOUT, "s1", {"Service": "s1"})
     item = get_object(context.client, "rollouts", "s1").unwrap()
-    first = item.model_copy(update={"status": {"State": "running"}})
-    second = item.model_copy(update={"status": {"State": "succeeded"}})
+    first = replace_status(item, {"State": "running"})
+    second = replace_status(item, {"State": "succeeded"})
     assert update_status(context.client, "rollouts", first).is_ok()
     refused = update_status(context.client, "rollouts", second)
     assert refused.err_value.failure is PlatformFailure.CONFLICT
     item = get_object(context.client, "rollouts", "s1").unwrap()
     assert item.status == {"State": "running"}
     context.store_state.faults.lost_answers = 1
-    lost = update_status(
-        context.client, "rollouts", item.model_copy(update={"status": {"State": "rolled_back"}})
-    )
+    lost = update_status(context.client, "rollouts", replace_status(item, {"State": "rolled_back"}))
     assert lost.err_value.failure is PlatformFailure.UNAVAILABLE
     gevent.sleep(0.0)
     found = get_object(context.client, "rollouts", "s1").unwrap()
--- a/features/steps/registration_steps.py
+++ b/features/steps/registration_steps.py
@@ -10,9 +10,9 @@
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.membership.registration import Registration, run_due_registration
+from comfreyhitch.membership.views import is_reader
 from comfreyhitch.platform.client import DAEMONS, delete_object, list_objects
 from comfreyhitch.replication.facts import FactStore
-from comfreyhitch.sections.reader import is_reader
 from features.fakes import make_member
 
 DAEMON_ADDRESSES = [f"127.0.0.{number}:7000" for number in range(1, 9)]
