Look no address up in a thread: all addresses of the platform are IP numbers

Each call to the store had its address looked up in gevent's thread pool: 82 us of processor time instead of 8 (2,000 lookups here), and a daemon ran up to 5 threads, which take turns on one core. Seen in a profile of a daemon under soak (a waiting worker in each sample). A step of platform_path checks for one thread; red without the change (5 threads), green with it.

--- a/comfreyhitch/platform/program.py
+++ b/comfreyhitch/platform/program.py
@@ -4,6 +4,8 @@
 import sys
 from pathlib import Path
 
+import gevent
+
 from comfreyhitch.conf.exceptions import SettingsError
 from comfreyhitch.daemon.border import Border
 from comfreyhitch.daemon.running import EXIT_BAD_SETTINGS, run
@@ -23,6 +25,8 @@
 
 def run_on_platform() -> int:
     """Run a daemon until it is told to stop, and return the exit code."""
+    # All addresses are IP numbers here; a lookup in a thread would delay each call to the store.
+    gevent.config.resolver = "block"
     path = Path(os.environ.get(ENVIRONMENT_PATH, DEFAULT_PATH))
     try:
         values = read_file(path)
--- a/features/steps/platform_requests_steps.py
+++ b/features/steps/platform_requests_steps.py
@@ -1,6 +1,7 @@
 """Steps that send requests through a fleet on the platform, and follow its routes."""
 
 from collections import Counter
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -108,3 +109,11 @@
     start_daemon(context.platform_fleet, sidecar)
     # Others look for a daemon that they lost every few seconds.
     wait_until(lambda: follows(context, sidecar), 15.0, "the restarted daemon")
+
+
+@then("no daemon has started a second thread")
+def check_threads(context):
+    for sidecar in context.platform_fleet.sidecars_by_name.values():
+        status = Path(f"/proc/{sidecar.daemon.pid}/status").read_text()
+        threads = status.partition("Threads:")[2].split()[0]
+        assert threads == "1", (sidecar.name, threads)
