Let soaks step the clock of daemons and lose datagrams

The soak covered neither clocks nor packets that are lost one by one. A daemon of a soak now reads its time of day through a file that the soak writes (30 s ahead or behind), and relays drop half of the gossip for a while. The seed of an earlier failure runs with the kinds of its time, so that its faults stay the same.

Seed 101 found '#drain ran in a zone that was out': not a request but the target's own mark that it leaves, which the other checks pass over already; this one does now.

--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -50,6 +50,8 @@
     # Stands between the daemon and its target, the store and its peers, if there is one.
     relay_host: str = ""
     relay: subprocess.Popen | None = None
+    # Tells by how many seconds the daemon's time of day is wrong, if it can be.
+    clock_path: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +123,7 @@
         version=version,
         target_arguments=arguments,
         relay_host=f"{fleet.fleet.prefix}.{number + RELAY_OFFSET}" if has_relay else "",
+        clock_path=fleet.fleet.folder / f"{service}-{number}.clock" if has_relay else None,
     )
     fleet.sidecars_by_name[sidecar.name] = sidecar
     if has_relay:
@@ -140,6 +143,8 @@
     if sidecar.relay_host:
         environment["COMFREYHITCH_ADVERTISED_ADDRESS"] = f"{sidecar.relay_host}:{PEER_PORT}"
     command = ["-m", "comfreyhitch.platform"]
+    if sidecar.clock_path is not None:
+        command = ["-m", "comfreyhitch.testing.stepped_daemon", str(sidecar.clock_path)]
     sidecar.daemon = spawn(fleet.fleet, f"{sidecar.name}-daemon", command, environment)
 
 
@@ -280,6 +285,14 @@
     request(sidecar.relay_host, "/_standin/relay", method="POST", body=body, port=RELAY_PORT)
 
 
+def set_clock_offset(sidecar: Sidecar, seconds: float) -> None:
+    """Let the time of day of an instance's daemon jump."""
+    # A file that is replaced is never read while it is half written.
+    written = sidecar.clock_path.with_suffix(".new")
+    written.write_text(str(seconds))
+    written.replace(sidecar.clock_path)
+
+
 def _start_relay(fleet: PlatformFleet, sidecar: Sidecar) -> None:
     arguments = ["-m", "comfreyhitch.testing.relay", "--host", sidecar.relay_host]
     arguments += ["--admin-port", str(RELAY_PORT)]
--- a/comfreyhitch/testing/relay.py
+++ b/comfreyhitch/testing/relay.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from random import random
 
 import gevent
 import gevent.socket
@@ -43,6 +44,8 @@
     # Drops what the target sends back, while what is sent to it arrives.
     is_return_cut: bool = False
     delay_seconds: float = 0.0
+    # Share of the datagrams that are dropped.
+    datagram_loss: float = 0.0
     links: set[Link] = field(default_factory=set)
     dropped_bytes: int = 0
 
@@ -112,7 +115,8 @@
     target = split_address(state.target)
     while True:
         data, address = sock.recvfrom(BLOCK_BYTES)
-        if not _is_blocked(state, Link(address[0])):
+        is_lost = random() < state.datagram_loss
+        if not is_lost and not _is_blocked(state, Link(address[0])):
             sock.sendto(data, target)
 
 
@@ -142,6 +146,7 @@
         state.blocked_sources = set(changes["blocked_sources"])
     state.is_return_cut = changes.get("is_return_cut", state.is_return_cut)
     state.delay_seconds = changes.get("delay_seconds", state.delay_seconds)
+    state.datagram_loss = changes.get("datagram_loss", state.datagram_loss)
     if changes.get("silence"):
         for link in state.links:
             link.is_silent = True
--- a/comfreyhitch/testing/soak/actions.py
+++ b/comfreyhitch/testing/soak/actions.py
@@ -29,6 +29,7 @@
     Sidecar,
     is_ready,
     make_configuration,
+    set_clock_offset,
     set_relay,
     set_target_faults,
     start_daemon,
@@ -48,6 +49,8 @@
 LINK_DELAY_SECONDS = 0.15
 STORE_DELAY_SECONDS = 1.0
 LOST_ANSWER_SHARE = 0.3
+DATAGRAM_LOSS = 0.5
+CLOCK_STEP_SECONDS = 30.0
 LOST_STORE_ANSWERS = 3
 
 
@@ -185,6 +188,19 @@
     set_relay(sidecar, port=_get_port(fault), is_return_cut=False)
 
 
+def _lose_datagrams(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    set_relay(sidecar, port=PEER_PORT, datagram_loss=DATAGRAM_LOSS)
+    gevent.sleep(fault.seconds)
+    set_relay(sidecar, port=PEER_PORT, datagram_loss=0.0)
+
+
+def _step_clock(injector: Injector, sidecar: Sidecar, fault: Fault) -> None:
+    is_ahead = fault.subject % 2 == 0
+    set_clock_offset(sidecar, CLOCK_STEP_SECONDS if is_ahead else -CLOCK_STEP_SECONDS)
+    gevent.sleep(fault.seconds)
+    set_clock_offset(sidecar, 0.0)
+
+
 def _get_port(fault: Fault) -> int:
     return LINK_PORTS[fault.subject % len(LINK_PORTS)]
 
@@ -243,6 +259,8 @@
     FaultKind.RESET_LINK: _reset_link,
     FaultKind.DELAY_LINK: _delay_link,
     FaultKind.CUT_RETURN: _cut_return,
+    FaultKind.LOSE_DATAGRAMS: _lose_datagrams,
+    FaultKind.STEP_CLOCK: _step_clock,
     FaultKind.STORE_DOWN: _store_down,
     FaultKind.STORE_SLOW: _store_slow,
     FaultKind.STORE_LOSES_ANSWERS: _store_loses_answers,
--- a/comfreyhitch/testing/soak/checks.py
+++ b/comfreyhitch/testing/soak/checks.py
@@ -120,6 +120,8 @@
         zone = seen.zones_by_sidecar[span.sidecar]
         due_at = span.begun_at + EVACUATION_SECONDS
         for run in seen.runs:
+            if run.request_id == DRAIN_MARK:
+                continue
             sidecar = run.instance_id.removeprefix("i-").rpartition("-")[0]
             if seen.zones_by_sidecar.get(sidecar) != zone:
                 continue
--- a/comfreyhitch/testing/soak/faults.py
+++ b/comfreyhitch/testing/soak/faults.py
@@ -9,6 +9,7 @@
 )
 from comfreyhitch.testing.platform_fleet import (
     Sidecar,
+    set_clock_offset,
     set_relay,
     start_daemon,
     start_target,
@@ -38,7 +39,8 @@
     """Undo what still stands, and start what does not run."""
     set_platform_faults(injector.fleet.fleet, is_down=False, delay_seconds=0.0, lost_answers=0)
     for sidecar in injector.fleet.sidecars_by_name.values():
-        set_relay(sidecar, is_return_cut=False, delay_seconds=0.0)
+        set_relay(sidecar, is_return_cut=False, delay_seconds=0.0, datagram_loss=0.0)
+        set_clock_offset(sidecar, 0.0)
         for process, start in ((sidecar.daemon, start_daemon), (sidecar.target, start_target)):
             if is_running(process):
                 resume(process)
--- a/comfreyhitch/testing/soak/plan.py
+++ b/comfreyhitch/testing/soak/plan.py
@@ -27,6 +27,9 @@
     STORE_FORGETS = "store-forgets"
     LOSE_ANSWERS = "lose-answers"
     POWER_LOSS = "power-loss"
+    # New kinds go to the end, so that an earlier seed can be run with the kinds of its time.
+    LOSE_DATAGRAMS = "lose-datagrams"
+    STEP_CLOCK = "step-clock"
 
 
 PLANNED_KINDS = (
@@ -56,14 +59,18 @@
     seconds: float
 
 
-def draw_plan(seed: int, seconds: float) -> list[Fault]:
-    """Return the faults of a soak in order; the same seed gives the same faults."""
+def draw_plan(seed: int, seconds: float, kind_count: int | None = None) -> list[Fault]:
+    """Return the faults of a soak in order, of all kinds or of the first ones.
+
+    The same seed gives the same faults with the same number of kinds.
+    """
     random = Random(seed)
+    kinds = tuple(FaultKind)[:kind_count]
     faults = []
     at = 1.0
     while at < seconds:
         is_calm = int(at / PHASE_SECONDS) % 2 == 0
-        kind = random.choice(PLANNED_KINDS if is_calm else tuple(FaultKind))
+        kind = random.choice(PLANNED_KINDS if is_calm else kinds)
         duration = random.uniform(MIN_SECONDS, MAX_SECONDS)
         if not is_calm:
             # What begins late in this phase ends with it.
--- a/comfreyhitch/testing/soak/runner.py
+++ b/comfreyhitch/testing/soak/runner.py
@@ -19,7 +19,7 @@
 from comfreyhitch.testing.soak.callers import Caller, Sent, call_forever
 from comfreyhitch.testing.soak.checks import Observations, find_broken
 from comfreyhitch.testing.soak.faults import inject, restore
-from comfreyhitch.testing.soak.plan import FaultKind, draw_plan
+from comfreyhitch.testing.soak.plan import Fault, FaultKind, draw_plan
 from comfreyhitch.testing.soak.state import Injector, note_end
 
 SERVICES = ["catalogue", "payments"]
@@ -41,8 +41,9 @@
     longest_stop_seconds: float
 
 
-def run_soak(seed: int, seconds: float, folder: Path) -> SoakResult:
+def run_soak(seed: int, seconds: float, folder: Path, kind_count: int | None = None) -> SoakResult:
     """Run one soak whose processes log into a folder; all of them are ended after it."""
+    plan = draw_plan(seed, seconds, kind_count)
     targets = [(service, zone, TARGET_ARGUMENTS) for service in SERVICES for zone in ZONES]
     fleet = start_platform_fleet(folder, targets, has_relays=True)
     injector = Injector(fleet, SERVICES)
@@ -50,7 +51,7 @@
     greenlets = [gevent.spawn(call_forever, caller) for caller in callers]
     watcher = gevent.spawn(_follow_versions, injector, callers)
     try:
-        _run_plan(injector, seed, seconds)
+        _run_plan(injector, plan)
         restore(injector)
         served_after = _check_recovery(fleet)
         for caller in callers:
@@ -63,10 +64,10 @@
         stop_platform_fleet(fleet)
 
 
-def _run_plan(injector: Injector, seed: int, seconds: float) -> None:
+def _run_plan(injector: Injector, plan: list[Fault]) -> None:
     started_at = monotonic()
     running = []
-    for fault in draw_plan(seed, seconds):
+    for fault in plan:
         gevent.sleep(max(0.0, started_at + fault.at - monotonic()))
         running.append(gevent.spawn(inject, injector, fault))
     gevent.joinall(running, raise_error=True)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,14 +10,17 @@
     check(context, context.seed, seconds)
 
 
-@then("the soak of seed {number:d} for {seconds:g} seconds breaks no promise")
-def check_known_soak(context, number, seconds):
-    check(context, number, seconds)
+@then(
+    "the soak of seed {number:d} with the first {kinds:d} kinds for {seconds:g} seconds "
+    "breaks no promise"
+)
+def check_known_soak(context, number, kinds, seconds):
+    check(context, number, seconds, kinds)
 
 
-def check(context, number, seconds):
+def check(context, number, seconds, kinds=None):
     """Run a soak, and check that it found nothing and did much."""
-    result = run_soak(number, seconds, context.folder)
+    result = run_soak(number, seconds, context.folder, kinds)
     assert not result.broken, (number, result.broken[:10])
     assert result.faults.total() >= seconds / 4, result.faults
     assert result.statuses[200] > 10 * seconds, result.statuses
