--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,10 @@
 from pathlib import Path
 
 from benchmarks.reporting import print_result
-from comfreyhitch.testing.fleet import Fleet, stop_fleet
+from comfreyhitch.testing.fleet import (
+    Fleet,
+    stop_fleet,
+)
 
 BENCHMARKS = ("latency", "choice", "zones", "rollouts", "once", "capacity")
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -14,15 +14,19 @@
 from comfreyhitch.membership.models import Member, MemberStatus, encode_member
 from comfreyhitch.replication.facts import FactKind, StoredFact, make_message
 from comfreyhitch.sections.merging import make_section_fact
+from comfreyhitch.testing.answers import (
+    request,
+)
 from comfreyhitch.testing.fleet import (
     PLATFORM_PORT,
     Fleet,
     Instance,
     add_instance,
     get_admin,
-    request,
     start_daemon,
     start_platform,
+)
+from comfreyhitch.testing.processes import (
     wait_until,
 )
 from comfreyhitch.wire.codec import decode, encode
--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -11,13 +11,15 @@
 
 from benchmarks.load import make_service_caller, run_open_loop
 from benchmarks.reporting import summarize_ms
+from comfreyhitch.testing.answers import (
+    request,
+)
 from comfreyhitch.testing.fleet import (
     ADMIN_PORT,
     Fleet,
     Instance,
     add_instance,
     get_target_state,
-    request,
     set_faults,
     start_fleet,
 )
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -5,7 +5,12 @@
 
 from benchmarks.load import Caller, make_service_caller, run_closed_loop, run_open_loop
 from benchmarks.reporting import get_cpu_seconds, get_resident_mb, summarize_ms
-from comfreyhitch.testing.fleet import TARGET_PORT, Fleet, add_instance, start_fleet
+from comfreyhitch.testing.fleet import (
+    TARGET_PORT,
+    Fleet,
+    add_instance,
+    start_fleet,
+)
 
 WARM_UP_REQUESTS = 300
 BLOCK_REQUESTS = 100
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -9,7 +9,9 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
-from comfreyhitch.testing.fleet import HTTP_PORT
+from comfreyhitch.testing.answers import (
+    HTTP_PORT,
+)
 
 MAX_CONNECTIONS = 200
 TIMEOUT_SECONDS = 15.0
--- a/benchmarks/once.py
+++ b/benchmarks/once.py
@@ -16,14 +16,16 @@
     add_instance,
     call_service,
     count_runs,
-    freeze,
-    kill,
-    resume,
     set_relay,
     start_daemon,
     start_fleet,
     start_target,
 )
+from comfreyhitch.testing.processes import (
+    freeze,
+    kill,
+    resume,
+)
 
 REQUESTS = 10_000
 CALLERS = 16
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -20,6 +20,8 @@
     set_faults,
     start_fleet,
     start_platform,
+)
+from comfreyhitch.testing.processes import (
     wait_until,
 )
 from comfreyhitch.testing.traffic import Traffic, start_traffic, stop_traffic
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -8,7 +8,12 @@
 
 from comfreyhitch.management.editing import read_section, write_section
 from comfreyhitch.platform.client import PlatformClient
-from comfreyhitch.testing.fleet import Fleet, add_instance, start_fleet, start_platform
+from comfreyhitch.testing.fleet import (
+    Fleet,
+    add_instance,
+    start_fleet,
+    start_platform,
+)
 from comfreyhitch.testing.traffic import Traffic, select_seen, start_traffic, stop_traffic
 
 ROUNDS = 5
--- /dev/null
+++ b/comfreyhitch/testing/answers.py
@@ -0,0 +1,55 @@
+"""Send one HTTP request, and hold what comes back."""
+
+import json
+from dataclasses import dataclass
+
+from geventhttpclient import HTTPClient
+
+HTTP_PORT = 8080
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold a response as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """Return the value of the verdict header."""
+        return self.headers.get("comfreyhitch-verdict", "")
+
+    @property
+    def refusal(self) -> str:
+        """Return the value of the refusal header."""
+        return self.headers.get("comfreyhitch-refusal", "")
+
+    @property
+    def json(self) -> object:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def request(
+    host: str,
+    path: str,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    port: int = HTTP_PORT,
+    timeout_seconds: float = 15.0,
+) -> Answer:
+    """Send one request on a new connection; raise `OSError` without an answer."""
+    client = HTTPClient(
+        host, port, concurrency=1, connection_timeout=2.0, network_timeout=timeout_seconds
+    )
+    try:
+        response = client.request(method, path, body, headers or {})
+        content = response.read()
+        names = {name.lower(): value for name, value in response.headers}
+        return Answer(response.status_code, names, content)
+    finally:
+        client.close()
--- a/comfreyhitch/testing/demo.py
+++ b/comfreyhitch/testing/demo.py
@@ -28,9 +28,11 @@
     start_platform,
     start_target,
     stop_fleet,
-    wait_until,
     wait_until_joined,
 )
+from comfreyhitch.testing.processes import (
+    wait_until,
+)
 
 KLEINHUIS = {"catalogue": 3, "payments": 3, "workshop": 5}
 ZONES = ("za", "zb", "zc")
--- a/comfreyhitch/testing/fleet.py
+++ b/comfreyhitch/testing/fleet.py
@@ -2,49 +2,24 @@
 
 import json
 import os
-import signal
 import subprocess
-import sys
-import time
 from collections import Counter
-from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
-import gevent
-from geventhttpclient import HTTPClient
+from comfreyhitch.testing.answers import HTTP_PORT, Answer, request
+from comfreyhitch.testing.processes import (
+    is_running,
+    kill,
+    resume,
+    spawn,
+    wait_until,
+)
 
-HTTP_PORT = 8080
 PEER_PORT = 8081
 ADMIN_PORT = 8082
 TARGET_PORT = 9000
 PLATFORM_PORT = 7000
-POLL_SECONDS = 0.02
-
-
-@dataclass(slots=True)
-class Answer:
-    """Hold a response as a caller sees it."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def verdict(self) -> str:
-        """Return the value of the verdict header."""
-        return self.headers.get("comfreyhitch-verdict", "")
-
-    @property
-    def refusal(self) -> str:
-        """Return the value of the refusal header."""
-        return self.headers.get("comfreyhitch-refusal", "")
-
-    @property
-    def json(self) -> object:
-        """Return the decoded body."""
-        return json.loads(self.body)
 
 
 @dataclass(slots=True)
@@ -125,7 +100,7 @@
 def start_platform(fleet: Fleet) -> None:
     """Start the stand-in platform."""
     command = ["-m", "comfreyhitch.testing.platform", "--host", f"{fleet.prefix}.250"]
-    fleet.platform = spawn(fleet, "platform", [*command, "--port", str(PLATFORM_PORT)], {})
+    fleet.platform = spawn(fleet.folder, "platform", [*command, "--port", str(PLATFORM_PORT)], {})
     fleet.settings["platform_url"] = fleet.platform_url
     wait_until(lambda: _is_answering(f"{fleet.prefix}.250", PLATFORM_PORT), 10.0, "platform")
 
@@ -152,7 +127,7 @@
         _start_relay(fleet, instance)
     environment = {f"COMFREYHITCH_{name.upper()}": value for name, value in values.items()}
     instance.daemon = spawn(
-        fleet, f"{instance.name}-daemon", ["-m", "comfreyhitch.daemon"], environment
+        fleet.folder, f"{instance.name}-daemon", ["-m", "comfreyhitch.daemon"], environment
     )
 
 
@@ -163,7 +138,7 @@
     arguments += ["--service", instance.service, "--version", instance.version]
     arguments += ["--run-log", str(fleet.folder / "runs")]
     arguments += instance.target_arguments
-    instance.target = spawn(fleet, f"{instance.name}-target", arguments, {})
+    instance.target = spawn(fleet.folder, f"{instance.name}-target", arguments, {})
 
 
 def start_fleet(fleet: Fleet) -> None:
@@ -233,79 +208,12 @@
     request(host, "/_standin/faults", method="POST", body=body, port=PLATFORM_PORT)
 
 
-def request(
-    host: str,
-    path: str,
-    *,
-    method: str = "GET",
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    port: int = HTTP_PORT,
-    timeout_seconds: float = 15.0,
-) -> Answer:
-    """Send one request on a new connection; raise `OSError` without an answer."""
-    client = HTTPClient(
-        host, port, concurrency=1, connection_timeout=2.0, network_timeout=timeout_seconds
-    )
-    try:
-        response = client.request(method, path, body, headers or {})
-        content = response.read()
-        names = {name.lower(): value for name, value in response.headers}
-        return Answer(response.status_code, names, content)
-    finally:
-        client.close()
-
-
 def call_service(instance: Instance, service: str, path: str = "/", **options: object) -> Answer:
     """Send one request for a service through the daemon of an instance."""
     headers = {"Comfreyhitch-Service": service, **options.pop("headers", {})}
     return request(instance.host, path, headers=headers, **options)
 
 
-def wait_until(condition: Callable[[], bool], timeout_seconds: float, what: str) -> float:
-    """Wait for a condition, and return the seconds it took; raise `TimeoutError` if too many."""
-    started_at = time.monotonic()
-    while True:
-        with suppress(OSError):
-            if condition():
-                return time.monotonic() - started_at
-        if time.monotonic() - started_at > timeout_seconds:
-            raise TimeoutError(f"{what}: not within {timeout_seconds} s")
-        gevent.sleep(POLL_SECONDS)
-
-
-def kill(process: subprocess.Popen | None) -> None:
-    """End a process at once."""
-    if process is not None and process.poll() is None:
-        process.kill()
-        process.wait()
-
-
-def freeze(process: subprocess.Popen) -> None:
-    """Stop a process without ending it."""
-    process.send_signal(signal.SIGSTOP)
-
-
-def resume(process: subprocess.Popen) -> None:
-    """Let a frozen process go on."""
-    process.send_signal(signal.SIGCONT)
-
-
-def stop_gracefully(process: subprocess.Popen) -> None:
-    """Ask a process to stop, without waiting for it."""
-    process.send_signal(signal.SIGTERM)
-
-
-def wait_for_end(process: subprocess.Popen, timeout_seconds: float) -> None:
-    """Wait until a process has ended, while callers go on; raise `TimeoutError` if it has not."""
-    wait_until(lambda: not is_running(process), timeout_seconds, "end of a process")
-
-
-def is_running(process: subprocess.Popen | None) -> bool:
-    """Return whether a process was started and has not ended."""
-    return process is not None and process.poll() is None
-
-
 def stop_fleet(fleet: Fleet) -> None:
     """End every process of the fleet."""
     processes = [fleet.platform, *fleet.relays.values()]
@@ -322,25 +230,9 @@
         return
     arguments = ["-m", "comfreyhitch.testing.relay", "--host", instance.relay_host]
     arguments += ["--target", f"{instance.host}:{PEER_PORT}", "--admin-port", str(ADMIN_PORT)]
-    fleet.relays[instance.name] = spawn(fleet, f"{instance.name}-relay", arguments, {})
+    fleet.relays[instance.name] = spawn(fleet.folder, f"{instance.name}-relay", arguments, {})
     wait_until(lambda: _is_answering(instance.relay_host, ADMIN_PORT), 10.0, "relay")
 
 
-def spawn(
-    fleet: Fleet, name: str, arguments: list[str], environment: dict[str, str]
-) -> subprocess.Popen:
-    """Start a process that logs into the fleet's folder."""
-    kept = {key: value for key, value in os.environ.items() if not key.startswith("COMFREYHITCH_")}
-    path = fleet.folder / f"{name}.log"
-    with path.open("ab") as log:
-        return subprocess.Popen(
-            [sys.executable, *arguments],
-            env={**kept, **environment},
-            stdin=subprocess.DEVNULL,
-            stdout=log,
-            stderr=log,
-        )
-
-
 def _is_answering(host: str, port: int) -> bool:
     return request(host, "/healthz", port=port).status < 500
--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -1,81 +1,40 @@
 """Run daemons on a stand-in of the platform: store, settings files and targets."""
 
-import json
-import subprocess
 import uuid
-from dataclasses import dataclass, field
 from pathlib import Path
 
-from comfreyhitch.platform.client import PlatformClient, create_object, get_object, update_object
-from comfreyhitch.platform.models import Metadata, PlatformObject
 from comfreyhitch.platform.names import HEADER_DEADLINE_MS, HEADER_REQUEST_ID, PATH_READY
+from comfreyhitch.testing.answers import (
+    Answer,
+    request,
+)
 from comfreyhitch.testing.fleet import (
     PLATFORM_PORT,
-    Answer,
     Fleet,
+    start_platform,
+)
+from comfreyhitch.testing.platform_models import (
+    APP_PORT,
+    CONTROL_PORT,
+    HOST_NAME,
+    OUTBOUND_PORT,
+    PEER_PORT,
+    READY_PORT,
+    RELAY_OFFSET,
+    RELAY_PORT,
+    LoggedRun,
+    PlatformFleet,
+    Sidecar,
+)
+from comfreyhitch.testing.platform_orders import make_configuration, write_configuration
+from comfreyhitch.testing.processes import (
     is_running,
     kill,
-    request,
     resume,
     spawn,
-    start_platform,
     wait_until,
 )
 
-OUTBOUND_PORT = 8304
-READY_PORT = 8302
-CONTROL_PORT = 8306
-APP_PORT = 8301
-PEER_PORT = 7620
-RELAY_PORT = 8399
-# Relays have the IP numbers of their instances and this much.
-RELAY_OFFSET = 100
-HOST_NAME = "shop.example"
-ROUTE_TIMEOUT_MS = 2000
-
-
-@dataclass(slots=True)
-class Sidecar:
-    """Hold one instance: a target and the daemon beside it."""
-
-    name: str
-    host: str
-    zone: str
-    service: str
-    version: str
-    target_arguments: list[str]
-    daemon: subprocess.Popen | None = None
-    target: subprocess.Popen | None = None
-    starts: int = 0
-    # Stands between the daemon and its target, the store and its peers, if there is one.
-    relay_host: str = ""
-    relay: subprocess.Popen | None = None
-    # Tells by how many seconds the daemon's time of day is wrong, if it can be.
-    clock_path: Path | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class LoggedRun:
-    """Hold a line of the targets' log; `at` is Unix seconds, the id may be `DRAIN_MARK`."""
-
-    request_id: str
-    instance_id: str
-    at: float
-
-
-@dataclass(slots=True)
-class PlatformFleet:
-    """Hold the instances of a fleet, and the configuration that it got last."""
-
-    fleet: Fleet
-    sidecars_by_name: dict[str, Sidecar] = field(default_factory=dict)
-    configuration: dict = field(default_factory=dict)
-
-    @property
-    def client(self) -> PlatformClient:
-        """Return a client for the store."""
-        return PlatformClient.from_url(self.fleet.platform_url)
-
 
 def start_platform_fleet(
     folder: Path, targets: list[tuple[str, str, list[str]]], *, has_relays: bool = False
@@ -145,7 +104,7 @@
     command = ["-m", "comfreyhitch.platform"]
     if sidecar.clock_path is not None:
         command = ["-m", "comfreyhitch.testing.stepped_daemon", str(sidecar.clock_path)]
-    sidecar.daemon = spawn(fleet.fleet, f"{sidecar.name}-daemon", command, environment)
+    sidecar.daemon = spawn(fleet.fleet.folder, f"{sidecar.name}-daemon", command, environment)
 
 
 def start_target(fleet: PlatformFleet, sidecar: Sidecar) -> None:
@@ -159,62 +118,7 @@
     arguments += ["--service", sidecar.service, "--version", sidecar.version]
     arguments += ["--zone", sidecar.zone, "--run-log", str(fleet.fleet.folder / "runs")]
     arguments += sidecar.target_arguments
-    sidecar.target = spawn(fleet.fleet, f"{sidecar.name}-target", arguments, {})
-
-
-def make_configuration(version: int, services: list[str]) -> dict:
-    """Return a configuration with two routes for each service, /S/ and /S-once/."""
-    routes = [
-        {
-            "Name": f"r-{service}{suffix}",
-            "Host": HOST_NAME,
-            "Prefix": f"/{service}{suffix}/",
-            "Kind": kind,
-            "Timeout": f"{ROUTE_TIMEOUT_MS}ms",
-            "Slo": "500ms",
-            "Priority": 1,
-            "Attempts": 2,
-            "Service": service,
-        }
-        for service in services
-        for suffix, kind in (("", "idempotent"), ("-once", "non_idempotent"))
-    ]
-    profiles = [
-        {
-            "Name": service,
-            "HealthPath": "/health",
-            "MaxConns": 100,
-            "ColdStart": "3s",
-            "ColdPerS": 8.0,
-        }
-        for service in services
-    ]
-    limits = {
-        "MaxHeaderBytes": 16384,
-        "MaxBodyBytes": 1_000_000,
-        "HeaderTimeout": "3000ms",
-        "IdleTimeout": "15000ms",
-    }
-    return {"Version": version, "Routes": routes, "Services": profiles, "Limits": limits}
-
-
-def write_configuration(fleet: PlatformFleet, content: dict) -> None:
-    """Put a configuration in force, as an operator does."""
-    fleet.configuration = content
-    write_document(fleet, "config", "main", content)
-
-
-def write_document(fleet: PlatformFleet, kind: str, name: str, content: dict) -> None:
-    """Create or replace what an operator orders."""
-    item = PlatformObject(metadata=Metadata(name=name), spec=content)
-    if create_object(fleet.client, kind, item).is_err():
-        update_object(fleet.client, kind, item).unwrap()
-
-
-def read_state(fleet: PlatformFleet, service: str, version: str) -> str | None:
-    """Return what the system told of a service's move to a version; None for another's."""
-    status = get_object(fleet.client, "rollouts", service).unwrap().status or {}
-    return status.get("State") if status.get("ToVersion") == version else None
+    sidecar.target = spawn(fleet.fleet.folder, f"{sidecar.name}-target", arguments, {})
 
 
 def send(
@@ -244,12 +148,6 @@
     return request_id, answer
 
 
-def set_target_faults(sidecar: Sidecar, **faults: object) -> None:
-    """Change the faults of a running target."""
-    body = json.dumps(faults).encode()
-    request(sidecar.host, "/_standin/faults", method="POST", body=body, port=APP_PORT)
-
-
 def read_runs(fleet: PlatformFleet) -> list[tuple[str, str]]:
     """Return the id and the target's incarnation of each run, killed ones included."""
     return [(entry.request_id, entry.instance_id) for entry in read_run_log(fleet)]
@@ -279,20 +177,6 @@
         kill(process)
 
 
-def set_relay(sidecar: Sidecar, **changes: object) -> None:
-    """Cut, silence, delay or reset what crosses the relay of an instance."""
-    body = json.dumps(changes).encode()
-    request(sidecar.relay_host, "/_standin/relay", method="POST", body=body, port=RELAY_PORT)
-
-
-def set_clock_offset(sidecar: Sidecar, seconds: float) -> None:
-    """Let the time of day of an instance's daemon jump."""
-    # A file that is replaced is never read while it is half written.
-    written = sidecar.clock_path.with_suffix(".new")
-    written.write_text(str(seconds))
-    written.replace(sidecar.clock_path)
-
-
 def _start_relay(fleet: PlatformFleet, sidecar: Sidecar) -> None:
     arguments = ["-m", "comfreyhitch.testing.relay", "--host", sidecar.relay_host]
     arguments += ["--admin-port", str(RELAY_PORT)]
@@ -302,7 +186,7 @@
         f"{_get_store_host(fleet)}:{PLATFORM_PORT}",
     ):
         arguments += ["--target", target]
-    sidecar.relay = spawn(fleet.fleet, f"{sidecar.name}-relay", arguments, {})
+    sidecar.relay = spawn(fleet.fleet.folder, f"{sidecar.name}-relay", arguments, {})
 
 
 def _get_store_host(fleet: PlatformFleet) -> str:
--- /dev/null
+++ b/comfreyhitch/testing/platform_models.py
@@ -0,0 +1,63 @@
+"""Instances of a fleet on the stand-in of the platform, and where they listen."""
+
+import subprocess
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from comfreyhitch.platform.client import PlatformClient
+from comfreyhitch.testing.fleet import (
+    Fleet,
+)
+
+OUTBOUND_PORT = 8304
+READY_PORT = 8302
+CONTROL_PORT = 8306
+APP_PORT = 8301
+PEER_PORT = 7620
+RELAY_PORT = 8399
+# Relays have the IP numbers of their instances and this much.
+RELAY_OFFSET = 100
+HOST_NAME = "shop.example"
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """Hold one instance: a target and the daemon beside it."""
+
+    name: str
+    host: str
+    zone: str
+    service: str
+    version: str
+    target_arguments: list[str]
+    daemon: subprocess.Popen | None = None
+    target: subprocess.Popen | None = None
+    starts: int = 0
+    # Stands between the daemon and its target, the store and its peers, if there is one.
+    relay_host: str = ""
+    relay: subprocess.Popen | None = None
+    # Tells by how many seconds the daemon's time of day is wrong, if it can be.
+    clock_path: Path | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedRun:
+    """Hold a line of the targets' log; `at` is Unix seconds, the id may be `DRAIN_MARK`."""
+
+    request_id: str
+    instance_id: str
+    at: float
+
+
+@dataclass(slots=True)
+class PlatformFleet:
+    """Hold the instances of a fleet, and the configuration that it got last."""
+
+    fleet: Fleet
+    sidecars_by_name: dict[str, Sidecar] = field(default_factory=dict)
+    configuration: dict = field(default_factory=dict)
+
+    @property
+    def client(self) -> PlatformClient:
+        """Return a client for the store."""
+        return PlatformClient.from_url(self.fleet.platform_url)
--- /dev/null
+++ b/comfreyhitch/testing/platform_objects.py
@@ -0,0 +1,178 @@
+"""Objects, revisions and events of the stand-in for the platform's store."""
+
+from collections import Counter, deque
+from copy import deepcopy
+from dataclasses import dataclass, field
+
+from gevent.event import Event
+
+KEPT_EVENTS = 1000
+PAGE_ITEMS = 500
+
+Query = dict[str, str]
+
+
+class ApiError(Exception):
+    """Report a refused call, with its HTTP status and the content of its answer."""
+
+    def __init__(self, status: str, content: object) -> None:
+        super().__init__(status)
+        self.status = status
+        self.content = content
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Hold the faults of the store; they are changed while it runs."""
+
+    is_down: bool = False
+    delay_seconds: float = 0.0
+    lost_answers: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectId:
+    """Name an object; without a name it stands for its kind."""
+
+    kind: str
+    name: str = ""
+    is_status: bool = False
+
+
+@dataclass(slots=True)
+class StoreState:
+    """Hold the objects, the recent events and the counts of calls."""
+
+    objects_by_kind: dict[str, dict[str, dict]] = field(default_factory=dict)
+    events: deque[tuple[int, str, dict]] = field(default_factory=deque)
+    revision: int = 1
+    oldest_revision: int = 1
+    calls_by_verb: Counter[str] = field(default_factory=Counter)
+    watches: int = 0
+    max_watches: int = 0
+    changed: Event = field(default_factory=Event)
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    # What lists that may be stale still show, if they lag behind.
+    stale_copy: "StaleCopy | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class StaleCopy:
+    """Hold the objects of an earlier revision."""
+
+    objects_by_kind: dict[str, dict[str, dict]]
+    revision: int
+
+
+def keep_stale_copy(state: StoreState) -> None:
+    """Let lists that may be stale show what there is now, whatever changes."""
+    state.stale_copy = StaleCopy(deepcopy(state.objects_by_kind), state.revision)
+
+
+def list_page(state: StoreState, kind: str, query: Query) -> dict:
+    """Return a page of the objects of a kind, as they are or as they were."""
+    after = query.get("after", "")
+    may_be_stale = "Serializable" in query and state.stale_copy is not None
+    source = state.stale_copy if may_be_stale else state
+    named = sorted(source.objects_by_kind.get(kind, {}).items())
+    found = [item for name, item in named if name > after]
+    return {
+        "items": found[:PAGE_ITEMS],
+        "HasMore": len(found) > PAGE_ITEMS,
+        "StoreRevision": source.revision,
+    }
+
+
+def get_object(state: StoreState, object_id: ObjectId) -> dict:
+    """Return an object; raise `ApiError` if there is none."""
+    found = state.objects_by_kind.get(object_id.kind, {}).get(object_id.name)
+    if found is None:
+        raise ApiError("404 Not Found", {"Error": f"{object_id.kind}/{object_id.name}"})
+    return found
+
+
+def create_object(state: StoreState, kind: str, content: dict) -> dict:
+    """Keep a new object; raise `ApiError` if there is one of its name."""
+    name = content["Metadata"]["Name"]
+    held = state.objects_by_kind.setdefault(kind, {}).get(name)
+    if held is not None:
+        raise ApiError("409 Conflict", held)
+    created = {
+        "Metadata": {
+            "Name": name,
+            "CreateRevision": state.revision + 1,
+            "Finalizers": content["Metadata"].get("Finalizers", []),
+            "Deleting": False,
+        },
+        "Spec": content.get("Spec"),
+        "Status": content.get("Status"),
+    }
+    return _keep(state, kind, created)
+
+
+def update_object(state: StoreState, object_id: ObjectId, content: dict) -> dict:
+    """Replace spec or status; raise `ApiError` over a newer revision."""
+    current = get_object(state, object_id)
+    _check_revision(current, content["Metadata"].get("Rev"))
+    updated = deepcopy(current)
+    if object_id.is_status:
+        updated["Status"] = content.get("Status")
+    else:
+        updated["Spec"] = content.get("Spec")
+        updated["Metadata"]["Finalizers"] = content["Metadata"].get("Finalizers", [])
+    if updated == current:
+        return current
+    if updated["Metadata"]["Deleting"] and not updated["Metadata"]["Finalizers"]:
+        return _remove(state, object_id.kind, updated)
+    return _keep(state, object_id.kind, updated)
+
+
+def delete_object(state: StoreState, object_id: ObjectId, query: Query) -> dict:
+    """Remove an object, or mark it while it has finalizers."""
+    current = get_object(state, object_id)
+    _check_revision(current, int(query["Rev"]) if "Rev" in query else None)
+    if not current["Metadata"]["Finalizers"]:
+        return _remove(state, object_id.kind, deepcopy(current))
+    marked = deepcopy(current)
+    marked["Metadata"]["Deleting"] = True
+    return _keep(state, object_id.kind, marked)
+
+
+def _check_revision(current: dict, expected: int | None) -> None:
+    if expected is not None and expected != current["Metadata"]["Rev"]:
+        raise ApiError("409 Conflict", current)
+
+
+def _keep(state: StoreState, kind: str, content: dict) -> dict:
+    state.revision += 1
+    content["Metadata"]["Rev"] = state.revision
+    state.objects_by_kind.setdefault(kind, {})[content["Metadata"]["Name"]] = content
+    _add_event(state, kind, content, is_deleted=False)
+    return content
+
+
+def _remove(state: StoreState, kind: str, content: dict) -> dict:
+    state.revision += 1
+    content["Metadata"]["Rev"] = state.revision
+    del state.objects_by_kind[kind][content["Metadata"]["Name"]]
+    _add_event(state, kind, content, is_deleted=True)
+    return content
+
+
+def _add_event(state: StoreState, kind: str, content: dict, *, is_deleted: bool) -> None:
+    event = {"Deleted": is_deleted, "Object": deepcopy(content)}
+    state.events.append((state.revision, kind, event))
+    while len(state.events) > KEPT_EVENTS:
+        state.oldest_revision = state.events.popleft()[0]
+    tell_watches(state)
+
+
+def tell_watches(state: StoreState) -> None:
+    """Let the watches that wait look again."""
+    changed, state.changed = state.changed, Event()
+    changed.set()
+
+
+def find_events(state: StoreState, kind: str, since: int) -> list[dict]:
+    """Return the events of a kind after a revision."""
+    return [event for revision, held, event in state.events if held == kind and revision > since]
--- a/comfreyhitch/testing/soak/actions.py
+++ b/comfreyhitch/testing/soak/actions.py
@@ -12,31 +12,41 @@
 
 from comfreyhitch.platform.client import delete_object
 from comfreyhitch.platform.exceptions import PlatformFailure
-from comfreyhitch.testing.fleet import (
-    freeze,
-    is_running,
-    kill,
+from comfreyhitch.testing.answers import (
     request,
-    resume,
+)
+from comfreyhitch.testing.fleet import (
     set_platform_faults,
-    stop_gracefully,
-    wait_for_end,
 )
-from comfreyhitch.testing.platform_fleet import (
-    APP_PORT,
-    PEER_PORT,
-    PLATFORM_PORT,
-    Sidecar,
-    is_ready,
-    make_configuration,
+from comfreyhitch.testing.platform_faults import (
     set_clock_offset,
     set_relay,
     set_target_faults,
+)
+from comfreyhitch.testing.platform_fleet import (
+    PLATFORM_PORT,
+    is_ready,
     start_daemon,
     start_target,
+)
+from comfreyhitch.testing.platform_models import (
+    APP_PORT,
+    PEER_PORT,
+    Sidecar,
+)
+from comfreyhitch.testing.platform_orders import (
+    make_configuration,
     write_configuration,
     write_document,
 )
+from comfreyhitch.testing.processes import (
+    freeze,
+    is_running,
+    kill,
+    resume,
+    stop_gracefully,
+    wait_for_end,
+)
 from comfreyhitch.testing.soak.plan import Fault, FaultKind
 from comfreyhitch.testing.soak.state import Injector, note_end
 
--- a/comfreyhitch/testing/soak/callers.py
+++ b/comfreyhitch/testing/soak/callers.py
@@ -11,7 +11,11 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.ingress.responses import ResponseReader, read_response
 from comfreyhitch.platform.names import HEADER_DEADLINE_MS, HEADER_REQUEST_ID, TARGET_DIALECT
-from comfreyhitch.testing.platform_fleet import HOST_NAME, OUTBOUND_PORT, Sidecar
+from comfreyhitch.testing.platform_models import (
+    HOST_NAME,
+    OUTBOUND_PORT,
+    Sidecar,
+)
 from comfreyhitch.wire.sockets import connect
 
 PAUSE_SECONDS = 0.03
--- a/comfreyhitch/testing/soak/checks.py
+++ b/comfreyhitch/testing/soak/checks.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from comfreyhitch.testing.platform_fleet import LoggedRun
+from comfreyhitch.testing.platform_models import (
+    LoggedRun,
+)
 from comfreyhitch.testing.platform_target import DRAIN_MARK, OVERLOAD_EXIT_CODE
 from comfreyhitch.testing.soak.callers import Sent, is_own_answer
 from comfreyhitch.testing.soak.plan import FaultKind
--- a/comfreyhitch/testing/soak/faults.py
+++ b/comfreyhitch/testing/soak/faults.py
@@ -3,17 +3,23 @@
 from time import time
 
 from comfreyhitch.testing.fleet import (
-    is_running,
-    resume,
     set_platform_faults,
 )
-from comfreyhitch.testing.platform_fleet import (
-    Sidecar,
+from comfreyhitch.testing.platform_faults import (
     set_clock_offset,
     set_relay,
+)
+from comfreyhitch.testing.platform_fleet import (
     start_daemon,
     start_target,
 )
+from comfreyhitch.testing.platform_models import (
+    Sidecar,
+)
+from comfreyhitch.testing.processes import (
+    is_running,
+    resume,
+)
 from comfreyhitch.testing.soak.actions import ACTIONS, set_target_faults_if_up
 from comfreyhitch.testing.soak.plan import Fault, FaultKind
 from comfreyhitch.testing.soak.state import Injector, Span, note_end
--- a/comfreyhitch/testing/soak/runner.py
+++ b/comfreyhitch/testing/soak/runner.py
@@ -8,14 +8,18 @@
 import gevent
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.testing.fleet import wait_until
 from comfreyhitch.testing.platform_fleet import (
-    PlatformFleet,
     read_run_log,
     send,
     start_platform_fleet,
     stop_platform_fleet,
 )
+from comfreyhitch.testing.platform_models import (
+    PlatformFleet,
+)
+from comfreyhitch.testing.processes import (
+    wait_until,
+)
 from comfreyhitch.testing.soak.callers import Caller, Sent, call_forever
 from comfreyhitch.testing.soak.checks import Observations, find_broken
 from comfreyhitch.testing.soak.faults import inject, restore
--- a/comfreyhitch/testing/soak/state.py
+++ b/comfreyhitch/testing/soak/state.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass, field
 from subprocess import Popen
 
-from comfreyhitch.testing.fleet import (
-    is_running,
-)
-from comfreyhitch.testing.platform_fleet import (
+from comfreyhitch.testing.platform_models import (
     PlatformFleet,
 )
+from comfreyhitch.testing.processes import (
+    is_running,
+)
 from comfreyhitch.testing.soak.plan import PLANNED_KINDS, FaultKind
 
 
--- a/comfreyhitch/testing/traffic.py
+++ b/comfreyhitch/testing/traffic.py
@@ -8,7 +8,10 @@
 import gevent
 from geventhttpclient.response import HTTPParseError
 
-from comfreyhitch.testing.fleet import Instance, call_service
+from comfreyhitch.testing.fleet import (
+    Instance,
+    call_service,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/deposits.py
+++ b/features/deposits.py
@@ -5,6 +5,8 @@
 from comfreyhitch.testing.fleet import (
     call_service,
     get_target_state,
+)
+from comfreyhitch.testing.processes import (
     wait_until,
 )
 from features.steps.fleet_steps import list_instances
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,7 +8,9 @@
 import gevent
 from hypothesis import HealthCheck, settings
 
-from comfreyhitch.testing.fleet import stop_fleet
+from comfreyhitch.testing.fleet import (
+    stop_fleet,
+)
 
 TEST_SEED_VARIABLE = "COMFREYHITCH_TEST_SEED"
 # Names the file that tells the runner when each scenario ran.
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -7,7 +7,11 @@
 from behave import then, when
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.testing.fleet import PEER_PORT, call_service, get_admin
+from comfreyhitch.testing.fleet import (
+    PEER_PORT,
+    call_service,
+    get_admin,
+)
 from comfreyhitch.wire.codec import decode, encode
 from comfreyhitch.wire.connections import PeerPool, call_peer
 from comfreyhitch.wire.generated.ttypes import (
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -6,7 +6,10 @@
 
 from behave import then, when
 
-from comfreyhitch.testing.fleet import ADMIN_PORT, set_platform_faults
+from comfreyhitch.testing.fleet import (
+    ADMIN_PORT,
+    set_platform_faults,
+)
 from features.steps.fleet_steps import get_instance
 
 EXIT_BAD_INPUT = 2
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,16 +9,20 @@
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.sections.acceptance import read_status
 from comfreyhitch.sections.storage import get_section
+from comfreyhitch.testing.answers import (
+    request,
+)
 from comfreyhitch.testing.fleet import (
     PLATFORM_PORT,
     add_instance,
     call_service,
     get_admin,
-    kill,
-    request,
     set_platform_faults,
     start_daemon,
     start_target,
+)
+from comfreyhitch.testing.processes import (
+    kill,
     wait_until,
 )
 from features.steps.fleet_steps import list_instances
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -28,7 +28,8 @@
 from comfreyhitch.platform.exceptions import PlatformFailure
 from comfreyhitch.platform.models import Metadata, ObjectChange, PlatformObject, replace_status
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
-from comfreyhitch.testing.platform import StoreState, keep_stale_copy, make_application
+from comfreyhitch.testing.platform import make_application
+from comfreyhitch.testing.platform_objects import StoreState, keep_stale_copy
 from comfreyhitch.testing.target import QuietHandler
 from comfreyhitch.watching.follower import Follower, follow, read_once
 from comfreyhitch.watching.outages import Outage, end_outage
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -5,7 +5,12 @@
 
 from behave import given
 
-from comfreyhitch.testing.fleet import Fleet, add_instance, start_fleet, start_platform
+from comfreyhitch.testing.fleet import (
+    Fleet,
+    add_instance,
+    start_fleet,
+    start_platform,
+)
 
 FAST_SETTINGS = {"gossip_interval": "0.2", "sync_interval": "1", "log_level": "INFO"}
 
--- a/features/steps/graceful_stop_steps.py
+++ b/features/steps/graceful_stop_steps.py
@@ -5,12 +5,16 @@
 import gevent
 from behave import then, when
 
-from comfreyhitch.testing.fleet import (
+from comfreyhitch.testing.answers import (
     request,
+)
+from comfreyhitch.testing.fleet import (
     start_daemon,
+    wait_until_joined,
+)
+from comfreyhitch.testing.processes import (
     stop_gracefully,
     wait_for_end,
-    wait_until_joined,
 )
 from features.steps.fleet_steps import list_instances
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -5,14 +5,16 @@
 
 from comfreyhitch.testing.fleet import (
     call_service,
-    freeze,
     get_admin,
-    kill,
-    resume,
     set_faults,
     set_relay,
     start_daemon,
     start_target,
+)
+from comfreyhitch.testing.processes import (
+    freeze,
+    kill,
+    resume,
     wait_until,
 )
 from features.fleet_views import count_requests, get_statuses, list_in_zone
--- a/features/steps/not_run_steps.py
+++ b/features/steps/not_run_steps.py
@@ -11,14 +11,16 @@
 from comfreyhitch.testing.fleet import (
     call_service,
     count_runs,
-    freeze,
     get_admin,
-    kill,
-    resume,
     set_relay,
     start_daemon,
     start_target,
 )
+from comfreyhitch.testing.processes import (
+    freeze,
+    kill,
+    resume,
+)
 from features.deposits import make_key, send_deposit
 from features.steps.fleet_steps import get_instance, list_instances
 
--- a/features/steps/platform_deposit_steps.py
+++ b/features/steps/platform_deposit_steps.py
@@ -8,15 +8,15 @@
 import gevent.socket
 from behave import then, when
 
-from comfreyhitch.testing.fleet import (
-    kill,
-)
 from comfreyhitch.testing.platform_fleet import (
     read_runs,
     send,
     start_daemon,
     start_target,
 )
+from comfreyhitch.testing.processes import (
+    kill,
+)
 from features.platform_views import NOT_RUN_STATUSES, list_sidecars, run_forever
 
 
--- a/features/steps/platform_leaving_steps.py
+++ b/features/steps/platform_leaving_steps.py
@@ -7,21 +7,27 @@
 from behave import then, when
 
 from comfreyhitch.platform.client import delete_object
-from comfreyhitch.testing.fleet import (
-    is_running,
-    kill,
-    stop_gracefully,
-    wait_until,
+from comfreyhitch.testing.platform_faults import (
+    set_target_faults,
 )
 from comfreyhitch.testing.platform_fleet import (
-    OUTBOUND_PORT,
     is_ready,
     read_runs,
     send,
-    set_target_faults,
     start_daemon,
+)
+from comfreyhitch.testing.platform_models import (
+    OUTBOUND_PORT,
+)
+from comfreyhitch.testing.platform_orders import (
     write_document,
 )
+from comfreyhitch.testing.processes import (
+    is_running,
+    kill,
+    stop_gracefully,
+    wait_until,
+)
 from features.platform_views import SERVICES, list_sidecars, run_forever
 
 
--- a/features/steps/platform_requests_steps.py
+++ b/features/steps/platform_requests_steps.py
@@ -7,19 +7,23 @@
 
 from comfreyhitch.platform.names import HEADER_CALLER_SERVICE, HEADER_DEADLINE_MS
 from comfreyhitch.testing.fleet import (
-    kill,
     set_platform_faults,
-    wait_until,
 )
 from comfreyhitch.testing.platform_fleet import (
-    make_configuration,
     read_runs,
     send,
     start_daemon,
     start_platform_fleet,
     stop_platform_fleet,
+)
+from comfreyhitch.testing.platform_orders import (
+    make_configuration,
     write_configuration,
 )
+from comfreyhitch.testing.processes import (
+    kill,
+    wait_until,
+)
 from features.platform_views import SERVICES, list_sidecars
 
 
--- a/features/steps/platform_rollout_steps.py
+++ b/features/steps/platform_rollout_steps.py
@@ -4,17 +4,21 @@
 
 from behave import then, when
 
-from comfreyhitch.testing.fleet import (
-    kill,
-    wait_until,
+from comfreyhitch.testing.platform_faults import (
+    set_target_faults,
 )
 from comfreyhitch.testing.platform_fleet import (
     add_sidecar,
-    read_state,
     send,
-    set_target_faults,
+)
+from comfreyhitch.testing.platform_orders import (
+    read_state,
     write_document,
 )
+from comfreyhitch.testing.processes import (
+    kill,
+    wait_until,
+)
 from features.platform_views import list_sidecars, run_forever
 
 
--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -5,12 +5,16 @@
 import gevent
 from behave import given, then, when
 
+from comfreyhitch.testing.answers import (
+    request,
+)
 from comfreyhitch.testing.fleet import (
     get_target_state,
+    start_target,
+)
+from comfreyhitch.testing.processes import (
     is_running,
     kill,
-    request,
-    start_target,
 )
 from features.steps.fleet_steps import list_instances
 
--- a/features/steps/resend_steps.py
+++ b/features/steps/resend_steps.py
@@ -6,13 +6,15 @@
 from comfreyhitch.testing.fleet import (
     add_instance,
     count_runs,
-    kill,
     set_relay,
     start_daemon,
     start_target,
+    wait_until_joined,
+)
+from comfreyhitch.testing.processes import (
+    kill,
     stop_gracefully,
     wait_for_end,
-    wait_until_joined,
 )
 from features.deposits import find_busy, make_key, send_deposit
 from features.steps.fleet_steps import get_instance, list_instances
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -22,7 +22,14 @@
 from comfreyhitch.sections.acceptance import read_status
 from comfreyhitch.sections.models import RolloutPlan, ServicePolicy
 from comfreyhitch.sections.storage import get_section
-from comfreyhitch.testing.fleet import get_target_state, set_faults, set_platform_faults, wait_until
+from comfreyhitch.testing.fleet import (
+    get_target_state,
+    set_faults,
+    set_platform_faults,
+)
+from comfreyhitch.testing.processes import (
+    wait_until,
+)
 from comfreyhitch.testing.traffic import select_seen
 from features.fakes import START, FakeClock, make_member
 from features.steps.configuration_steps import apply_section, get_client
--- a/features/steps/traffic_steps.py
+++ b/features/steps/traffic_steps.py
@@ -6,7 +6,9 @@
 import gevent
 from behave import given, then, when
 
-from comfreyhitch.testing.fleet import get_target_state
+from comfreyhitch.testing.fleet import (
+    get_target_state,
+)
 from comfreyhitch.testing.traffic import Traffic, run_traffic, select_seen, start_traffic
 from features.steps.fleet_steps import list_instances
 
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -7,16 +7,18 @@
 
 from comfreyhitch.testing.fleet import (
     call_service,
-    freeze,
     get_admin,
-    kill,
-    resume,
     set_platform_faults,
     start_daemon,
+    wait_until_joined,
+)
+from comfreyhitch.testing.processes import (
+    freeze,
+    kill,
+    resume,
     stop_gracefully,
     wait_for_end,
     wait_until,
-    wait_until_joined,
 )
 from features.fleet_views import count_requests, list_in_zone, set_zone
 
