Let a request's record decide what a gate says of its id, and prove its life by a state machine

A new stateful property drives the gate with arrivals, resends, fences, withdrawals, drains and ends of targets in any order. It found that an id which came a second time while the target was draining was refused as not run, though its first copy ran: the refusals were looked at before the records. Egress gives each try an id of its own, so no request on the way today comes to that; still the gate told something false. Red before (arrive, drain, arrive again), green now.

--- a/comfreyhitch/ingress/gate.py
+++ b/comfreyhitch/ingress/gate.py
@@ -39,29 +39,36 @@
 
 def handle_call(ingress: Ingress, call: IncomingCall) -> Outcome:
     """Return the target's response, or a failure that says whether the call may have run."""
-    failure = find_refusal(ingress, call)
-    if failure is not None:
-        record_call(ingress, call, Err(failure))
-        return Err(failure)
     ingress.calls_in_progress += 1
     try:
-        if call.is_idempotent:
-            outcome = _admit_and_run(ingress, call, None)
-        else:
-            outcome = _run_recorded(ingress, call)
+        outcome = _decide_and_run(ingress, call)
     finally:
         ingress.calls_in_progress -= 1
     record_call(ingress, call, outcome)
     return outcome
 
 
+def _decide_and_run(ingress: Ingress, call: IncomingCall) -> Outcome:
+    existing = None if call.is_idempotent else get_record(ingress.records, call.request_id)
+    if existing is not None:
+        # What came before under this id may run, whatever this gate would refuse now.
+        return _follow_record(ingress, existing, call)
+    failure = find_refusal(ingress, call)
+    if failure is not None:
+        return Err(failure)
+    if call.is_idempotent:
+        return _admit_and_run(ingress, call, None)
+    return _run_recorded(ingress, call)
+
+
+def _follow_record(ingress: Ingress, record: RequestRecord, call: IncomingCall) -> Outcome:
+    if record.state is RecordState.FENCED:
+        return Err(refuse(Refusal.FENCED, "request was withdrawn before it arrived"))
+    return _join_record(record, call, ingress.blackboard.clock.monotonic())
+
+
 def _run_recorded(ingress: Ingress, call: IncomingCall) -> Outcome:
     now = ingress.blackboard.clock.monotonic()
-    existing = get_record(ingress.records, call.request_id)
-    if existing is not None:
-        if existing.state is RecordState.FENCED:
-            return Err(refuse(Refusal.FENCED, "request was withdrawn before it arrived"))
-        return _join_record(existing, call, now)
     record = RequestRecord(RecordState.WAITING, call.fingerprint, now)
     if not add_record(ingress.records, call.request_id, record):
         return Err(refuse(Refusal.RECORDS_FULL, "too many requests that may run only once"))
--- /dev/null
+++ b/features/steps/request_life_steps.py
@@ -0,0 +1,193 @@
+"""A gate, driven by everything that can happen to requests that may run only once."""
+
+from contextlib import contextmanager
+
+import gevent
+from behave import then
+from gevent.event import AsyncResult
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Err, Ok
+
+from comfreyhitch.conf.models import Settings
+from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.verdicts import Failure, Refusal, Response, Verdict
+from comfreyhitch.ingress import execution
+from comfreyhitch.ingress.fence import answer_fence
+from comfreyhitch.ingress.gate import handle_call
+from comfreyhitch.ingress.lifecycle import TargetState
+from comfreyhitch.ingress.models import MAX_TIMEOUT_SECONDS, IncomingCall
+from comfreyhitch.ingress.state import Ingress, attach_target
+from comfreyhitch.rollouts.evidence import EvidenceLog
+from comfreyhitch.sections.models import TrafficClass
+from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.wire.generated.ttypes import FenceQuery, FenceState
+from features.fakes import FakeClock, make_member, run_machine
+
+SLOTS = 2
+DEADLINE_SECONDS = 30.0
+REQUEST_IDS = [f"r{number}" for number in range(6)]
+ENDS = {
+    "answer": Ok(Response(200, "OK", [], b"done")),
+    "failure": Ok(Response(500, "Failed", [], b"")),
+    "reset": Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, "reset")),
+    "refused": Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_UNREACHABLE, "refused")),
+}
+
+
+class GateMachine(RuleBasedStateMachine):
+    """Hold a gate whose target runs what it is sent until the machine ends it."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = FakeClock()
+        blackboard = Blackboard(clock=self.clock.make(), own=make_member())
+        self.ingress = Ingress.from_settings(
+            Settings(limit_rule="slots"),
+            blackboard,
+            None,
+            EvidenceLog.from_clock(blackboard.clock),
+            Metrics.create(),
+            lambda fingerprint: None,
+        )
+        attach_target(self.ingress, "127.0.0.1", 1, SLOTS)
+        self.ingress.life.state = TargetState.READY
+        self.ingress.life.is_suspect = False
+        self.sent = 0
+        # What the target runs, and how it will end, by the request's id.
+        self.running = {}
+        self.runs = []
+        # Requests of which anybody was told that they have not run and never will.
+        self.denied = set()
+        self.told = []
+        self.calls = []
+        self.first_seen_at = {}
+
+    def send_to_target(self, connections, request, cancel_socket, before_send):
+        """Run a request as the target does, until it is ended."""
+        before_send()
+        request_id = request.body.decode()
+        end = AsyncResult()
+        self.running[request_id] = end
+        outcome = end.get()
+        if outcome.is_ok() or outcome.err_value.verdict is not Verdict.NOT_RUN:
+            self.runs.append(request_id)
+        return outcome
+
+    def call(self, request_id):
+        """Handle one call as the peer server does, and note what is told."""
+        now = self.clock.seconds
+        outcome = handle_call(self.ingress, make_call(request_id, now))
+        self.told.append((request_id, outcome))
+        if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
+            self.denied.add(request_id)
+
+    @rule(request_id=st.sampled_from(REQUEST_IDS))
+    def arrive(self, request_id):
+        """Let a request arrive, for the first time or again under its id."""
+        first_seen_at = self.first_seen_at.setdefault(request_id, self.clock.seconds)
+        is_past = self.clock.seconds - first_seen_at > MAX_TIMEOUT_SECONDS
+        if request_id in self.denied or is_past:
+            # Egress gives each try an id of its own, and sends none after its deadline.
+            return
+        self.calls.append(gevent.spawn(self.call, request_id))
+        gevent.idle()
+
+    @rule(request_id=st.sampled_from(REQUEST_IDS), withdraw=st.booleans())
+    def fence(self, request_id, withdraw):
+        """Ask what became of a request, known here or not."""
+        sent_at = self.first_seen_at.setdefault(request_id, self.clock.seconds)
+        query = FenceQuery(
+            request_id=request_id,
+            boot_id=self.ingress.blackboard.own.boot_id,
+            age_seconds=self.clock.seconds - sent_at,
+            withdraw=withdraw,
+        )
+        state = answer_fence(self.ingress, query).state
+        if state == FenceState.NEVER_RAN:
+            self.denied.add(request_id)
+        if request_id in self.running:
+            assert state == FenceState.RUNNING, state
+        gevent.idle()
+
+    @rule(data=st.data(), end=st.sampled_from(sorted(ENDS)))
+    def end(self, data, end):
+        """Let the target answer, fail, refuse or lose one of the requests that it runs."""
+        if not self.running:
+            return
+        request_id = data.draw(st.sampled_from(sorted(self.running)))
+        self.running.pop(request_id).set(ENDS[end])
+        gevent.idle()
+
+    @rule(seconds=st.floats(0.0, 40.0))
+    def wait(self, seconds):
+        """Let time pass, beyond deadlines at times."""
+        self.clock.seconds += seconds
+
+    @rule(is_draining=st.booleans())
+    def change_state(self, is_draining):
+        """Let the target say that it leaves, or another take its place."""
+        self.ingress.life.state = TargetState.DRAINING if is_draining else TargetState.READY
+
+    @invariant()
+    def keeps_its_word(self):
+        """Check that nothing ran twice, and nothing that was told not to have run."""
+        begun = [*self.runs, *self.running]
+        assert len(begun) == len(set(begun)), begun
+        assert not self.denied & set(self.runs), (self.denied, self.runs)
+        for request_id in self.denied & set(self.running):
+            raise AssertionError(f"{request_id} runs though it was told that it never will")
+
+    def teardown(self):
+        """End what still runs."""
+        gevent.killall(self.calls)
+
+
+def make_call(request_id, now):
+    """Return a call that may run only once, without a key."""
+    return IncomingCall(
+        request_id=request_id,
+        service="payments",
+        method="POST",
+        path="/",
+        headers=[],
+        body=request_id.encode(),
+        arrived_at=now,
+        deadline=now + DEADLINE_SECONDS,
+        tenant="default",
+        traffic_class=TrafficClass.NORMAL,
+        is_idempotent=False,
+        idempotency_key="",
+        fingerprint=request_id,
+        route="/",
+        attempt=1,
+    )
+
+
+@contextmanager
+def target_replaced():
+    """Let gates send to the machine that drives them instead of a socket."""
+    original = execution.call_target
+    machine = None
+
+    class Machine(GateMachine):
+        def __init__(self):
+            nonlocal machine
+            super().__init__()
+            machine = self
+
+    def call_target(connections, *arguments):
+        assert machine.ingress.connections is connections
+        return machine.send_to_target(connections, *arguments)
+
+    execution.call_target = call_target
+    try:
+        yield Machine
+    finally:
+        execution.call_target = original
+
+
+@then("no request runs twice, and none that was told not-run has run or runs later")
+def check_gate(context):
+    with target_replaced() as machine:
+        run_machine(context, machine)
