--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -15,6 +15,11 @@
 Address = Annotated[str, Meta(pattern=rf"^{_IP_NUMBER}:[0-9]{{1,5}}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Share = Annotated[float, Meta(ge=0, le=1)]
+SlotCount = Annotated[int, Meta(ge=1, le=10_000)]
+Amount = Annotated[float, Meta(ge=0)]
+ProbeRate = Annotated[float, Meta(ge=0, le=1000)]
+TargetProbeRate = Annotated[float, Meta(ge=0, le=100)]
+BodyBytes = Annotated[int, Meta(ge=0, le=8 * 1024 * 1024)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,10 +53,7 @@
         Literal["adaptive", "slots"],
         Meta(description="whether the concurrency limit is learned or is the slots"),
     ] = "adaptive"
-    slots: Annotated[
-        Annotated[int, Meta(ge=1, le=10_000)],
-        Meta(description="requests that the target can run at a time"),
-    ] = 10
+    slots: Annotated[SlotCount, Meta(description="requests that the target can run at a time")] = 10
     peers: Annotated[
         tuple[Address, ...], Meta(description="addresses of first peers, comma separated")
     ] = ()
@@ -59,7 +61,7 @@
         str | None, Meta(description="base URL of the platform's object API")
     ] = None
     body_limit_bytes: Annotated[
-        Annotated[int, Meta(ge=0, le=8 * 1024 * 1024)],
+        BodyBytes,
         Meta(description="largest request or response body"),
     ] = 4 * 1024 * 1024
     default_timeout: Annotated[
@@ -73,7 +75,7 @@
         Share, Meta(description="hedged requests as a share of first tries")
     ] = 0.05
     retry_extra: Annotated[
-        Annotated[float, Meta(ge=0)], Meta(description="retries of a service that may be saved up")
+        Amount, Meta(description="retries of a service that may be saved up")
     ] = 20.0
     retry_window: Annotated[
         timedelta, Meta(description="time in which the shared retries are earned again")
@@ -87,11 +89,11 @@
         Meta(description="how a target is chosen; the others serve as baselines"),
     ] = "load-aware"
     probe_rate: Annotated[
-        Annotated[float, Meta(ge=0, le=1000)],
+        ProbeRate,
         Meta(description="load probes to other daemons a second"),
     ] = 2.0
     target_probe_rate: Annotated[
-        Annotated[float, Meta(ge=0, le=100)],
+        TargetProbeRate,
         Meta(description="most reads of the target's own health endpoint a second"),
     ] = 0.5
     target_probe_interval: Annotated[
