--- a/features/environment.py
+++ b/features/environment.py
@@ -49,7 +49,7 @@
         gevent.killall(context.traffic.callers)
     if context.fleet is not None:
         stop_fleet(context.fleet)
-    if scenario.status == "failed":
+    if scenario.status.has_failed():
         print_logs(context.folder)
     context.scratch.cleanup()
 
