Renew watches often only at readers, and start from a stale list of daemons

Cause: each of 195 daemons renewed three watches of 3 s, and listed all daemons at full price when it started.

Change: watching/waits.py decides how long a watch may wait: 3 s at the readers of each zone, in fleets below 20 daemons, and for 8 s after a disturbance (a failed call, two own probes in a row without answer, a peer that had a document before the own watch); 15 s else. A watch that waits longer than it now may is renewed at once. The first list of daemons may be stale.

Ruled out: watches of 24 s.

--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -5,7 +5,7 @@
 from datetime import datetime
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.documents.models import RolloutOrder
+from comfreyhitch.documents.models import DocumentKind, RolloutOrder
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.membership.models import Member
 from comfreyhitch.rollouts.models import Evidence, RolloutStatus
@@ -61,6 +61,7 @@
     services_by_name: dict[str, ServicePolicy] = field(default_factory=dict)
     service_names_by_host: dict[str, str] = field(default_factory=dict)
     route_table: RouteTable | None = None
+    document_revision_by_kind: dict[DocumentKind, int] = field(default_factory=dict)
     rollout_orders_by_service: dict[str, RolloutOrder] = field(default_factory=dict)
     active_rollouts_by_service: dict[str, ActiveRollout] = field(default_factory=dict)
     zones_out: frozenset[str] = frozenset()
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -17,6 +17,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.daemon.adapter import DEFAULT_ADAPTER, PlatformAdapter
 from comfreyhitch.daemon.observers import make_blackboard_observer, make_validators
+from comfreyhitch.documents.models import DocumentKind
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.idempotency.claims import ClaimClient
 from comfreyhitch.ingress.crashes import make_crash_reporter
@@ -61,7 +62,7 @@
     read_settings: Callable[[], Settings] | None = None
     platform: PlatformClient | None = None
     registration: Registration | None = None
-    document_followers: list[Follower] = field(default_factory=list)
+    followers_by_document_kind: dict[DocumentKind, Follower] = field(default_factory=dict)
     stop_requested: Event = field(default_factory=Event)
     servers: list[StreamServer | WSGIServer] = field(default_factory=list)
     greenlets: list[gevent.Greenlet] = field(default_factory=list)
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -8,7 +8,11 @@
 
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.observers import remove_expired
-from comfreyhitch.documents.watching import is_store_unreachable, make_document_follower
+from comfreyhitch.documents.watching import (
+    is_store_unreachable,
+    is_watch_late,
+    make_document_follower,
+)
 from comfreyhitch.egress.eligibility import refresh_candidates
 from comfreyhitch.egress.probes import send_probes
 from comfreyhitch.idempotency.recovery import recover_claims
@@ -17,7 +21,11 @@
     publish_own_record,
     run_probe_round,
 )
-from comfreyhitch.membership.queries import group_reachable_peers, list_reachable_peers
+from comfreyhitch.membership.queries import (
+    group_reachable_peers,
+    is_platform_reader,
+    list_reachable_peers,
+)
 from comfreyhitch.membership.registration import (
     Registration,
     run_registration_cycle,
@@ -31,8 +39,9 @@
 from comfreyhitch.rollouts.controller import RolloutController, choose_analyzers, run_rollouts
 from comfreyhitch.rollouts.order_recorder import RolloutOrderRecorder, run_rollout_order_recorder
 from comfreyhitch.rollouts.orders import RolloutOrderController, run_rollout_orders
-from comfreyhitch.watching.follower import follow
+from comfreyhitch.watching.follower import follow, set_watch_timeout
 from comfreyhitch.watching.outages import Outage
+from comfreyhitch.watching.waits import WatchConditions, WatchPlan, plan_watch_seconds
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +51,7 @@
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
 ORDER_INTERVAL = timedelta(milliseconds=250)
 DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
+WATCH_PLAN_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A timer that fires this late means that the process was suspended, not busy.
 PAUSE_THRESHOLD = timedelta(seconds=3)
@@ -127,11 +137,12 @@
 
 def _start_document_followers(daemon: Daemon, client: PlatformClient) -> None:
     outage = Outage()
+    plan = WatchPlan(settled_since=daemon.clock.monotonic())
     for source in daemon.adapter.documents:
         follower = make_document_follower(
             source, daemon.store, client, daemon.clock, daemon.detector.random, outage
         )
-        daemon.document_followers.append(follower)
+        daemon.followers_by_document_kind[source.kind] = follower
         daemon.greenlets.append(
             gevent.spawn(_run_continuously, lambda follower=follower: follow(follower))
         )
@@ -142,11 +153,31 @@
             lambda: _sync_documents_if_store_unreachable(daemon),
         )
     )
+    daemon.greenlets.append(
+        gevent.spawn(_run_periodically, WATCH_PLAN_INTERVAL, lambda: _plan_watches(daemon, plan))
+    )
+
+
+def _plan_watches(daemon: Daemon, plan: WatchPlan) -> None:
+    """Set how long the watches of documents wait."""
+    blackboard = daemon.blackboard
+    followers_by_kind = daemon.followers_by_document_kind
+    conditions = WatchConditions(
+        daemon_count=len(blackboard.members_by_address),
+        is_reader=is_platform_reader(blackboard),
+        has_store_failures=any(not item.is_connected for item in followers_by_kind.values()),
+        is_watch_late=is_watch_late(followers_by_kind, blackboard.document_revision_by_kind),
+        unanswered_probes=daemon.detector.unanswered_probes,
+    )
+    seconds = plan_watch_seconds(plan, conditions, daemon.clock.monotonic())
+    for follower in followers_by_kind.values():
+        set_watch_timeout(follower, seconds)
 
 
 def _sync_documents_if_store_unreachable(daemon: Daemon) -> None:
     """Receive newer documents from a peer while the store is unreachable."""
-    if is_store_unreachable(daemon.document_followers, daemon.clock.monotonic()):
+    followers = list(daemon.followers_by_document_kind.values())
+    if is_store_unreachable(followers, daemon.clock.monotonic()):
         _sync_with_random_peer(daemon)
 
 
--- a/comfreyhitch/documents/applying.py
+++ b/comfreyhitch/documents/applying.py
@@ -35,6 +35,8 @@
 def apply_document(blackboard: Blackboard, fact: StoredFact, decoders: DecodersByKind) -> None:
     """Apply a newer document; one that can't be decoded leaves the previous one in force."""
     document = load_document(fact.key, fact.value).unwrap()
+    revisions = blackboard.document_revision_by_kind
+    revisions[document.kind] = max(fact.version, revisions.get(document.kind, 0))
     if document.is_deleted:
         _apply_deletion(blackboard, document)
         return
--- a/comfreyhitch/documents/watching.py
+++ b/comfreyhitch/documents/watching.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.documents.models import DocumentSource, RawDocument, dump_document
+from comfreyhitch.documents.models import DocumentKind, DocumentSource, RawDocument, dump_document
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.platform.models import FRESH, STALE, ObjectChange, ObjectList, PlatformObject
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
@@ -63,7 +63,18 @@
 def _is_silent(follower: Follower, now: float) -> bool:
     if not follower.is_connected or follower.last_answered_at is None:
         return True
-    return now - follower.last_answered_at > follower.watch_timeout_seconds + SILENCE_GRACE_SECONDS
+    silent_since = max(follower.last_answered_at, follower.asked_at)
+    return now - silent_since > follower.watch_timeout_seconds + SILENCE_GRACE_SECONDS
+
+
+def is_watch_late(
+    followers_by_kind: dict[DocumentKind, Follower], revision_by_kind: dict[DocumentKind, int]
+) -> bool:
+    """Return whether peers have newer documents than this daemon's own watches."""
+    return any(
+        follower.revision is not None and follower.revision < revision_by_kind.get(kind, 0)
+        for kind, follower in followers_by_kind.items()
+    )
 
 
 def _make_fact(source: DocumentSource, item: PlatformObject, revision: int) -> StoredFact:
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -64,6 +64,8 @@
     suspected_at_by_address: dict[str, float] = field(default_factory=dict)
     probe_order: list[str] = field(default_factory=list)
     rounds: int = 0
+    # Direct probes in a row that got no answer.
+    unanswered_probes: int = 0
 
 
 def receive_datagrams(detector: FailureDetector) -> None:
@@ -206,7 +208,9 @@
     started_at = detector.blackboard.clock.monotonic()
     interval_seconds = detector.interval.total_seconds()
     if _ping(detector, address, interval_seconds * DIRECT_PROBE_SHARE):
+        detector.unanswered_probes = 0
         return
+    detector.unanswered_probes += 1
     peers = [item for item in list_reachable_peers(detector.blackboard) if item != address]
     relays = detector.random.sample(peers, min(INDIRECT_PROBE_PEERS, len(peers)))
     sequence, acknowledged = _expect_ack(detector)
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -19,7 +19,7 @@
     list_objects,
 )
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import STALE, Metadata, PlatformObject
+from comfreyhitch.platform.models import FRESH, STALE, Metadata, PlatformObject
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.replication.sync import sync_with_peer
 from comfreyhitch.wire.connections import PeerPool
@@ -51,6 +51,7 @@
     is_registered: bool = False
     # Whether the registrations were listed, and no sync with an unknown daemon failed.
     is_joined: bool = False
+    has_listed: bool = False
     # Number of cycles since this daemon last had no reachable peer or still had to register.
     cycles_since_join: int = 0
     failed_joins_by_address: dict[str, int] = field(default_factory=dict)
@@ -91,15 +92,21 @@
         # Registers before listing: of two daemons that do so concurrently, at least one
         # sees the other.
         _register(registration, own)
-    match list_objects(registration.client, DAEMONS):
+    # The first list may be stale, which costs the store a tenth: a daemon that lacks no peer needs
+    # no other list, and one that starts together with its peers lists again.
+    mode = FRESH if registration.has_listed else STALE
+    match list_objects(registration.client, DAEMONS, mode):
         case Err(error):
             logger.info("registrations could not be listed", extra={"error": str(error)})
             return False
         case Ok(listed):
+            registration.has_listed = True
             addresses = [str((item.spec or {}).get("address", "")) for item in listed.items]
     is_joined = registration.is_joined = _sync_with_unknown(registration, addresses)
     _delete_left_registrations(registration, addresses)
-    registration.is_registered = own in addresses
+    if mode is FRESH:
+        # A stale list may lack what this daemon has just registered.
+        registration.is_registered = own in addresses
     if registration.is_required:
         return is_joined and registration.is_registered
     if is_platform_reader(registration.blackboard) and not registration.is_registered:
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -6,18 +6,29 @@
 from random import Random
 
 import gevent
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.platform.client import PlatformClient, list_objects, wait_for_changes
+from comfreyhitch.platform.client import (
+    WATCH_TIMEOUT_MARGIN_SECONDS,
+    PlatformClient,
+    list_objects,
+    wait_for_changes,
+)
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import FRESH, STALE, ObjectChange, ObjectList, ReadMode
+from comfreyhitch.platform.models import (
+    FRESH,
+    STALE,
+    ChangeBatch,
+    ObjectChange,
+    ObjectList,
+    ReadMode,
+)
 from comfreyhitch.watching.outages import Outage, become_prober, end_outage, wait_for_recovery
+from comfreyhitch.watching.waits import SHORT_WATCH_SECONDS
 
 logger = logging.getLogger(__name__)
 
-# A watch on an unresponsive connection times out after this time plus one second.
-DEFAULT_WATCH_TIMEOUT_SECONDS = 3.0
 # After a failure, a short watch detects early whether the store is reachable again.
 RETRY_WATCH_TIMEOUT_SECONDS = 0.3
 MIN_BACKOFF_SECONDS = 0.2
@@ -48,7 +59,7 @@
     random: Random
     on_list: Callable[[ObjectList], None]
     on_change: Callable[[ObjectChange], None]
-    watch_timeout_seconds: float = DEFAULT_WATCH_TIMEOUT_SECONDS
+    watch_timeout_seconds: float = SHORT_WATCH_SECONDS
     # Mode of the first list. A stale one costs the store less, and the watch from its revision
     # delivers the changes that it lacks.
     initial_list_mode: ReadMode = FRESH
@@ -57,6 +68,11 @@
     revision: int | None = None
     failures: int = 0
     last_answered_at: float | None = None
+    # When the current watch was sent, and the greenlet that waits for its answer.
+    asked_at: float = 0.0
+    waiting: gevent.Greenlet | None = None
+    # Whether the last watch was renewed before it was answered.
+    is_cut_short: bool = False
 
     @property
     def is_connected(self) -> bool:
@@ -78,16 +94,27 @@
 
 def read_once(follower: Follower) -> PlatformError | None:
     """List the kind or watch it once; return the error if the call failed."""
+    follower.is_cut_short = False
     try:
         error = _list(follower) if follower.revision is None else _watch(follower)
     except StoreUnavailableError as unavailable:
         # The list or change was not fully applied, so the kind has to be listed again.
         follower.revision = None
         error = unavailable.error
-    _record_result(follower, error)
+    if not follower.is_cut_short:
+        _record_result(follower, error)
     return error
 
 
+def set_watch_timeout(follower: Follower, timeout_seconds: float) -> None:
+    """Set how long watches wait; a current one that has waited longer is renewed at once."""
+    follower.watch_timeout_seconds = timeout_seconds
+    waited_seconds = follower.clock.monotonic() - follower.asked_at
+    is_overdue = waited_seconds > timeout_seconds + WATCH_TIMEOUT_MARGIN_SECONDS
+    if follower.waiting is not None and is_overdue:
+        follower.waiting.kill(block=False)
+
+
 def get_backoff_seconds(follower: Follower) -> float:
     """Return the exponential backoff after a failure in seconds, with jitter."""
     exponent = min(max(0, follower.failures - 1), 10)
@@ -114,9 +141,10 @@
     watch_timeout_seconds = follower.watch_timeout_seconds
     if follower.failures:
         watch_timeout_seconds = min(watch_timeout_seconds, RETRY_WATCH_TIMEOUT_SECONDS)
-    match wait_for_changes(
-        follower.client, follower.kind, follower.revision, watch_timeout_seconds, STALE
-    ):
+    match _wait(follower, watch_timeout_seconds):
+        case None:
+            follower.is_cut_short = True
+            return None
         case Err(PlatformError(failure=PlatformFailure.EXPIRED)):
             logger.info(
                 "watch revision has expired in the store; listing again",
@@ -136,6 +164,21 @@
     return None
 
 
+def _wait(follower: Follower, timeout_seconds: float) -> Result[ChangeBatch, PlatformError] | None:
+    """Wait for changes; return None if the watch was cut short by `set_watch_timeout`."""
+    follower.asked_at = follower.clock.monotonic()
+    waiting = follower.waiting = gevent.spawn(
+        wait_for_changes, follower.client, follower.kind, follower.revision, timeout_seconds, STALE
+    )
+    try:
+        waiting.join()
+    finally:
+        follower.waiting = None
+        waiting.kill()
+    answer = waiting.get()
+    return None if isinstance(answer, gevent.GreenletExit) else answer
+
+
 def _record_result(follower: Follower, error: PlatformError | None) -> None:
     if error is None:
         if follower.failures:
--- /dev/null
+++ b/comfreyhitch/watching/waits.py
@@ -0,0 +1,69 @@
+"""Decide how long a daemon's watches of the store wait before they are renewed.
+
+Answers a fleet of hundreds of daemons whose documents change rarely: the store counts each
+renewed watch as a call, so only the readers of each availability zone renew theirs every few
+seconds. The other daemons wait longer; they hear of changes from their own watch and from
+their peers. A daemon for which one of the two may be broken renews as often as a reader.
+"""
+
+from dataclasses import dataclass
+
+# A watch on an unresponsive connection times out after this time plus one second.
+SHORT_WATCH_SECONDS = 3.0
+# Below the 20 s of history that the store keeps: a watch from an older revision ends in a new list.
+LONG_WATCH_SECONDS = 15.0
+# In a smaller fleet most daemons are readers.
+MIN_DAEMONS_FOR_LONG_WATCHES = 20
+# A watch whose connection broke during a disturbance is renewed before this time is over.
+SETTLING_SECONDS = 8.0
+# One unanswered probe says that the probed member is gone; two in a row say that this daemon's
+# link may be broken.
+MAX_UNANSWERED_PROBES = 1
+
+
+@dataclass(frozen=True, slots=True)
+class WatchConditions:
+    """Hold what a daemon knows about its ways to learn of changes.
+
+    `has_store_failures` tells of calls of its watches, `is_watch_late` that a peer had a change
+    before its own watch, `unanswered_probes` how many probes in a row got no answer.
+    """
+
+    daemon_count: int
+    is_reader: bool
+    has_store_failures: bool
+    is_watch_late: bool
+    unanswered_probes: int
+
+
+@dataclass(slots=True)
+class WatchPlan:
+    """Hold since when a daemon's ways to learn of changes have been undisturbed.
+
+    `settled_since` is in monotonic seconds.
+    """
+
+    settled_since: float
+    was_watch_late: bool = False
+
+
+def plan_watch_seconds(plan: WatchPlan, conditions: WatchConditions, now: float) -> float:
+    """Return how many seconds a watch may wait; `now` is in monotonic seconds."""
+    if _is_disturbed(plan, conditions):
+        plan.settled_since = now
+    plan.was_watch_late = conditions.is_watch_late
+    is_settled = now - plan.settled_since >= SETTLING_SECONDS
+    is_large_fleet = conditions.daemon_count >= MIN_DAEMONS_FOR_LONG_WATCHES
+    if conditions.is_reader or not is_large_fleet or not is_settled:
+        return SHORT_WATCH_SECONDS
+    return LONG_WATCH_SECONDS
+
+
+def _is_disturbed(plan: WatchPlan, conditions: WatchConditions) -> bool:
+    # A peer is often a few milliseconds ahead, but not at two checks in a row.
+    is_watch_broken = conditions.is_watch_late and plan.was_watch_late
+    return (
+        conditions.has_store_failures
+        or is_watch_broken
+        or conditions.unanswered_probes > MAX_UNANSWERED_PROBES
+    )
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -17,9 +17,18 @@
     Then a daemon that has joined has registered once and listed once, and a platform reader has listed twice
     And a daemon whose registration was removed registers again
 
+  Scenario: Daemons that start together
+    Given the stand-in store
+    Then daemons that start together find each other although their first lists show none of them
+
   Scenario: A conditional write and a lost response
     Given the stand-in store
     Then a conditional write fails if the stored revision is newer, and takes effect if only its response is lost
 
   Scenario: A store that is unreachable for all followers of a daemon
     Then one follower keeps retrying, and the others resume when the store is reachable again
+
+  Scenario: Few watches in a large fleet
+    Given the stand-in store
+    Then only readers, small fleets and daemons with a disturbance renew their watches often
+    And a daemon whose long watch is broken learns of a change from its peers and renews the watch
