Judge a version with all traffic by what it does since then, while the window runs

Change: daemons of the new version send the evidence of the running window as well while it has all traffic. A version is proven only if its failures since then are no more than one as good as the old one would often show (p-value 0.2); in doubt it is rolled back.

--- a/comfreyhitch/rollouts/analysis.py
+++ b/comfreyhitch/rollouts/analysis.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from math import exp, log
 
@@ -14,6 +14,9 @@
 
 # A rollout does not advance while the p-value of a comparison is below this bound.
 SUSPICION_ALPHA = 1e-2
+# A version does not count as proven while the p-value of its failures since the last stage began
+# is below this bound. In doubt it is rolled back: callers then keep the version that works.
+DOUBT_ALPHA = 0.2
 MIN_EXPECTED_FAILURE_SHARE = 0.01
 MIN_EXPECTED_SLOW_SHARE = 0.02
 FAILURE_SHARE_MARGIN = 0.02
@@ -66,6 +69,40 @@
     is_suspicious: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StageEvidence:
+    """Hold what the new version did since the current stage has begun.
+
+    `is_doubtful` is set if so many requests failed that a version as good as the old one would
+    rarely do so.
+    """
+
+    requests: int
+    is_doubtful: bool = False
+
+
+def analyze_stage(
+    evidence: Sequence[Evidence], new_version: str, first_window: int
+) -> StageEvidence:
+    """Compare the new version's failures since a window with those of the old version.
+
+    Answers versions that fail only once they have all traffic: earlier evidence would hide it.
+    """
+    old, new = RouteCounts(), RouteCounts()
+    for item in evidence:
+        if item.version != new_version:
+            total = old
+        elif item.window >= first_window:
+            total = new
+        else:
+            continue
+        for counts in item.counts_by_route.values():
+            add_counts(total, counts)
+    expected = max(MIN_EXPECTED_FAILURE_SHARE, _get_expected_share(old.failures, old.requests))
+    p_value = bound_upper_tail(new.failures, new.requests, expected)
+    return StageEvidence(new.requests, p_value < DOUBT_ALPHA)
+
+
 def analyze_evidence(
     evidence: Iterable[Evidence],
     new_version: str,
--- a/comfreyhitch/rollouts/controller.py
+++ b/comfreyhitch/rollouts/controller.py
@@ -91,13 +91,16 @@
 def collect_evidence(controller: RolloutController, rollout_id: str) -> list[Evidence]:
     """Return the evidence that daemons published, and this daemon's for the current window."""
     blackboard = controller.blackboard
-    published = list(blackboard.evidence_by_rollout.get(rollout_id, {}).values())
+    window = get_window(blackboard.clock)
+    own_address = blackboard.own_member.address
+    # The own current window may have been published in part.
+    published = [
+        item
+        for item in blackboard.evidence_by_rollout.get(rollout_id, {}).values()
+        if (item.window, item.address) != (window, own_address)
+    ]
     current = get_window_evidence(
-        controller.evidence,
-        get_window(blackboard.clock),
-        rollout_id,
-        blackboard.own_member.version,
-        blackboard.own_member.address,
+        controller.evidence, window, rollout_id, blackboard.own_member.version, own_address
     )
     return published if current is None else [*published, current]
 
@@ -139,14 +142,19 @@
     return blackboard.own_member.address in choose_analyzers(blackboard, rollout_id)
 
 
-def publish_evidence(controller: RolloutController, rollout_id: str) -> None:
-    """Send the evidence of the windows completed since the last call to a rollout's analyzers."""
+def publish_evidence(
+    controller: RolloutController, rollout_id: str, *, includes_current: bool = False
+) -> None:
+    """Send the evidence of the windows completed since the last call to a rollout's analyzers.
+
+    With `includes_current`, the evidence so far of the current window is sent as well.
+    """
     blackboard = controller.blackboard
     own = blackboard.own_member
     current = get_window(blackboard.clock)
     since = controller.last_published_window_by_rollout.get(rollout_id, current - 2)
     facts = []
-    for window in range(since + 1, current):
+    for window in range(since + 1, current + includes_current):
         evidence = get_window_evidence(
             controller.evidence, window, rollout_id, own.version, own.address
         )
@@ -166,7 +174,8 @@
         part = replace(evidence, counts_by_route={route: counts})
         key = f"{evidence.rollout_id}@{evidence.address}@{evidence.window}@{route}"
         value = encode(make_evidence_record(part))
-        facts.append(StoredFact(FactKind.EVIDENCE, key, evidence.window, value, expires_at))
+        # The counts of a window only grow, so later evidence about it has a higher version.
+        facts.append(StoredFact(FactKind.EVIDENCE, key, counts.requests, value, expires_at))
     return facts
 
 
--- a/comfreyhitch/rollouts/evidence.py
+++ b/comfreyhitch/rollouts/evidence.py
@@ -2,7 +2,6 @@
 
 from bisect import bisect_left
 from collections import OrderedDict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from comfreyhitch.core.clock import Clock
@@ -63,16 +62,6 @@
     return Evidence(rollout_id, version, address, window, counts_by_route)
 
 
-def count_requests_since(evidence: Iterable[Evidence], version: str, window: int) -> int:
-    """Return how many requests a version has answered in a window and those after it."""
-    return sum(
-        counts.requests
-        for item in evidence
-        if item.version == version and item.window >= window
-        for counts in item.counts_by_route.values()
-    )
-
-
 def add_counts(total: RouteCounts, counts: RouteCounts) -> None:
     """Add counts to a total in place."""
     total.requests += counts.requests
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -8,7 +8,7 @@
 from comfreyhitch.core.blackboard import ActiveRollout, Blackboard
 from comfreyhitch.documents.models import RolloutOrder, RolloutState
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
-from comfreyhitch.rollouts.analysis import analyze_evidence
+from comfreyhitch.rollouts.analysis import analyze_evidence, analyze_stage
 from comfreyhitch.rollouts.controller import (
     OUTCOME_LIFETIME,
     RolloutController,
@@ -16,7 +16,7 @@
     is_analyzer,
     publish_evidence,
 )
-from comfreyhitch.rollouts.evidence import count_requests_since, get_window
+from comfreyhitch.rollouts.evidence import get_window
 from comfreyhitch.rollouts.stages import Stage, get_next_stage, get_regression_thresholds
 from comfreyhitch.wire.codec import encode
 from comfreyhitch.wire.generated.ttypes import VetoRecord
@@ -100,11 +100,13 @@
 def _analyze(controller: RolloutOrderController, order: RolloutOrder) -> None:
     rollouts = controller.rollouts
     blackboard = rollouts.blackboard
-    publish_evidence(rollouts, order.rollout_id)
+    stage = _get_current_stage(blackboard, order)
+    # With all traffic at the new version, a window would be long over before it is complete.
+    includes_current = stage is Stage.FULL and blackboard.own_member.version == order.to_version
+    publish_evidence(rollouts, order.rollout_id, includes_current=includes_current)
     if not is_analyzer(blackboard, order.rollout_id):
         return
     evidence = collect_evidence(rollouts, order.rollout_id)
-    stage = _get_current_stage(blackboard, order)
     analysis = analyze_evidence(evidence, order.to_version, get_regression_thresholds(stage))
     if analysis.regression is not None:
         publish_order_veto(rollouts.store, order, analysis.regression)
@@ -114,8 +116,8 @@
     first_window = controller.first_window_by_stage.setdefault(
         (order.rollout_id, stage), get_window(blackboard.clock)
     )
-    stage_requests = count_requests_since(evidence, order.to_version, first_window)
-    next_stage = get_next_stage(stage, elapsed, order.duration, analysis, stage_requests)
+    stage_evidence = analyze_stage(evidence, order.to_version, first_window)
+    next_stage = get_next_stage(stage, elapsed, order.duration, analysis, stage_evidence)
     if next_stage is stage:
         return
     fact = StoredFact(
--- a/comfreyhitch/rollouts/stages.py
+++ b/comfreyhitch/rollouts/stages.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from enum import IntEnum
 
-from comfreyhitch.rollouts.analysis import EvidenceAnalysis, RegressionThresholds
+from comfreyhitch.rollouts.analysis import EvidenceAnalysis, RegressionThresholds, StageEvidence
 
 
 class Stage(IntEnum):
@@ -55,20 +55,22 @@
     elapsed: timedelta,
     duration: timedelta,
     analysis: EvidenceAnalysis,
-    stage_requests: int,
+    stage_evidence: StageEvidence,
 ) -> Stage:
     """Return the current stage, or the next one if elapsed time and evidence allow it.
 
-    `stage_requests` counts the requests to the new version since the current stage has begun.
+    `stage_evidence` covers the time since the current stage has begun.
     """
     if stage is Stage.PROVEN or analysis.is_suspicious or analysis.regression is not None:
         return stage
     next_stage = Stage(stage + 1)
+    if next_stage is Stage.PROVEN and stage_evidence.is_doubtful:
+        return stage
     requirement = REQUIREMENTS_BY_STAGE[next_stage]
     if (
         elapsed < duration * requirement.min_progress
         or analysis.requests < requirement.min_requests
-        or stage_requests < requirement.min_stage_requests
+        or stage_evidence.requests < requirement.min_stage_requests
     ):
         return stage
     return next_stage
--- a/features/ordered_rollouts.feature
+++ b/features/ordered_rollouts.feature
@@ -9,6 +9,9 @@
   Scenario: Stages
     Then no stage is skipped, and the next one needs elapsed time, enough requests and evidence without a regression
 
+  Scenario: Trouble with all traffic
+    Then a version that fails once it has all traffic is in doubt whatever it did before
+
   Scenario: Emulated rollouts
     Then at most 3 in 100 good rollouts are rolled back, at most 2 in 100 bad ones of each kind pass, and no bad version gets too many requests
 
--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -21,10 +21,14 @@
     merge_facts,
     parse_fact_messages,
 )
-from comfreyhitch.rollouts.analysis import EvidenceAnalysis, analyze_evidence
+from comfreyhitch.rollouts.analysis import (
+    EvidenceAnalysis,
+    StageEvidence,
+    analyze_evidence,
+    analyze_stage,
+)
 from comfreyhitch.rollouts.evidence import (
     EvidenceLog,
-    count_requests_since,
     get_window,
     get_window_evidence,
     record_outcome,
@@ -36,6 +40,7 @@
     may_send_to_new_version,
     select_trial_targets,
 )
+from comfreyhitch.rollouts.models import Evidence, RouteCounts
 from comfreyhitch.rollouts.order_recorder import (
     MAX_RECORDERS,
     TAKEOVER_DELAY,
@@ -183,24 +188,42 @@
         st.sampled_from(list(Stage)),
         st.floats(0.0, 2.0),
         st.integers(0, 50),
-        st.integers(0, 50),
+        st.builds(StageEvidence, st.integers(0, 50), st.booleans()),
         st.booleans(),
         st.sampled_from([None, "bad"]),
     )
-    def check(stage, progress, requests, stage_requests, is_suspicious, regression):
+    def check(stage, progress, requests, stage_evidence, is_suspicious, regression):
         analysis = EvidenceAnalysis(requests, regression, is_suspicious)
         elapsed = ROLLOUT_DURATION * progress
-        next_stage = get_next_stage(stage, elapsed, ROLLOUT_DURATION, analysis, stage_requests)
+        next_stage = get_next_stage(stage, elapsed, ROLLOUT_DURATION, analysis, stage_evidence)
         assert stage <= next_stage <= stage + 1
         if next_stage > stage:
             assert regression is None and not is_suspicious
             assert requests >= REQUIREMENTS_BY_STAGE[next_stage].min_requests
-            assert stage_requests >= REQUIREMENTS_BY_STAGE[next_stage].min_stage_requests
+            assert next_stage is not Stage.PROVEN or not stage_evidence.is_doubtful
+            assert stage_evidence.requests >= REQUIREMENTS_BY_STAGE[next_stage].min_stage_requests
             assert progress >= REQUIREMENTS_BY_STAGE[next_stage].min_progress - 1e-6
 
     check()
 
 
+@then("a version that fails once it has all traffic is in doubt whatever it did before")
+def check_doubt(context):
+    early = RouteCounts(requests=300, failures=0)
+    failing = RouteCounts(requests=43, failures=6)
+    clean = RouteCounts(requests=43, failures=0)
+    old = Evidence(ORDER.rollout_id, "v1", "a", 1, {"r1": RouteCounts(requests=300, failures=9)})
+    for counts, is_doubtful in ((failing, True), (clean, False)):
+        evidence = [
+            old,
+            Evidence(ORDER.rollout_id, "v2", "b", 1, {"r1": early}),
+            Evidence(ORDER.rollout_id, "v2", "b", 2, {"r1": counts}),
+        ]
+        found = analyze_stage(evidence, "v2", first_window=2)
+        assert found == StageEvidence(counts.requests, is_doubtful), found
+        assert not analyze_stage(evidence, "v2", first_window=1).is_doubtful
+
+
 @then(
     "at most 3 in 100 good rollouts are rolled back, at most 2 in 100 bad ones of each kind pass, "
     "and no bad version gets too many requests"
@@ -263,8 +286,8 @@
         is_vetoed = analysis.regression is not None
         elapsed = timedelta(seconds=clock.seconds)
         if elapsed < ROLLOUT_DURATION * OUTCOME_DUE_PROGRESS:
-            stage_requests = count_requests_since(evidence, "v2", stage_window)
-            next_stage = get_next_stage(stage, elapsed, ROLLOUT_DURATION, analysis, stage_requests)
+            stage_evidence = analyze_stage(evidence, "v2", stage_window)
+            next_stage = get_next_stage(stage, elapsed, ROLLOUT_DURATION, analysis, stage_evidence)
             if next_stage is not stage:
                 stage, stage_window = next_stage, get_window(clock.make_clock())
     return stage is Stage.PROVEN and not is_vetoed, counter.requests, counter.new_version_requests
