--- a/features/caller_limits.feature
+++ b/features/caller_limits.feature
@@ -6,3 +6,8 @@
     And a larger head gets 431, whether it has one long line or many, and its request is not served
     And a head that takes longer gets 408 or a closed connection, and a slow body is not cut off
     And a connection used within the idle timeout is kept, and one that is idle for longer is closed
+
+  Scenario: Requests sent before the first is answered
+    Given a server for callers whose first answers take longest
+    Then requests sent together or one by one are answered in their order
+    And requests behind an answer that closes the connection are not served
