--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -222,6 +222,10 @@
         found = analyze_stage(evidence, "v2", first_window=2)
         assert found == StageEvidence(counts.requests, is_doubtful), found
         assert not analyze_stage(evidence, "v2", first_window=1).is_doubtful
+        analysis = EvidenceAnalysis(requests=343, regression=None, is_suspicious=False)
+        elapsed = ROLLOUT_DURATION * REQUIREMENTS_BY_STAGE[Stage.PROVEN].min_progress
+        next_stage = get_next_stage(Stage.FULL, elapsed, ROLLOUT_DURATION, analysis, found)
+        assert next_stage is (Stage.FULL if is_doubtful else Stage.PROVEN)
 
 
 @then(
--- a/features/steps/watch_wait_steps.py
+++ b/features/steps/watch_wait_steps.py
@@ -13,6 +13,7 @@
 from comfreyhitch.documents.watching import is_watch_late
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.facts import merge_facts
+from comfreyhitch.testing.processes import wait_until
 from comfreyhitch.watching.follower import follow, read_once, set_watch_timeout
 from comfreyhitch.watching.waits import (
     LONG_WATCH_SECONDS,
@@ -31,6 +32,7 @@
     write_object,
 )
 
+RENEWAL_TIMEOUT_SECONDS = 5.0
 # Waiting for this long would be far longer than any test.
 BROKEN_WATCH_SECONDS = 20.0
 CALM = WatchConditions(
@@ -145,8 +147,8 @@
     assert follower.revision == revision
     follower.asked_at -= SHORT_WATCH_SECONDS + 2.0
     set_watch_timeout(follower, SHORT_WATCH_SECONDS)
-    with gevent.Timeout(5.0):
-        while follower.revision == revision:
-            gevent.sleep(0.05)
+    wait_until(
+        lambda: follower.revision > revision, RENEWAL_TIMEOUT_SECONDS, "the watch is renewed"
+    )
     assert not is_watch_late(followers_by_kind, blackboard.document_revision_by_kind)
     assert follower.is_connected
