--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -66,7 +66,7 @@
 # A service with this little traffic shows too little of a bad version within the limits; a good
 # one still has to get through.
 LOW_REQUEST_RATE = 8
-LOW_RATE_ROLLOUT_COUNT = 200
+LOW_RATE_ROLLOUT_COUNT = 1000
 # Delay between sending a request and recording its outcome.
 OUTCOME_DELAY_SECONDS = 0.4
 ANALYSES_PER_SECOND = 4
