Log which requests a stop cuts, and why connections of callers end

Each connection of a caller now has a phase and a reason for its end; the end is counted (comfreyhitch_caller_connections_ended_total), and logged when a request was arriving or bytes were unread; at the end of a stop each request without a response is logged with its attempts. What a stop waits for is unchanged. The set of idle sockets in a test is now the connections in the phase of waiting; the check is the same.

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -7,6 +7,8 @@
 from comfreyhitch.admission.queue import refuse_all_waiting
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.egress.caller_connections import ConnectionPhase, describe_request
+from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.idempotency.recovery import hand_over_claims
 from comfreyhitch.membership.detector import (
     publish_own_record,
@@ -16,6 +18,7 @@
 from comfreyhitch.membership.registration import unregister
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import FactKind
+from comfreyhitch.wire.sockets import has_unread_bytes
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +32,7 @@
     refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
     publish_own_record(daemon.detector, draining=True)
     logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
+    started_at = daemon.clock.monotonic()
     peer_server, caller_server, *other_servers = daemon.servers
     unregistering = gevent.spawn(_unregister, daemon)
     # Callers keep sending requests until they have switched to another daemon.
@@ -37,11 +41,12 @@
     # Requests that have just arrived are read during this sleep, and count as in flight.
     gevent.sleep(IDLE_POLL_SECONDS)
     deadline = daemon.clock.monotonic() + daemon.settings.drain_timeout.total_seconds()
-    _wait_until_idle(daemon, deadline)
+    _wait_until_idle(daemon, caller_server, deadline)
     handed_over = hand_over_claims(daemon.claims)
     publish_own_record(daemon.detector, status=MemberStatus.LEFT, draining=True)
     _announce_departure(daemon)
-    is_drained = _wait_until_idle(daemon, deadline)
+    is_drained = _wait_until_idle(daemon, caller_server, deadline)
+    _log_cut_requests(daemon, caller_server, started_at)
     for server in (caller_server, peer_server, *other_servers):
         server.stop(timeout=0)
     gevent.killall([*daemon.greenlets, unregistering])
@@ -55,23 +60,34 @@
         unregister(daemon.registration)
 
 
-def _wait_until_idle(daemon: Daemon, deadline: float) -> bool:
+def _wait_until_idle(daemon: Daemon, caller_server: CallerServer, deadline: float) -> bool:
     while daemon.clock.monotonic() < deadline:
-        if _is_idle(daemon):
+        if _is_idle(daemon, caller_server):
             return True
         gevent.sleep(IDLE_POLL_SECONDS)
     return False
 
 
-def _is_idle(daemon: Daemon) -> bool:
+def _is_idle(daemon: Daemon, caller_server: CallerServer) -> bool:
     busy = (
         daemon.ingress.calls_in_progress
-        + daemon.egress.requests_in_progress
+        + len(caller_server.connections.list_in_phase(ConnectionPhase.HANDLING))
         + daemon.claims.pending_settlements
     )
     return busy == 0
 
 
+def _log_cut_requests(daemon: Daemon, caller_server: CallerServer, stop_began_at: float) -> None:
+    """Log each request whose connection ends without a response when the process ends."""
+    now = daemon.clock.monotonic()
+    for connection in caller_server.connections.open:
+        if connection.phase is ConnectionPhase.WAITING and not has_unread_bytes(connection.sock):
+            continue
+        fields = describe_request(connection, now)
+        fields["stop_ms"] = round((now - stop_began_at) * 1000)
+        logger.warning("request is cut by the stop", extra=fields)
+
+
 def _announce_departure(daemon: Daemon) -> None:
     own = daemon.store.facts_by_id[(FactKind.MEMBER, daemon.blackboard.own_member.address)]
     for address in list_reachable_peers(daemon.blackboard):
--- /dev/null
+++ b/comfreyhitch/egress/caller_connections.py
@@ -0,0 +1,94 @@
+"""Connections of callers: what each of them does, and why it ends."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import gevent.socket
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.egress.classify import OutgoingCall
+
+
+class ConnectionPhase(StrEnum):
+    """Name what a connection of a caller does."""
+
+    # No byte of the next request has arrived.
+    WAITING = "waiting"
+    # The head of a request arrives.
+    READING = "reading"
+    # The head of a request has arrived, and the response is not sent completely.
+    HANDLING = "handling"
+
+
+class EndReason(StrEnum):
+    """Name why a connection of a caller ends."""
+
+    CALLER_CLOSED = "caller-closed"
+    IDLE_TIMEOUT = "idle-timeout"
+    HEAD_TIMEOUT = "head-timeout"
+    RESPONSE_SENT = "response-sent"
+    REQUEST_INVALID = "request-invalid"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class CallerConnection:
+    """Hold one connection of a caller; times are monotonic seconds."""
+
+    sock: gevent.socket.socket
+    opened_at: float
+    phase_since: float
+    phase: ConnectionPhase = ConnectionPhase.WAITING
+    end_reason: EndReason = EndReason.CALLER_CLOSED
+    # Known once the current request has been classified.
+    call: OutgoingCall | None = None
+
+
+@dataclass(slots=True)
+class CallerConnections:
+    """Hold the open connections of callers."""
+
+    clock: Clock
+    open: set[CallerConnection] = field(default_factory=set)
+
+    def list_in_phase(self, phase: ConnectionPhase) -> list[CallerConnection]:
+        """Return the connections in a phase."""
+        return [connection for connection in self.open if connection.phase is phase]
+
+    def count_requests(self) -> int:
+        """Return how many requests have begun to arrive and are not answered completely."""
+        return sum(connection.phase is not ConnectionPhase.WAITING for connection in self.open)
+
+
+def open_connection(connections: CallerConnections, sock: gevent.socket.socket) -> CallerConnection:
+    """Add a connection that has just been accepted, and return it."""
+    now = connections.clock.monotonic()
+    connection = CallerConnection(sock, now, now)
+    connections.open.add(connection)
+    return connection
+
+
+def enter_phase(
+    connections: CallerConnections, connection: CallerConnection, phase: ConnectionPhase
+) -> None:
+    """Record that a connection enters a phase."""
+    connection.phase = phase
+    connection.phase_since = connections.clock.monotonic()
+    if phase is ConnectionPhase.WAITING:
+        connection.call = None
+
+
+def describe_request(connection: CallerConnection, now: float) -> dict[str, object]:
+    """Return the log fields of the request on a connection, with its unanswered attempts."""
+    fields: dict[str, object] = {
+        "phase": connection.phase.value,
+        "phase_ms": round((now - connection.phase_since) * 1000),
+    }
+    call = connection.call
+    if call is not None:
+        fields["caller_request_id"] = call.caller_request_id
+        fields["service"] = call.service
+        fields["route"] = call.route
+        fields["left_ms"] = round((call.deadline - now) * 1000)
+        fields["tries"] = [record.describe() for record in call.attempt_records]
+    return fields
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -9,13 +9,22 @@
 import gevent.socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HEADER_VERDICT
 from comfreyhitch.core.verdicts import Verdict
+from comfreyhitch.egress.caller_connections import (
+    CallerConnection,
+    CallerConnections,
+    ConnectionPhase,
+    EndReason,
+    enter_phase,
+    open_connection,
+)
 from comfreyhitch.routing.models import CallerLimits
-from comfreyhitch.wire.sockets import configure_socket, is_open_and_empty
+from comfreyhitch.wire.sockets import configure_socket, has_unread_bytes, is_open_and_empty
 
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
-SOCKET_ENVIRON_KEY = "comfreyhitch.socket"
+CONNECTION_ENVIRON_KEY = "comfreyhitch.connection"
 PATH_ENVIRON_KEY = "comfreyhitch.path"
 
 
@@ -38,26 +47,27 @@
 
 
 class CallerServer(WSGIServer):
-    """Serve callers, and track which of their connections are idle."""
+    """Serve callers, and track what their connections do."""
 
     def __init__(self, *arguments: object, **options: object) -> None:
         super().__init__(*arguments, **options)
-        self.idle_sockets: set[gevent.socket.socket] = set()
-        self.closed_sockets: set[gevent.socket.socket] = set()
+        self.connections = CallerConnections(Clock.from_system())
         self.get_limits: Callable[[], CallerLimits | None] = lambda: None
         # Called with the reason when a request could not be read.
         self.record_unread: Callable[[str], None] = lambda reason: None
+        # Called before a connection is closed, and told whether it holds unread bytes.
+        self.record_end: Callable[[CallerConnection, bool], None] = lambda connection, unread: None
 
     def stop_reading(self) -> None:
         """Stop accepting connections and reading requests; those already read are answered."""
         self.close()
-        for sock in list(self.idle_sockets):
+        for connection in self.connections.list_in_phase(ConnectionPhase.WAITING):
             # A connection with unread data stays open, so that its request is still served.
-            if not is_open_and_empty(sock):
+            if not is_open_and_empty(connection.sock):
                 continue
-            self.closed_sockets.add(sock)
+            connection.end_reason = EndReason.STOPPING
             with suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+                connection.sock.shutdown(socket.SHUT_RDWR)
 
 
 class BoundedHeadReader:
@@ -85,34 +95,63 @@
     def __init__(self, sock: object, address: object, server: object) -> None:
         configure_socket(sock)
         super().__init__(sock, address, server)
+        self.connection = open_connection(server.connections, sock)
 
-    def read_requestline(self) -> str:
-        """Return the next request line, or an empty one if none arrives in time."""
-        limits = self.server.get_limits()
-        idle_sockets = self.server.idle_sockets
-        idle_sockets.add(self.socket)
+    def handle(self) -> None:
+        """Serve the requests of one connection until it ends."""
         try:
-            line = self._read_first_line(limits)
-            # A request that arrives while the connection is being closed is dropped unread.
-            return "" if self.socket in self.server.closed_sockets else line
+            super().handle()
         finally:
-            idle_sockets.discard(self.socket)
+            self.server.connections.open.discard(self.connection)
 
-    def _read_first_line(self, limits: CallerLimits | None) -> str:
+    def handle_one_request(self) -> object:
+        """Serve one request; return True if the connection serves another one."""
+        result = super().handle_one_request()
+        if result is True:
+            self._enter(ConnectionPhase.WAITING)
+        else:
+            if result is not None:
+                self.connection.end_reason = EndReason.REQUEST_INVALID
+            self.server.record_end(self.connection, has_unread_bytes(self.connection.sock))
+        return result
+
+    def read_requestline(self) -> str:
+        """Return the next request line, or an empty one if none arrives in time."""
+        limits = self.server.get_limits()
+        if not self._await_first_byte(limits):
+            return ""
+        # A request that arrives while the connection is being closed is dropped unread.
+        if self.connection.end_reason is EndReason.STOPPING:
+            return ""
+        self._enter(ConnectionPhase.READING)
         if limits is None:
             return super().read_requestline()
-        first_byte = b""
-        with gevent.Timeout(limits.idle_timeout.total_seconds(), False):
-            first_byte = self.rfile.peek(1)
-        if not first_byte:
-            return ""
         head_seconds = limits.header_timeout.total_seconds()
         self.head_deadline = time.monotonic() + head_seconds
         with gevent.Timeout(head_seconds, False):
             return super().read_requestline()
+        self.connection.end_reason = EndReason.HEAD_TIMEOUT
         self.server.record_unread("request line did not arrive within the header timeout")
         return ""
 
+    def _await_first_byte(self, limits: CallerLimits | None) -> bool:
+        """Wait for a request, and return whether its first byte arrives in time."""
+        idle_seconds = None if limits is None else limits.idle_timeout.total_seconds()
+        with gevent.Timeout(idle_seconds, False):
+            return bool(self.rfile.peek(1))
+        self.connection.end_reason = EndReason.IDLE_TIMEOUT
+        return False
+
+    def _enter(self, phase: ConnectionPhase) -> None:
+        enter_phase(self.server.connections, self.connection, phase)
+
+    def handle_one_response(self) -> None:
+        """Send one response, and record why the connection ends if it ends after it."""
+        self._enter(ConnectionPhase.HANDLING)
+        super().handle_one_response()
+        if self.close_connection:
+            self.connection.end_reason = EndReason.RESPONSE_SENT
+
     def MessageClass(self, file: object, *arguments: object) -> object:  # noqa: N802
         """Read and return the headers of a request; the WSGI library defines this name."""
         limits = self.server.get_limits()
@@ -126,10 +165,10 @@
             return super().MessageClass(reader, *arguments)
 
     def get_environ(self) -> dict[str, object]:
-        """Return the WSGI environ, with the request's raw headers, socket and path added."""
+        """Return the WSGI environ, with the request's raw headers, connection and path added."""
         environ = super().get_environ()
         environ[HEADERS_ENVIRON_KEY] = self.headers.items()
-        environ[SOCKET_ENVIRON_KEY] = self.socket
+        environ[CONNECTION_ENVIRON_KEY] = self.connection
         environ[PATH_ENVIRON_KEY] = self.path
         return environ
 
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -15,10 +15,16 @@
     Verdict,
     describe_outcome,
 )
+from comfreyhitch.egress.caller_connections import (
+    CallerConnection,
+    CallerConnections,
+    ConnectionPhase,
+    describe_request,
+)
 from comfreyhitch.egress.caller_server import (
+    CONNECTION_ENVIRON_KEY,
     HEADERS_ENVIRON_KEY,
     PATH_ENVIRON_KEY,
-    SOCKET_ENVIRON_KEY,
     CallerHandler,
     CallerServer,
 )
@@ -54,11 +60,34 @@
         error_log=logger,
         backlog=512,
     )
+    server.connections = CallerConnections(egress.blackboard.clock)
     server.get_limits = interface.get_limits
     server.record_unread = lambda reason: _record_unread_request(egress, reason)
+    server.record_end = lambda connection, unread: _record_connection_end(
+        egress, connection, has_unread_bytes=unread
+    )
     return server
 
 
+def _record_connection_end(
+    egress: Egress, connection: CallerConnection, *, has_unread_bytes: bool
+) -> None:
+    labels = {
+        "reason": connection.end_reason.value,
+        "unread": "yes" if has_unread_bytes else "no",
+    }
+    egress.metrics.egress.connections_ended.inc(labels)
+    # The usual end of a connection is not logged: it holds no request and no unread bytes.
+    is_request_lost = connection.phase is ConnectionPhase.READING
+    if (is_request_lost or has_unread_bytes) and admit_log_line(egress.decisions, is_failure=True):
+        now = egress.blackboard.clock.monotonic()
+        log_decision(
+            egress.decisions,
+            "connection ended with a request unread",
+            {**labels, **describe_request(connection, now)},
+        )
+
+
 def _record_unread_request(egress: Egress, reason: str) -> None:
     observe_request(egress.metrics, "", DEFAULT_TENANT, Verdict.NOT_RUN, 0.0)
     if admit_log_line(egress.decisions, is_failure=True):
@@ -73,28 +102,10 @@
 ) -> Iterable[bytes]:
     clock = egress.blackboard.clock
     started_at = clock.monotonic()
-    egress.requests_in_progress += 1
-    try:
-        call, outcome = _route_request(egress, interface, environ, started_at)
-        seconds = clock.monotonic() - started_at
-        _record_request(egress, environ, call, outcome, seconds)
-        body = _start_response(egress, interface, environ, outcome, start_response)
-    except BaseException:
-        egress.requests_in_progress -= 1
-        raise
-    return TrackedBody(body, egress)
-
-
-class TrackedBody(list[bytes]):
-    """Hold a response body, and count its request as in progress until the body is sent."""
-
-    def __init__(self, chunks: Iterable[bytes], egress: Egress) -> None:
-        super().__init__(chunks)
-        self._egress = egress
-
-    def close(self) -> None:
-        """Count the request as finished; the server calls this after the last byte is sent."""
-        self._egress.requests_in_progress -= 1
+    call, outcome = _route_request(egress, interface, environ, started_at)
+    seconds = clock.monotonic() - started_at
+    _record_request(egress, environ, call, outcome, seconds)
+    return _start_response(egress, interface, environ, outcome, start_response)
 
 
 def _route_request(
@@ -119,7 +130,9 @@
         case Err(failure):
             return None, Err(failure)
         case Ok(call):
-            return call, _route_until_disconnect(egress, call, environ[SOCKET_ENVIRON_KEY])
+            connection = environ[CONNECTION_ENVIRON_KEY]
+            connection.call = call
+            return call, _route_until_disconnect(egress, call, connection.sock)
 
 
 def _get_body_limit(egress: Egress, interface: CallerInterface) -> int:
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -42,7 +42,6 @@
     exposures_by_rollout: dict[str, ExposureCounter] = field(default_factory=dict)
     latency_seconds_by_route: dict[tuple[str, str], float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
-    requests_in_progress: int = 0
 
     @classmethod
     def from_settings(
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -35,6 +35,7 @@
     hedges: Counter
     fences: Counter
     probes: Counter
+    connections_ended: Counter
 
 
 @dataclass(slots=True)
@@ -147,6 +148,11 @@
         hedges=_make_counter(registry, "hedges_total", "Hedged requests, by result."),
         fences=_make_counter(registry, "fences_total", "Fences, by result."),
         probes=_make_counter(registry, "probes_total", "Load probes to other daemons."),
+        connections_ended=_make_counter(
+            registry,
+            "caller_connections_ended_total",
+            "Connections of callers that ended, by reason and whether bytes were unread.",
+        ),
     )
 
 
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -80,6 +80,14 @@
     return False
 
 
+def has_unread_bytes(sock: gevent.socket.socket) -> bool:
+    """Return whether bytes have arrived that were not read; a closed connection holds none."""
+    try:
+        return sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except (OSError, AttributeError):
+        return False
+
+
 def watch_disconnect(
     sock: gevent.socket.socket, on_disconnect: Callable[[], None]
 ) -> Callable[[], None]:
--- a/features/steps/caller_server_stop_steps.py
+++ b/features/steps/caller_server_stop_steps.py
@@ -4,6 +4,7 @@
 import gevent.socket
 from behave import then
 
+from comfreyhitch.egress.caller_connections import ConnectionPhase
 from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -21,7 +22,7 @@
     server.start()
     callers = [gevent.socket.create_connection(("127.0.0.1", server.server_port)) for _ in "ab"]
     gevent.sleep(0.05)
-    assert len(server.idle_sockets) == 2
+    assert len(server.connections.list_in_phase(ConnectionPhase.WAITING)) == 2
     # The server stops reading before the handler of the connection runs again, so the request has
     # arrived but is not read yet. If the server closed that connection, the request would be lost.
     callers[0]._sock.sendall(REQUEST)
