End the stream before closing a connection, so that no reset overtakes the response

Callers that had sent further bytes when a daemon closed their connection after a response (a stop, a rejected request) could get a reset in place of the response: a close with bytes unread resets the connection. On loopback the response mostly arrives before the reset, over longer links it need not. Class: a close that does not wait for the other end.

Now the daemon sends the end of the stream, reads and discards what arrives until the caller closes, for 0.5 s at most, and only then closes. Test: 'A connection is closed after a response while its caller still sends' (connection reset before, whole response and end of the stream after); red with the mechanism taken out (show_red).

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -202,6 +202,17 @@
             ),
         ),
     ),
+    Removal(
+        "end of the stream before the close of a connection",
+        "A connection is closed after a response while its caller still sends",
+        (
+            (
+                "egress/caller_server.py",
+                "if self.connection.end_reason in REASONS_AFTER_RESPONSE:",
+                "if False:",
+            ),
+        ),
+    ),
     Removal(
         "connections accepted before the listener closes",
         "Connections wait to be accepted when the listener closes",
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -131,7 +131,10 @@
     """Log each request whose connection ends without a response when the process ends."""
     now = daemon.clock.monotonic()
     for connection in caller_server.connections.open:
-        if connection.phase is ConnectionPhase.WAITING and not has_unread_bytes(connection.sock):
+        is_waiting = connection.phase is ConnectionPhase.WAITING
+        if connection.phase is ConnectionPhase.CLOSING or (
+            is_waiting and not has_unread_bytes(connection.sock)
+        ):
             continue
         fields = describe_request(connection, now)
         fields["stop_ms"] = round((now - stop_began_at) * 1000)
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -23,6 +23,8 @@
     READING = "reading"
     # The head of a request has arrived, and the response is not sent completely.
     HANDLING = "handling"
+    # The last response is sent, and the caller has not closed its side yet.
+    CLOSING = "closing"
 
 
 class EndReason(StrEnum):
@@ -71,10 +73,6 @@
         """Return the connections in a phase."""
         return [connection for connection in self.open if connection.phase is phase]
 
-    def count_requests(self) -> int:
-        """Return how many requests have begun to arrive and are not answered completely."""
-        return sum(connection.phase is not ConnectionPhase.WAITING for connection in self.open)
-
 
 def open_connection(connections: CallerConnections, sock: gevent.socket.socket) -> CallerConnection:
     """Add a connection that has just been accepted, and return it."""
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -21,7 +21,16 @@
     open_connection,
 )
 from comfreyhitch.routing.models import CallerLimits
-from comfreyhitch.wire.sockets import configure_socket, has_unread_bytes, is_open_and_empty
+from comfreyhitch.wire.sockets import (
+    configure_socket,
+    end_stream,
+    has_unread_bytes,
+    is_open_and_empty,
+)
+
+# How long a caller may take to close its side of a connection after the last response.
+END_OF_STREAM_SECONDS = 0.5
+REASONS_AFTER_RESPONSE = frozenset({EndReason.RESPONSE_SENT, EndReason.REQUEST_INVALID})
 
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
 CONNECTION_ENVIRON_KEY = "comfreyhitch.connection"
@@ -116,11 +125,17 @@
         result = super().handle_one_request()
         if result is True:
             self._enter(ConnectionPhase.WAITING)
-        else:
-            if result is not None:
-                self.connection.end_reason = EndReason.REQUEST_INVALID
-            self.server.record_end(self.connection, has_unread_bytes(self.connection.sock))
-        return result
+            return True
+        if result is not None:
+            self.connection.end_reason = EndReason.REQUEST_INVALID
+            _, response = result
+            with suppress(OSError):
+                self.connection.sock.sendall(response)
+        self.server.record_end(self.connection, has_unread_bytes(self.connection.sock))
+        if self.connection.end_reason in REASONS_AFTER_RESPONSE:
+            self._enter(ConnectionPhase.CLOSING)
+            end_stream(self.connection.sock, END_OF_STREAM_SECONDS)
+        return None
 
     def read_requestline(self) -> str:
         """Return the next request line, or an empty one if none arrives in time."""
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 from ipaddress import IPv4Address
 
@@ -16,6 +17,7 @@
 # The standard library of Python 3.11 has no constant for this Linux option.
 _IP_BIND_ADDRESS_NO_PORT = 24
 _READ_EVENT = 1
+DISCARD_BYTES = 64 * 1024
 
 
 def configure_socket(sock: gevent.socket.socket) -> None:
@@ -88,6 +90,17 @@
         return False
 
 
+def end_stream(sock: gevent.socket.socket, timeout_seconds: float) -> None:
+    """Send the end of the stream, then discard what arrives until the other end closes.
+
+    Closing a connection with unread bytes resets it, and the other end may lose what was sent.
+    """
+    with suppress(OSError), Timeout(timeout_seconds, False):
+        sock.shutdown(socket.SHUT_WR)
+        while sock.recv(DISCARD_BYTES):
+            pass
+
+
 def watch_disconnect(
     sock: gevent.socket.socket, on_disconnect: Callable[[], None]
 ) -> Callable[[], None]:
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -43,3 +43,7 @@
 
   Scenario: Connections wait to be accepted when the listener closes
     Then a request on a connection that is not accepted yet is served
+
+  # Guards against responses that are lost when their connection is reset (issue 23).
+  Scenario: A connection is closed after a response while its caller still sends
+    Then the caller receives the whole response and the end of the stream, for a served and for a rejected request
--- a/features/steps/caller_server_stop_steps.py
+++ b/features/steps/caller_server_stop_steps.py
@@ -10,6 +10,8 @@
 from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+# More than the server reads at once.
+FURTHER_BYTES = 64 * 1024
 
 
 @then("a request that has arrived but is not read yet is served, and an idle connection is closed")
@@ -58,6 +60,31 @@
         assert caller.recv(1000).endswith(b"ok")
 
 
+@then(
+    "the caller receives the whole response and the end of the stream, for a served and for a "
+    "rejected request"
+)
+def check_close_after_response(context):
+    server = CallerServer(
+        ("127.0.0.1", 0), respond_ok, handler_class=CallerHandler, log=None, error_log=None
+    )
+    server.start()
+    further_bytes = REQUEST * (FURTHER_BYTES // len(REQUEST))
+    for first_request, end in ((REQUEST, b"ok"), (b"no request\r\n\r\n", b"")):
+        with gevent.socket.create_connection(("127.0.0.1", server.server_port)) as caller:
+            caller.settimeout(2.0)
+            caller.sendall(first_request + further_bytes)
+            # The response arrives, and the bytes behind the request remain unread by the server.
+            gevent.sleep(0.1)
+            caller.sendall(further_bytes)
+            response = b""
+            while chunk := caller.recv(4096):
+                response += chunk
+        assert response.startswith(b"HTTP/1.1 "), response
+        assert response.endswith(end), response
+    server.stop(timeout=0)
+
+
 def respond_ok(environ, start_response):
     start_response("200 OK", [("Content-Length", "2"), ("Connection", "close")])
     return [b"ok"]
