Count a connection of a caller when it is accepted, and read once more at the end of a stop

Connections are now counted when they are accepted; the listener closes 0.2 s before the time is over at the latest, and what was accepted last is read and refused. An error while accepting, handing over claims or leaving no longer ends the stop early, and ending the controllers has a limit of time. Test: 'Connections wait to be accepted when the listener closes' now also checks that the connection counts before its handler has started (0 before).

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -197,7 +197,7 @@
         (
             (
                 "daemon/shutdown.py",
-                "+ len(caller_server.connections.open)",
+                "+ len(caller_server.connections.by_socket)",
                 "+ len(caller_server.connections.list_in_phase(ConnectionPhase.HANDLING))",
             ),
         ),
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -6,9 +6,11 @@
 import gevent
 
 from comfreyhitch.admission.queue import refuse_all_waiting
+from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.egress.caller_connections import (
+    CallerConnection,
     ConnectionPhase,
     describe_request,
     interrupt_requests,
@@ -33,6 +35,10 @@
 REFUSING_SECONDS = 0.2
 # A connection on which nothing arrives for this long, several round trips, brings no request.
 MIN_QUIET_SECONDS = 0.1
+# How long before the end the listener closes at the latest, and how long what was accepted last
+# is read and refused.
+LAST_READS_SECONDS = 0.2
+KILL_SECONDS = 0.5
 # How long interrupted requests that may run only once, and then the others, may take to get
 # their answers.
 LAST_ANSWERS_SECONDS = 0.35
@@ -40,31 +46,25 @@
 
 def stop_gracefully(daemon: Daemon) -> None:
     """Drain, hand over claims to other daemons, and leave the cluster."""
-    blackboard = daemon.blackboard
-    blackboard.is_draining = True
+    started_at = daemon.clock.monotonic()
+    plan = daemon.egress.stop_plan = _make_plan(daemon, started_at)
+    daemon.blackboard.is_draining = True
     refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
     publish_own_record(daemon.detector, draining=True)
     logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
-    started_at = daemon.clock.monotonic()
     peer_server, caller_server, *other_servers = daemon.servers
     unregistering = gevent.spawn(_unregister, daemon)
-    plan = daemon.egress.stop_plan = _make_plan(daemon, started_at)
-    # Callers keep sending requests until they have switched to another daemon.
-    gevent.sleep(max(0.0, plan.serves_until - daemon.clock.monotonic()))
-    gevent.sleep(REFUSING_SECONDS)
-    # Requests that run at the target may make calls of their own through this daemon.
-    _wait_until(lambda: daemon.ingress.calls_in_progress == 0, daemon, plan)
-    caller_server.close_listener()
-    _wait_until(lambda: _is_finished(daemon, caller_server), daemon, plan)
+    _serve_callers(daemon, caller_server, plan)
     interrupted_count = _answer_interrupted(daemon, caller_server)
-    handed_over = hand_over_claims(daemon.claims)
-    publish_own_record(daemon.detector, status=MemberStatus.LEFT, draining=True)
-    _announce_departure(daemon)
-    is_drained = _wait_until(lambda: _is_finished(daemon, caller_server), daemon, plan)
+    handed_over = _leave_cluster(daemon)
+    last_read_at = max(plan.answers_until, daemon.clock.monotonic() + LAST_READS_SECONDS)
+    is_drained = _wait_until(
+        lambda: _is_finished(daemon, caller_server), daemon.clock, last_read_at
+    )
     _log_cut_requests(daemon, caller_server, started_at)
     for server in (caller_server, peer_server, *other_servers):
         server.stop(timeout=0)
-    gevent.killall([*daemon.greenlets, unregistering])
+    gevent.killall([*daemon.greenlets, unregistering], timeout=KILL_SECONDS)
     daemon.pool.close()
     logger.info(
         "stopped",
@@ -76,41 +76,36 @@
     )
 
 
-def _unregister(daemon: Daemon) -> None:
-    # Runs in a separate greenlet, since a slow store must not delay the shutdown.
-    if daemon.registration is not None:
-        unregister(daemon.registration)
-
-
 def _make_plan(daemon: Daemon, started_at: float) -> StopPlan:
     serves_until = started_at + daemon.settings.stop_linger.total_seconds()
     answers_until = serves_until + daemon.settings.drain_timeout.total_seconds()
     return StopPlan(serves_until, answers_until)
 
 
-def _answer_interrupted(daemon: Daemon, caller_server: CallerServer) -> int:
-    """Answer the requests without a response, as the time to wait is over; return their number."""
-    count = 0
-    connections = caller_server.connections
-    # Requests that may run only once are withdrawn first: the end of another request may free
-    # the slot that they wait for.
-    for is_idempotent in (False, True):
-        interrupted = connections.list_interruptible(is_idempotent=is_idempotent)
-        interrupt_requests(interrupted)
-        count += len(interrupted)
-        deadline = daemon.clock.monotonic() + LAST_ANSWERS_SECONDS
-        while (
-            any(connection.phase is ConnectionPhase.HANDLING for connection in interrupted)
-            and daemon.clock.monotonic() < deadline
-        ):
-            gevent.sleep(IDLE_POLL_SECONDS)
-    return count
+def _unregister(daemon: Daemon) -> None:
+    # Runs in a separate greenlet, since a slow store must not delay the shutdown.
+    if daemon.registration is not None:
+        unregister(daemon.registration)
+
 
+def _serve_callers(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> None:
+    """Serve callers while they switch to other daemons, until none is left or time is over."""
+    clock = daemon.clock
+    gevent.sleep(max(0.0, plan.serves_until + REFUSING_SECONDS - clock.monotonic()))
+    # Requests that run at the target may make calls of their own through this daemon.
+    _wait_until(
+        lambda: daemon.ingress.calls_in_progress == 0,
+        clock,
+        plan.answers_until - LAST_READS_SECONDS,
+    )
+    caller_server.close_listener()
+    _wait_until(lambda: _is_finished(daemon, caller_server), clock, plan.answers_until)
 
-def _wait_until(is_true: Callable[[], bool], daemon: Daemon, plan: StopPlan) -> bool:
-    """Wait for a condition while the plan allows it, and return whether it has become true."""
+
+def _wait_until(is_true: Callable[[], bool], clock: Clock, until: float) -> bool:
+    """Wait for a condition until a monotonic time, and return whether it has become true."""
     while not is_true():
-        if daemon.clock.monotonic() >= plan.answers_until:
+        if clock.monotonic() >= until:
             return False
         gevent.sleep(IDLE_POLL_SECONDS)
     return True
@@ -121,16 +116,51 @@
     caller_server.close_quiet_connections(MIN_QUIET_SECONDS)
     busy = (
         daemon.ingress.calls_in_progress
-        + len(caller_server.connections.open)
+        + len(caller_server.connections.by_socket)
         + daemon.claims.pending_settlements
     )
     return busy == 0
 
 
+def _answer_interrupted(daemon: Daemon, caller_server: CallerServer) -> int:
+    """Answer the requests without a response, as the time to wait is over; return their number."""
+    connections = caller_server.connections
+    count = 0
+    # Requests that may run only once are withdrawn first: the end of another request may free
+    # the slot that they wait for.
+    for is_idempotent in (False, True):
+        interrupted = connections.list_interruptible(is_idempotent=is_idempotent)
+        count += len(interrupted)
+        interrupt_requests(interrupted)
+        _wait_until(
+            lambda interrupted=interrupted: _are_answered(interrupted),
+            daemon.clock,
+            daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
+        )
+    return count
+
+
+def _are_answered(connections: list[CallerConnection]) -> bool:
+    return all(connection.phase is not ConnectionPhase.HANDLING for connection in connections)
+
+
+def _leave_cluster(daemon: Daemon) -> int:
+    """Hand over claims and tell peers that this daemon leaves; return the number of claims."""
+    try:
+        handed_over = hand_over_claims(daemon.claims)
+        publish_own_record(daemon.detector, status=MemberStatus.LEFT, draining=True)
+        _announce_departure(daemon)
+    except Exception:
+        # Requests are still being answered, so the stop goes on.
+        logger.exception("leaving the cluster failed")
+        return 0
+    return handed_over
+
+
 def _log_cut_requests(daemon: Daemon, caller_server: CallerServer, stop_began_at: float) -> None:
     """Log each request whose connection ends without a response when the process ends."""
     now = daemon.clock.monotonic()
-    for connection in caller_server.connections.open:
+    for connection in caller_server.connections.by_socket.values():
         is_waiting = connection.phase is ConnectionPhase.WAITING
         if connection.phase is ConnectionPhase.CLOSING or (
             is_waiting and not has_unread_bytes(connection.sock)
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -58,28 +58,26 @@
     """Hold the open connections of callers."""
 
     clock: Clock
-    open: set[CallerConnection] = field(default_factory=set)
+    by_socket: dict[gevent.socket.socket, CallerConnection] = field(default_factory=dict)
 
     def list_interruptible(self, *, is_idempotent: bool) -> list[CallerConnection]:
         """Return the connections whose request waits for a response, or for its body."""
         return [
             connection
-            for connection in self.open
+            for connection in self.by_socket.values()
             if connection.interrupt is not None
             and (connection.call is None or connection.call.is_idempotent) is is_idempotent
         ]
 
     def list_in_phase(self, phase: ConnectionPhase) -> list[CallerConnection]:
         """Return the connections in a phase."""
-        return [connection for connection in self.open if connection.phase is phase]
+        return [connection for connection in self.by_socket.values() if connection.phase is phase]
 
 
-def open_connection(connections: CallerConnections, sock: gevent.socket.socket) -> CallerConnection:
-    """Add a connection that has just been accepted, and return it."""
+def add_connection(connections: CallerConnections, sock: gevent.socket.socket) -> None:
+    """Add a connection that has just been accepted."""
     now = connections.clock.monotonic()
-    connection = CallerConnection(sock, now, now)
-    connections.open.add(connection)
-    return connection
+    connections.by_socket[sock] = CallerConnection(sock, now, now)
 
 
 def enter_phase(
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -17,8 +17,8 @@
     CallerConnections,
     ConnectionPhase,
     EndReason,
+    add_connection,
     enter_phase,
-    open_connection,
 )
 from comfreyhitch.routing.models import CallerLimits
 from comfreyhitch.wire.sockets import (
@@ -67,10 +67,23 @@
         # Called before a connection is closed, and told whether it holds unread bytes.
         self.record_end: Callable[[CallerConnection, bool], None] = lambda connection, unread: None
 
+    def do_handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+        """Count a connection as soon as it is accepted, before its handler has started."""
+        add_connection(self.connections, sock)
+        super().do_handle(sock, address)
+
+    def handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+        """Serve one connection until it ends."""
+        try:
+            super().handle(sock, address)
+        finally:
+            self.connections.by_socket.pop(sock, None)
+
     def close_listener(self) -> None:
         """Accept the connections that callers have opened already, and no others."""
-        while (accepted := self.do_read()) is not None:
-            self.do_handle(*accepted)
+        with suppress(OSError):
+            while (accepted := self.do_read()) is not None:
+                self.do_handle(*accepted)
         self.close()
 
     def close_quiet_connections(self, min_quiet_seconds: float = 0.0) -> None:
@@ -111,14 +124,7 @@
     def __init__(self, sock: object, address: object, server: object) -> None:
         configure_socket(sock)
         super().__init__(sock, address, server)
-        self.connection = open_connection(server.connections, sock)
-
-    def handle(self) -> None:
-        """Serve the requests of one connection until it ends."""
-        try:
-            super().handle()
-        finally:
-            self.server.connections.open.discard(self.connection)
+        self.connection = server.connections.by_socket[sock]
 
     def handle_one_request(self) -> object:
         """Serve one request; return True if the connection serves another one."""
--- a/features/steps/caller_server_stop_steps.py
+++ b/features/steps/caller_server_stop_steps.py
@@ -55,6 +55,8 @@
     with socket.create_connection(("127.0.0.1", server.server_port)) as caller:
         caller.sendall(REQUEST)
         server.close_listener()
+        # It counts before its handler has started, or else the stop would end without it.
+        assert len(server.connections.by_socket) == 1
         gevent.sleep(0.05)
         caller.settimeout(2.0)
         assert caller.recv(1000).endswith(b"ok")
