Serve requests that may outlast a stop for less than 3 s, whatever the grace period

A request that is sent later than 3 s after SIGTERM and still at work when its daemon ends counts as lost. The linger was half of the grace period: 3.0 s plus the time until the signal is handled with 6 s, and 5 s with the 10 s of the large deployment, where requests sent from the fourth second on were accepted and could be cut at 8.5 s.

The linger is now 0.45 of the grace period, 2.7 s at most; the end of a stop stays at 0.85 of it. Requests after the linger are served if their timeout ends before the stop does, as before. Test: 'Times of a stop' (failed with a grace period of 6 s: linger 3.0 s).

--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -14,9 +14,12 @@
 METRICS_PORT = 9464
 # Fraction of the platform's grace period within which a daemon shuts down.
 SHUTDOWN_GRACE_SHARE = 0.85
-# Fraction of the grace period for which a stopping daemon still reads requests, while callers
-# switch to another daemon.
-STOP_LINGER_SHARE = 0.5
+# Fraction of the grace period for which a stopping daemon still serves requests that may outlast
+# the stop, while callers switch to another daemon.
+STOP_LINGER_SHARE = 0.45
+# The platform excuses only requests that were sent within 3 s after the signal; the rest of that
+# time passes until a daemon has handled the signal.
+MAX_STOP_LINGER_SECONDS = 2.7
 # Fractions of the platform's retry budget that daemons use. The rest stays unused, because
 # each daemon counts only its own retries.
 RETRY_EXTRA_SHARE = 0.5
@@ -68,7 +71,8 @@
     outbound_host, outbound_port = _parse_address(values["Listen.Outbound"])
     app_host, app_port = _parse_address(values["AppAddr"])
     first_port, _, _ = values["PortRange"].partition(",")
-    grace = parse_duration(values["Bounds.Grace"])
+    grace_seconds = parse_duration(values["Bounds.Grace"]).total_seconds()
+    linger_seconds = min(grace_seconds * STOP_LINGER_SHARE, MAX_STOP_LINGER_SECONDS)
     return {
         "host": outbound_host,
         "http_port": outbound_port,
@@ -82,8 +86,8 @@
         "platform_url": f"http://{values['Platform.Address']}",
         "registration": "all",
         "limit_rule": "slots",
-        "drain_timeout": grace.total_seconds() * (SHUTDOWN_GRACE_SHARE - STOP_LINGER_SHARE),
-        "stop_linger": grace.total_seconds() * STOP_LINGER_SHARE,
+        "drain_timeout": grace_seconds * SHUTDOWN_GRACE_SHARE - linger_seconds,
+        "stop_linger": linger_seconds,
         "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
         "retry_extra": float(values["Bounds.BudgetExtra"]) * RETRY_EXTRA_SHARE,
         "retry_window": parse_duration(values["Bounds.BudgetWindow"]).total_seconds(),
--- a/features/platform_input.feature
+++ b/features/platform_input.feature
@@ -6,6 +6,10 @@
   Scenario: Settings files
     Then the platform's settings are decoded, and an error names a missing or invalid value, or the line of the file
 
+  # Guards against requests that are accepted during a stop and outlast it (issue 23).
+  Scenario: Times of a stop
+    Then with any grace period from 1 to 60 s, requests that may outlast a stop are served for less than 3 s, and the stop ends within the grace period
+
   Scenario: Configurations
     Then a configuration is decoded to a route table, and the error for an invalid one names the field or its route
 
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -290,3 +290,16 @@
             assert min(load.running, load.waiting, load.slots) >= 0
 
     check_any()
+
+
+@then(
+    "with any grace period from 1 to 60 s, requests that may outlast a stop are served for less "
+    "than 3 s, and the stop ends within the grace period"
+)
+def check_stop_times(context):
+    for grace_seconds in range(1, 61):
+        settings = make_settings({**SETTINGS, "Bounds.Grace": f"{grace_seconds}s"}, {})
+        linger_seconds = settings.stop_linger.total_seconds()
+        assert 0.0 < linger_seconds < 3.0, (grace_seconds, linger_seconds)
+        stop_seconds = linger_seconds + settings.drain_timeout.total_seconds()
+        assert linger_seconds < stop_seconds < grace_seconds, (grace_seconds, stop_seconds)
