Answer requests that were read together with an earlier one while a daemon stops

A caller that had sent several requests before the first was answered got one answer with 'Connection: close' from a stopping daemon; the others had been read into the reader's buffer and were dropped. HTTP allows that, but they are whole requests without an answer, and the check for unread bytes did not see the buffer.

A stopping daemon now asks to close a connection only with an answer behind which no further bytes have arrived. The record of a connection's end looks into the buffer too.

--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -24,7 +24,6 @@
 from comfreyhitch.wire.sockets import (
     configure_socket,
     end_stream,
-    has_unread_bytes,
     is_open_and_empty,
 )
 
@@ -125,6 +124,7 @@
         configure_socket(sock)
         super().__init__(sock, address, server)
         self.connection = server.connections.by_socket[sock]
+        self.connection.has_further_request = self._has_further_bytes
 
     def handle_one_request(self) -> object:
         """Serve one request; return True if the connection serves another one."""
@@ -137,7 +137,7 @@
             _, response = result
             with suppress(OSError):
                 self.connection.sock.sendall(response)
-        self.server.record_end(self.connection, has_unread_bytes(self.connection.sock))
+        self.server.record_end(self.connection, self._has_further_bytes())
         if self.connection.end_reason in REASONS_AFTER_RESPONSE:
             self._enter(ConnectionPhase.CLOSING)
             end_stream(self.connection.sock, END_OF_STREAM_SECONDS)
@@ -170,6 +170,18 @@
         self.connection.end_reason = EndReason.IDLE_TIMEOUT
         return False
 
+    def _has_further_bytes(self) -> bool:
+        """Return whether bytes have arrived that belong to no request read so far."""
+        sock = self.connection.sock
+        # Without a timeout the reader would wait for bytes if it holds none.
+        sock.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            sock.settimeout(None)
+
     def _enter(self, phase: ConnectionPhase) -> None:
         enter_phase(self.server.connections, self.connection, phase)
 
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -248,7 +248,8 @@
         case Err(failure):
             status, headers, body = _format_failure(failure)
             headers = [*headers, *interface.make_failure_headers(failure)]
-    if egress.blackboard.is_draining:
+    connection = environ[CONNECTION_ENVIRON_KEY]
+    if egress.blackboard.is_draining and not connection.has_further_request():
         headers.append(("Connection", "close"))
     start_response(status, headers)
     return [body] if body else []
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -47,3 +47,14 @@
   # Guards against responses that are lost when their connection is reset (issue 23).
   Scenario: A connection is closed after a response while its caller still sends
     Then the caller receives the whole response and the end of the stream, for a served and for a rejected request
+
+  # Guards against requests that were read together with an earlier one and dropped (issue 23).
+  Scenario: A caller sends several requests at once while its daemon stops
+    Given settings drain_timeout 3 and stop_linger 1
+    And a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 1     | --service-ms 20  |
+      | shop      | za   | 1     |                  |
+    When the daemon of shop is asked to stop
+    And 5 requests are sent to it at once on one connection
+    Then all 5 are answered, and the daemon of shop has exited with code 0 within 6 seconds
--- a/features/steps/graceful_stop_steps.py
+++ b/features/steps/graceful_stop_steps.py
@@ -170,3 +170,23 @@
     assert len(sent) > 50
     assert not unanswered, unanswered
     assert set(verdicts) <= {b"ran", b"not-run"}, verdicts
+
+
+@when("{count:d} requests are sent to it at once on one connection")
+def send_at_once(context, count):
+    address = (context.stopping.host, HTTP_PORT)
+    request_bytes = b"GET / HTTP/1.1\r\nHost: a\r\nComfreyhitch-Service: catalogue\r\n\r\n"
+    with gevent.socket.create_connection(address, timeout=5.0) as connection:
+        connection.sendall(request_bytes * count)
+        context.received = b""
+        while chunk := connection.recv(65536):
+            context.received += chunk
+
+
+@then(
+    "all {count:d} are answered, and the daemon of {service} has exited with code 0 within "
+    "{seconds:g} seconds"
+)
+def check_all_answered(context, count, service, seconds):
+    assert context.received.count(b"HTTP/1.1 200 OK") == count, context.received
+    check_exit(context, service, seconds)
