Send no body behind a refusal of HEAD

A caller that asked with HEAD and was refused (404, 503 and all other failures of our own) got the refusal's text as a body, which a caller on a kept connection reads as the start of the next response. Test: 'a refusal of HEAD arrives without a body' (body before, none after).

--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -252,7 +252,8 @@
     if egress.blackboard.is_draining and not connection.has_further_request():
         headers.append(("Connection", "close"))
     start_response(status, headers)
-    return [body] if body else []
+    has_body = body and environ["REQUEST_METHOD"] != "HEAD"
+    return [body] if has_body else []
 
 
 def _format_response(response: Response) -> tuple[str, Headers, bytes]:
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -68,6 +68,23 @@
     assert response.body == b""
 
 
+@then(
+    "a refusal of HEAD arrives without a body, and the next request on its connection is answered"
+)
+def check_refused_head(context):
+    # A body behind a response to HEAD would be read as the start of the next response.
+    address = (get_instance(context, "catalogue").host, HTTP_PORT)
+    head = b"/ HTTP/1.1\r\nHost: a\r\nComfreyhitch-Service: no-such-service\r\n\r\n"
+    with gevent.socket.create_connection(address, timeout=5.0) as connection:
+        connection.sendall(b"HEAD " + head)
+        gevent.sleep(0.2)
+        refusal = connection.recv(65536)
+        assert refusal.startswith(b"HTTP/1.1 404 "), refusal
+        assert refusal.endswith(b"\r\n\r\n"), refusal
+        connection.sendall(b"GET " + head)
+        assert connection.recv(65536).startswith(b"HTTP/1.1 404 ")
+
+
 @then("a body over the limit is refused with 413 and verdict not-run")
 def check_body_limit(context):
     instance = get_instance(context, "catalogue")
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -23,6 +23,7 @@
     Then statuses 200, 201, 204, 304, 404, 418 and 599 arrive with both X-Two headers
     And a chunked response arrives as "one two three"
     And the response to HEAD arrives without a body
+    And a refusal of HEAD arrives without a body, and the next request on its connection is answered
 
   Scenario: Bad requests are refused as not run, with the reason
     Given a running fleet
