Keep a request fenced that was withdrawn while it waited for its instance's usual pace

The state is now checked again before the request is sent, with no wait in between. Test: 'A fence query arrives while a request with a key waits for its instance's usual pace' (reached the target before).

--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -13,7 +13,7 @@
 from comfreyhitch.ingress.lifecycle import is_cold, mark_suspected
 from comfreyhitch.ingress.models import IncomingCall
 from comfreyhitch.ingress.pace import wait_for_usual_pace
-from comfreyhitch.ingress.records import RequestRecord, mark_running
+from comfreyhitch.ingress.records import RecordState, RequestRecord, mark_running
 from comfreyhitch.ingress.refusals import find_refusal, make_refusal
 from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
@@ -40,6 +40,9 @@
     failure = find_refusal(ingress, call)
     if failure is not None:
         return Err(failure)
+    if record is not None and record.state is RecordState.FENCED:
+        # A fence query that arrived meanwhile was told that the request never runs.
+        return Err(make_refusal(Refusal.FENCED, "request was withdrawn before it was sent"))
     started_at = clock.monotonic()
     if not admit_within_cold_rate(ingress, started_at):
         return Err(make_refusal(Refusal.TARGET_COLD, "target is cold and has its share"))
--- a/features/steps/request_life_steps.py
+++ b/features/steps/request_life_steps.py
@@ -1,6 +1,7 @@
 """Test the call handler of the ingress with non-idempotent requests and events in any order."""
 
 from contextlib import contextmanager
+from dataclasses import replace
 
 import gevent
 from behave import then
@@ -12,7 +13,7 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.verdicts import Failure, Refusal, Response, Verdict
-from comfreyhitch.ingress import execution
+from comfreyhitch.ingress import call_handler, execution
 from comfreyhitch.ingress.call_handler import handle_call
 from comfreyhitch.ingress.fence import handle_fence_query
 from comfreyhitch.ingress.lifecycle import TargetState
@@ -201,3 +202,50 @@
 def check_call_handler(context):
     with patched_call_target() as machine:
         run_state_machine(context, machine)
+
+
+@then("the request is refused as fenced, and never reaches the target")
+def check_fence_during_pace_wait(context):
+    machine = CallHandlerMachine()
+    sent = []
+
+    def wait_for_pace(ingress, call):
+        gevent.sleep(0.05)
+
+    def send(*arguments):
+        sent.append(arguments)
+        return TARGET_OUTCOMES["answer"]
+
+    replacements = (
+        (call_handler, "acquire_claim", lambda *arguments: None),
+        (call_handler, "make_claim", lambda *arguments: None),
+        (call_handler, "settle_claim", lambda *arguments: None),
+        (call_handler, "release_claim", lambda *arguments: None),
+        (execution, "wait_for_usual_pace", wait_for_pace),
+        (execution, "call_target", send),
+    )
+    with replaced(replacements):
+        call = replace(make_call("r0", machine.clock.seconds), idempotency_key="key")
+        handling = gevent.spawn(handle_call, machine.ingress, call)
+        gevent.sleep(0.01)
+        query = FenceQuery(
+            request_id="r0", boot_id=machine.ingress.blackboard.own_member.boot_id, age_seconds=0.0
+        )
+        answer = handle_fence_query(machine.ingress, query)
+        outcome = handling.get()
+    assert answer.state == FenceState.NEVER_RAN, answer
+    assert not sent, "the request reached the target"
+    assert outcome.err_value.refusal is Refusal.FENCED, outcome
+
+
+@contextmanager
+def replaced(replacements):
+    """Replace attributes of modules, and restore them afterwards."""
+    originals = [getattr(module, name) for module, name, _ in replacements]
+    for module, name, replacement in replacements:
+        setattr(module, name, replacement)
+    try:
+        yield
+    finally:
+        for (module, name, _), original in zip(replacements, originals, strict=True):
+            setattr(module, name, original)
