--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -11,6 +11,7 @@
 from gevent.pywsgi import WSGIServer
 
 from comfreyhitch.platform.client import API_PREFIX
+from comfreyhitch.testing.platform_copies import restore_copy, take_copy
 from comfreyhitch.testing.platform_objects import (
     ApiError,
     ObjectId,
@@ -18,18 +19,17 @@
     StoreState,
     create_object,
     delete_object,
-    find_events,
     get_object,
     list_page,
     notify_watches,
+    raise_if_down,
     update_object,
 )
+from comfreyhitch.testing.platform_watches import watch
 from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
-from comfreyhitch.wire.sockets import is_disconnected
 
 MAX_OBJECT_BYTES = 1024 * 1024
-MAX_WAIT_SECONDS = 30.0
-DISCONNECT_CHECK_SECONDS = 0.5
+ERA_HEADER = "Store-Era"
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
@@ -44,9 +44,9 @@
         if path.startswith("/_standin/") or path == "/healthz":
             return _serve_standin(state, environ, start_response)
         try:
-            return _reply(start_response, "200 OK", _serve_api(state, environ))
+            return _reply(state, start_response, "200 OK", _serve_api(state, environ))
         except ApiError as error:
-            return _reply(start_response, error.status, error.content)
+            return _reply(state, start_response, error.status, error.content)
 
     return application
 
@@ -61,19 +61,24 @@
     if environ["PATH_INFO"] == "/_standin/compact":
         state.events.clear()
         state.oldest_revision = state.revision
+    if environ["PATH_INFO"] == "/_standin/copy":
+        take_copy(state)
+    if environ["PATH_INFO"] == "/_standin/restore":
+        restore_copy(state)
     counts = {
         "calls": state.calls_by_verb,
         "watches": state.watches,
         "max_watches": state.max_watches,
         "revision": state.revision,
+        "era": state.era,
     }
-    return _reply(start_response, "200 OK", counts)
+    return _reply(state, start_response, "200 OK", counts)
 
 
 def _serve_api(state: StoreState, environ: dict[str, object]) -> object:
     if state.faults.delay_seconds:
         gevent.sleep(state.faults.delay_seconds)
-    _raise_if_down(state)
+    raise_if_down(state)
     object_id = _parse_path(environ["PATH_INFO"])
     query = dict(parse_qsl(environ["QUERY_STRING"]))
     method = environ["REQUEST_METHOD"]
@@ -90,11 +95,6 @@
     return content
 
 
-def _raise_if_down(state: StoreState) -> None:
-    if state.faults.is_down:
-        raise ApiError("503 Service Unavailable", {"Error": "the store is down"})
-
-
 def _get_verb(method: str, object_id: ObjectId, query: Query) -> str:
     if method != "GET":
         return method.lower()
@@ -107,7 +107,7 @@
     state: StoreState, object_id: ObjectId, query: Query, sock: gevent.socket.socket
 ) -> object:
     if "Watch" in query:
-        return _watch(state, object_id.kind, query, sock)
+        return watch(state, object_id.kind, query, sock)
     return (
         get_object(state, object_id) if object_id.name else list_page(state, object_id.kind, query)
     )
@@ -134,24 +134,6 @@
     raise ApiError("405 Method Not Allowed", {"Error": method})
 
 
-def _watch(state: StoreState, kind: str, query: Query, sock: gevent.socket.socket) -> dict:
-    since = int(query["Watch"])
-    if since < state.oldest_revision:
-        raise ApiError("410 Gone", {"Error": f"the history after {since} is gone"})
-    state.watches += 1
-    state.max_watches = max(state.max_watches, state.watches)
-    try:
-        with gevent.Timeout(min(MAX_WAIT_SECONDS, int(query.get("WaitMs", "0")) / 1000), False):
-            while not state.faults.is_down and not find_events(state, kind, since):
-                if is_disconnected(sock):
-                    break
-                state.change_event.wait(DISCONNECT_CHECK_SECONDS)
-    finally:
-        state.watches -= 1
-    _raise_if_down(state)
-    return {"events": find_events(state, kind, since), "StoreRevision": state.revision}
-
-
 def _parse_path(path: str) -> ObjectId:
     parts = [unquote(part) for part in path.removeprefix(API_PREFIX).strip("/").split("/")]
     if not path.startswith(API_PREFIX + "/") or not 1 <= len(parts) <= 3:
@@ -160,8 +142,11 @@
     return ObjectId(parts[0], name, is_status=parts[2:] == ["status"])
 
 
-def _reply(start_response: StartResponse, status: str, content: object) -> list[bytes]:
-    start_response(status, [("Content-Type", "application/json")])
+def _reply(
+    state: StoreState, start_response: StartResponse, status: str, content: object
+) -> list[bytes]:
+    headers = [("Content-Type", "application/json"), (ERA_HEADER, str(state.era))]
+    start_response(status, headers)
     return [json.dumps(content).encode()]
 
 
--- a/comfreyhitch/testing/platform_objects.py
+++ b/comfreyhitch/testing/platform_objects.py
@@ -54,6 +54,9 @@
     faults: PlatformFaults = field(default_factory=PlatformFaults)
     # Objects that lists return if they allow stale data; if None, they return current ones.
     stale_snapshot: "StoreSnapshot | None" = None
+    # Rises by one each time when the store comes back from a copy.
+    era: int = 1
+    copy: "StoreCopy | None" = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +67,16 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Hold all that the store knew at an earlier moment, to come back from it."""
+
+    objects_by_kind: dict[str, dict[str, dict]]
+    events: tuple[tuple[int, str, dict], ...]
+    revision: int
+    oldest_revision: int
+
+
 def take_stale_snapshot(state: StoreState) -> None:
     """Take a snapshot of the current objects, which lists that allow stale data then return."""
     state.stale_snapshot = StoreSnapshot(deepcopy(state.objects_by_kind), state.revision)
@@ -173,10 +186,7 @@
     change_event.set()
 
 
-def find_events(state: StoreState, kind: str, since: int) -> list[dict]:
-    """Return the events of a kind after a revision."""
-    return [
-        event
-        for revision, event_kind, event in state.events
-        if event_kind == kind and revision > since
-    ]
+def raise_if_down(state: StoreState) -> None:
+    """Raise `ApiError` while the injected fault keeps the store down."""
+    if state.faults.is_down:
+        raise ApiError("503 Service Unavailable", {"Error": "the store is down"})
