List the scenarios of a restored store that fail today

Callers saw in them: a new configuration not in force in time, an older one in force at a daemon that started, requests in an evacuated zone, a zone that stayed out after its evacuation was deleted, requests at a version known to be bad.

--- a/comfreyhitch/testing/platform_store.py
+++ b/comfreyhitch/testing/platform_store.py
@@ -16,6 +16,11 @@
     _call(fleet, "restore")
 
 
+def discard_store_history(fleet: PlatformFleet) -> None:
+    """Make the store discard its history up to now."""
+    _call(fleet, "compact")
+
+
 def read_store_revision(fleet: PlatformFleet) -> int:
     """Return the revision of the store's last change."""
     return _call(fleet, "counts")["revision"]
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -63,6 +63,25 @@
     When the evacuation of zone zb is deleted
     Then requests run in zone zb within 5 seconds
 
+  Scenario: A lost evacuation, and a restored store without its history
+    Given two services in two zones on the platform
+    And the store has been copied
+    When the evacuation of zone zb is acknowledged
+    Then after 5 seconds no request runs in zone zb for 1 second
+    When the store is down for 1.5 seconds, comes back from the copy, and other documents are written
+    And the store discards its history
+    Then after 0 seconds no request runs in zone zb for 5 seconds
+
+  Scenario: A lost evacuation, and a daemon that starts afterwards
+    Given two services in two zones on the platform
+    And the store has been copied
+    When the evacuation of zone zb is acknowledged
+    Then after 5 seconds no request runs in zone zb for 1 second
+    When the store is down for 1.5 seconds, comes back from the copy, and other documents are written
+    And a daemon is killed and started again beside its target
+    And the restarted daemon serves requests
+    Then after 0 seconds no request runs in zone zb for 5 seconds
+
   Scenario: An evacuation written again with an older revision is taken back
     Given two services in two zones on the platform
     And the store has been copied
@@ -106,6 +125,7 @@
     Given two services in two zones on the platform
     And the store has been copied
     When a daemon and its target join in zone za
+    And 4 seconds pass
     And the store is away and comes back from the copy
     Then the daemon that joined is registered again within 10 seconds
 
--- a/features/steps/restored_order_steps.py
+++ b/features/steps/restored_order_steps.py
@@ -13,6 +13,7 @@
 # A request that was sent before the store came back may reach its target a little later.
 IN_FLIGHT_SECONDS = 0.5
 RUNNING_TIMEOUT_SECONDS = 5.0
+RESTART_TIMEOUT_SECONDS = 15.0
 
 
 @when("the evacuation of zone {zone} is acknowledged")
@@ -40,6 +41,14 @@
     wait_until(lambda: zone in list_serving_zones(context), seconds, f"requests in zone {zone}")
 
 
+@when("the restarted daemon serves requests")
+def wait_until_serving(context):
+    instance = context.restarted_instance
+    wait_until(
+        lambda: send(instance, "/catalogue/x")[1].status == 200, RESTART_TIMEOUT_SECONDS, "start"
+    )
+
+
 def list_serving_zones(context):
     """Send one request through each daemon, and return the zones in which they ran."""
     zones = set()
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -20,6 +20,7 @@
     stop_platform_fleet,
 )
 from comfreyhitch.testing.platform_store import (
+    discard_store_history,
     is_registered,
     read_store_revision,
     restore_store_copy,
@@ -142,6 +143,16 @@
     gevent.sleep(3.0)
 
 
+@when("{seconds:d} seconds pass")
+def wait_seconds(context, seconds):
+    gevent.sleep(seconds)
+
+
+@when("the store discards its history")
+def discard_history(context):
+    discard_store_history(context.platform_fleet)
+
+
 @when("its revisions have passed those that it gave out before")
 def pass_lost_revisions(context):
     for number in range(MAX_FILLING_WRITES):
