--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -155,6 +155,7 @@
   Scenario: The lost outcome of a bad version is written again
     Given two services in two zones on the platform
     When a rollout to a version of catalogue that fails half of its requests is ordered to finish within 8 s
+    And its state is running
     Given the store has been copied
     Then it is rolled back by its deadline
     When the store is away and comes back from the copy
