Order documents by the store's era, and a configuration by its own version

Callers saw: after the store had come back from a copy, a configuration that was acknowledged was not in force (CONFIG, and DENIED for its new routes); evacuations and orders likewise. Cause: a document's version between daemons was the store's revision alone. Revisions go back and are given out again, so a new document lost against a lost one; a watch went on from a revision that was given out again and missed what lay before; and a list that lacked a document counted as the operator's deletion. Class: a number of the store remembered without the era in which it was given.

Now every answer's Store-Era is read. Versions of documents are ordered by era, then revision; a configuration is ordered by the operator's own version, so that an older one from the copy replaces nothing, also at a daemon that starts. A watch answered from another era leads to a new list. An order that is written again after its loss keeps its identity (its origin), so its veto and deadline hold.

--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -61,7 +61,7 @@
     services_by_name: dict[str, ServicePolicy] = field(default_factory=dict)
     service_names_by_host: dict[str, str] = field(default_factory=dict)
     route_table: RouteTable | None = None
-    document_revision_by_kind: dict[DocumentKind, int] = field(default_factory=dict)
+    document_version_by_kind: dict[DocumentKind, int] = field(default_factory=dict)
     rollout_orders_by_service: dict[str, RolloutOrder] = field(default_factory=dict)
     active_rollouts_by_service: dict[str, ActiveRollout] = field(default_factory=dict)
     zones_out: frozenset[str] = frozenset()
--- a/comfreyhitch/documents/applying.py
+++ b/comfreyhitch/documents/applying.py
@@ -35,8 +35,8 @@
 def apply_document(blackboard: Blackboard, fact: StoredFact, decoders: DecodersByKind) -> None:
     """Apply a newer document; one that can't be decoded leaves the previous one in force."""
     document = load_document(fact.key, fact.value).unwrap()
-    revisions = blackboard.document_revision_by_kind
-    revisions[document.kind] = max(fact.version, revisions.get(document.kind, 0))
+    version_by_kind = blackboard.document_version_by_kind
+    version_by_kind[document.kind] = max(fact.version, version_by_kind.get(document.kind, 0))
     if document.is_deleted:
         _apply_deletion(blackboard, document)
         return
@@ -44,11 +44,11 @@
         case Err(reason):
             logger.error("document refused", extra={"document": fact.key, "reason": reason})
         case Ok(RouteTable() as table):
-            _apply_route_table(blackboard, table, fact.version)
+            _apply_route_table(blackboard, table)
         case Ok(RolloutOrder() as order):
-            _apply_rollout(blackboard, document.name, order, fact.version)
+            _apply_rollout(blackboard, document.name, order)
         case Ok(ZoneOutOrder() as order):
-            _apply_zone_out(blackboard, order, fact.version)
+            _apply_zone_out(blackboard, order)
 
 
 def _decode(document: RawDocument, decoders: DecodersByKind) -> Result[object, str]:
@@ -58,17 +58,15 @@
     return decode(document)
 
 
-def _apply_route_table(blackboard: Blackboard, table: RouteTable, revision: int) -> None:
+def _apply_route_table(blackboard: Blackboard, table: RouteTable) -> None:
     current_table = blackboard.route_table
     if current_table is not None and current_table.version >= table.version:
         return
     blackboard.route_table = table
-    logger.info(
-        "configuration in force", extra={"version": table.version, "store_revision": revision}
-    )
+    logger.info("configuration in force", extra={"version": table.version})
 
 
-def _apply_rollout(blackboard: Blackboard, name: str, order: RolloutOrder, revision: int) -> None:
+def _apply_rollout(blackboard: Blackboard, name: str, order: RolloutOrder) -> None:
     blackboard.rollout_orders_by_service[name] = order
     logger.info(
         "rollout ordered",
@@ -76,16 +74,15 @@
             "service": order.service,
             "version": order.to_version,
             "state": order.state.value,
-            "store_revision": revision,
         },
     )
 
 
-def _apply_zone_out(blackboard: Blackboard, order: ZoneOutOrder, revision: int) -> None:
+def _apply_zone_out(blackboard: Blackboard, order: ZoneOutOrder) -> None:
     if order.zone in blackboard.zones_out:
         return
     blackboard.zones_out = blackboard.zones_out | {order.zone}
-    logger.info("zone is out", extra={"zone": order.zone, "store_revision": revision})
+    logger.info("zone is out", extra={"zone": order.zone})
 
 
 def _apply_deletion(blackboard: Blackboard, document: RawDocument) -> None:
--- a/comfreyhitch/documents/models.py
+++ b/comfreyhitch/documents/models.py
@@ -31,13 +31,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutOrder:
-    """Hold an operator's order to roll out a version of a service within a duration."""
+    """Hold an operator's order to roll out a version of a service within a duration.
+
+    `created_revision` is that of the object which holds the order in the store now.
+    """
 
     rollout_id: str
     service: str
     to_version: str
     duration: timedelta
     state: RolloutState
+    created_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,13 @@
     status: Any = None
     is_deleted: bool = False
     created_revision: int = 0
+    # Creation of the document that this one continues, after the store has lost that one.
+    origin_revision: int | None = None
+
+    @property
+    def identity_revision(self) -> int:
+        """Return the revision that identifies a document, also when it is written again."""
+        return self.created_revision if self.origin_revision is None else self.origin_revision
 
     @property
     def key(self) -> str:
@@ -71,6 +82,7 @@
 
 
 _REPLICATED_FIELDS = {"spec", "status", "created"}
+_ORIGIN_FIELD = "origin"
 
 DecodeDocument = Callable[[RawDocument], Result[Document, str]]
 
@@ -87,6 +99,9 @@
     # Returns the status that shows an operator the state of a rollout order; None for other
     # kinds of documents.
     encode_status: "Callable[[RolloutOrder, RolloutState], dict[str, Any]] | None" = None
+    # Returns the number by which operators order the documents of this kind; None if only the
+    # store orders them.
+    get_number: Callable[[RawDocument], int] | None = None
 
 
 def dump_document(document: RawDocument) -> bytes:
@@ -98,6 +113,8 @@
         "status": document.status,
         "created": document.created_revision,
     }
+    if document.origin_revision is not None:
+        content[_ORIGIN_FIELD] = document.origin_revision
     return json.dumps(content, sort_keys=True, separators=(",", ":")).encode()
 
 
@@ -114,10 +131,11 @@
         content = json.loads(value)
     except ValueError as error:
         return Err(f"{key}: {error}")
-    if not isinstance(content, dict) or content.keys() != _REPLICATED_FIELDS:
-        return Err(f"{key}: document fields must be exactly spec, status and created")
-    if not isinstance(content["created"], int):
-        return Err(f"{key}: created must be an integer revision")
+    if not isinstance(content, dict) or content.keys() - {_ORIGIN_FIELD} != _REPLICATED_FIELDS:
+        return Err(f"{key}: document fields must be exactly spec, status, created and maybe origin")
+    origin = content.get(_ORIGIN_FIELD)
+    if not isinstance(content["created"], int) or not isinstance(origin, int | None):
+        return Err(f"{key}: created and origin must be integer revisions")
     return Ok(
         RawDocument(
             kind,
@@ -125,5 +143,6 @@
             content["spec"],
             content["status"],
             created_revision=content["created"],
+            origin_revision=origin,
         )
     )
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -21,6 +21,7 @@
     ReadMode,
     dump_object,
 )
+from comfreyhitch.platform.names import HEADER_STORE_ERA
 
 API_PREFIX = "/v1/objects"
 SECTIONS = "sections"
@@ -57,22 +58,33 @@
         return cls(parsed.host, parsed.port, count_call)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Hold the content of a successful response, and the era that it names."""
+
+    content: Any
+    era: int | None
+
+
 def list_objects(
     client: PlatformClient, kind: str, mode: ReadMode = FRESH
 ) -> Result[ObjectList, PlatformError]:
     """Return all objects of a kind, with the store's revision as of the first page."""
     items: list[PlatformObject] = []
     query = _make_query(mode)
-    revision: int | None = None
+    first: ObjectList | None = None
     while True:
         page = _read(client, "list", kind + _format_query(query), ObjectList)
         if page.is_err():
             return page
         found = page.ok_value
+        first = found if first is None else first
+        if found.era != first.era:
+            detail = "store came back from a copy between two pages of a list"
+            return Err(PlatformError(PlatformFailure.UNAVAILABLE, detail))
         items.extend(found.items)
-        revision = found.revision if revision is None else revision
         if not found.has_more or not found.items:
-            return Ok(ObjectList(items=items, revision=revision))
+            return Ok(msgspec.structs.replace(first, items=items, has_more=False))
         after = quote(found.items[-1].metadata.name, safe="")
         query = [*_make_query(mode), f"after={after}"]
 
@@ -90,7 +102,7 @@
 ) -> Result[PlatformObject, PlatformError]:
     """Create an object; a conflict means that an object with its name exists."""
     return _call(client, "create", "POST", kind, dump_object(item)).and_then(
-        lambda content: _parse(PlatformObject, content)
+        lambda answer: _parse(PlatformObject, answer.content)
     )
 
 
@@ -130,7 +142,7 @@
     client: PlatformClient, path: str, item: PlatformObject
 ) -> Result[PlatformObject, PlatformError]:
     return _call(client, "update", "PUT", path, dump_object(item)).and_then(
-        lambda content: _parse(PlatformObject, content)
+        lambda answer: _parse(PlatformObject, answer.content)
     )
 
 
@@ -142,7 +154,7 @@
     timeout_seconds: float = CALL_TIMEOUT_SECONDS,
 ) -> Result[Model, PlatformError]:
     return _call(client, verb, "GET", path, None, timeout_seconds).and_then(
-        lambda content: _parse(model, content)
+        lambda answer: _parse_read(model, answer)
     )
 
 
@@ -153,7 +165,7 @@
     path: str,
     content: Any,
     timeout_seconds: float = CALL_TIMEOUT_SECONDS,
-) -> Result[Any, PlatformError]:
+) -> Result[StoreAnswer, PlatformError]:
     client.count_call(verb)
     http = HTTPClient(
         client.host,
@@ -175,7 +187,12 @@
         http.close()
     if response.status_code >= 300:
         return Err(_make_status_error(response.status_code, response_body))
-    return _decode(response_body)
+    era = _read_era(response.get(HEADER_STORE_ERA))
+    return _decode(response_body).map(lambda content: StoreAnswer(content, era))
+
+
+def _read_era(text: object) -> int | None:
+    return int(text) if isinstance(text, str) and text.isascii() and text.isdigit() else None
 
 
 def _decode(response_body: bytes) -> Result[Any, PlatformError]:
@@ -205,6 +222,14 @@
     return PlatformError(failure, f"HTTP {status}: {response_body[:200].decode(errors='replace')}")
 
 
+def _parse_read(model: type[Model], answer: StoreAnswer) -> Result[Model, PlatformError]:
+    if model is PlatformObject:
+        return _parse(model, answer.content)
+    return _parse(model, answer.content).map(
+        lambda parsed: msgspec.structs.replace(parsed, era=answer.era)
+    )
+
+
 def _parse(model: type[Model], content: Any) -> Result[Model, PlatformError]:
     try:
         return Ok(msgspec.convert(content, model))
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -144,11 +144,12 @@
         return Err(_format_error(document, error))
     return Ok(
         RolloutOrder(
-            rollout_id=f"{model.service}:{model.to_version}:{document.created_revision}",
+            rollout_id=f"{model.service}:{model.to_version}:{document.identity_revision}",
             service=model.service,
             to_version=model.to_version,
             duration=model.duration,
             state=_read_state(document, model.to_version),
+            created_revision=document.created_revision,
         )
     )
 
@@ -163,8 +164,19 @@
     return Ok(ZoneOutOrder(zone=document.name))
 
 
+def get_configuration_number(document: RawDocument) -> int:
+    """Return the version that the operator gave a configuration, or 0 if it has none."""
+    number = document.spec.get("Version") if isinstance(document.spec, dict) else None
+    return number if isinstance(number, int) and number > 0 else 0
+
+
 DOCUMENT_SOURCES = (
-    DocumentSource(DocumentKind.ROUTES, KIND_CONFIGURATION, decode_configuration),
+    DocumentSource(
+        DocumentKind.ROUTES,
+        KIND_CONFIGURATION,
+        decode_configuration,
+        get_number=get_configuration_number,
+    ),
     DocumentSource(
         DocumentKind.ROLLOUT,
         KIND_ROLLOUTS,
--- a/comfreyhitch/platform/models.py
+++ b/comfreyhitch/platform/models.py
@@ -29,11 +29,15 @@
 
 
 class ObjectList(Struct, frozen=True):
-    """Validate one page of a list; `revision` is that of the whole store."""
+    """Validate one page of a list; `revision` is that of the whole store.
+
+    `era` rises each time the store comes back from an older copy; None if the store names none.
+    """
 
     revision: int = field(name="StoreRevision")
     items: list[PlatformObject] = field(default_factory=list)
     has_more: bool = field(default=False, name="HasMore")
+    era: int | None = None
 
 
 class ObjectChange(Struct, frozen=True):
@@ -48,6 +52,7 @@
 
     revision: int = field(name="StoreRevision")
     events: list[ObjectChange] = field(default_factory=list)
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreyhitch/platform/names.py
+++ b/comfreyhitch/platform/names.py
@@ -6,6 +6,7 @@
 HEADER_DEADLINE_MS = "X-Comfreyhitch-Deadline-Ms"
 HEADER_CALLER_SERVICE = "X-Comfreyhitch-Caller-Service"
 HEADER_RETRY_AFTER = "Retry-After"
+HEADER_STORE_ERA = "Store-Era"
 
 PLATFORM_TARGET_HEADERS = TargetHeaderNames(
     timeout=HEADER_DEADLINE_MS,
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -66,6 +66,12 @@
     # Shared by the followers of one daemon.
     outage: Outage = field(default_factory=Outage)
     revision: int | None = None
+    # Rises each time the store comes back from an older copy, and gives out revisions again.
+    era: int = 0
+    # Called when a list shows that the store has come back from a copy.
+    on_restored: Callable[[], None] = lambda: None
+    # Version of the newest document that was read; its meaning is up to the callbacks.
+    latest_version: int = 0
     failures: int = 0
     last_answered_at: float | None = None
     # When the current watch was sent, and the greenlet that waits for its answer.
@@ -130,10 +136,23 @@
         case Err(error):
             return error
         case Ok(listed):
-            follower.initial_list_mode = FRESH
-            follower.on_list(listed)
-            follower.revision = listed.revision
-            return None
+            pass
+    follower.initial_list_mode = FRESH
+    era = follower.era if listed.era is None else listed.era
+    if era < follower.era:
+        detail = f"answer is from era {era}, although era {follower.era} has begun"
+        return PlatformError(PlatformFailure.UNAVAILABLE, detail)
+    is_restored = 0 < follower.era < era
+    follower.era = era
+    logger.info(
+        "documents listed",
+        extra={"kind": follower.kind, "era": era, "store_revision": listed.revision},
+    )
+    follower.on_list(listed)
+    follower.revision = listed.revision
+    if is_restored:
+        follower.on_restored()
+    return None
 
 
 def _watch(follower: Follower) -> PlatformError | None:
@@ -156,6 +175,13 @@
             return error
         case Ok(batch):
             pass
+    if batch.era is not None and batch.era != follower.era:
+        logger.warning(
+            "store has come back from a copy; listing again",
+            extra={"kind": follower.kind, "era": batch.era, "known_era": follower.era},
+        )
+        follower.revision = None
+        return None
     for change in batch.events:
         follower.on_change(change)
     follower.revision = max(follower.revision, batch.revision)
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -15,6 +15,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.documents.applying import apply_document, validate_document_fact
 from comfreyhitch.documents.models import DocumentKind, RawDocument, dump_document
+from comfreyhitch.documents.versions import make_document_version
 from comfreyhitch.documents.watching import is_store_unreachable, make_document_follower
 from comfreyhitch.platform.client import (
     PlatformClient,
@@ -57,7 +58,8 @@
 def make_document_fact(kind, name, revision, spec=None, *, is_deleted=False):
     """Return the fact that replicates a document."""
     document = RawDocument(kind, name, spec, is_deleted=is_deleted)
-    return StoredFact(FactKind.DOCUMENT, document.key, revision, dump_document(document))
+    version = make_document_version(SOURCES_BY_KIND[kind], document, 0, revision)
+    return StoredFact(FactKind.DOCUMENT, document.key, version, dump_document(document))
 
 
 def make_configuration(version):
--- a/features/steps/watch_wait_steps.py
+++ b/features/steps/watch_wait_steps.py
@@ -135,10 +135,10 @@
     assert read_once(peer) is None
     assert peer_blackboard.route_table.version == 8
     assert blackboard.route_table.version == 3
-    assert not is_watch_late(followers_by_kind, blackboard.document_revision_by_kind)
+    assert not is_watch_late(followers_by_kind, blackboard.document_version_by_kind)
     merge_facts(store, list(peer_store.facts_by_id.values()), is_from_peer=True)
     assert blackboard.route_table.version == 8
-    assert is_watch_late(followers_by_kind, blackboard.document_revision_by_kind)
+    assert is_watch_late(followers_by_kind, blackboard.document_version_by_kind)
 
     # A watch that has not waited longer than it may is left alone.
     revision = follower.revision
@@ -150,5 +150,5 @@
     wait_until(
         lambda: follower.revision > revision, RENEWAL_TIMEOUT_SECONDS, "the watch is renewed"
     )
-    assert not is_watch_late(followers_by_kind, blackboard.document_revision_by_kind)
+    assert not is_watch_late(followers_by_kind, blackboard.document_version_by_kind)
     assert follower.is_connected
