Write a daemon's registration again when the store has come back from a copy

A daemon that had registered after the copy was taken was missing from the store for up to 60 s, until its next check, and daemons that started meanwhile did not find it. Cause: 'registered' was remembered without the era. Now a new era seen by any follower puts the registration in doubt, and it is written again within 2 s, at a random moment; one that exists is left as it is.

--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -28,6 +28,8 @@
 )
 from comfreyhitch.membership.registration import (
     Registration,
+    doubt_registration,
+    register_again,
     run_registration_cycle,
     sync_registrations,
 )
@@ -51,6 +53,7 @@
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
 ORDER_INTERVAL = timedelta(milliseconds=250)
 DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
+RESTORED_JITTER = timedelta(seconds=2)
 WATCH_PLAN_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A timer that fires this late means that the process was suspended, not busy.
@@ -142,6 +145,7 @@
         follower = make_document_follower(
             source, daemon.store, client, daemon.clock, daemon.detector.random, outage
         )
+        follower.on_restored = lambda: _doubt_registration(daemon)
         daemon.followers_by_document_kind[source.kind] = follower
         daemon.greenlets.append(
             gevent.spawn(_run_continuously, lambda follower=follower: follow(follower))
@@ -166,7 +170,7 @@
         daemon_count=len(blackboard.members_by_address),
         is_reader=is_platform_reader(blackboard),
         has_store_failures=any(not item.is_connected for item in followers_by_kind.values()),
-        is_watch_late=is_watch_late(followers_by_kind, blackboard.document_revision_by_kind),
+        is_watch_late=is_watch_late(followers_by_kind, blackboard.document_version_by_kind),
         unanswered_probes=daemon.detector.unanswered_probes,
     )
     seconds = plan_watch_seconds(plan, conditions, daemon.clock.monotonic())
@@ -181,9 +185,18 @@
         _sync_with_random_peer(daemon)
 
 
+def _doubt_registration(daemon: Daemon) -> None:
+    if daemon.registration is not None:
+        doubt_registration(daemon.registration)
+
+
 def _register(daemon: Daemon, registration: Registration) -> None:
+    random = daemon.detector.random
     interval = run_registration_cycle(registration)
-    gevent.sleep(interval.total_seconds() * daemon.detector.random.uniform(0.8, 1.2))
+    if registration.is_doubtful.wait(interval.total_seconds() * random.uniform(0.8, 1.2)):
+        # Daemons write their registrations again over some time, not all at once.
+        gevent.sleep(random.uniform(0.0, RESTORED_JITTER.total_seconds()))
+        register_again(registration)
 
 
 def _send_to_analyzers(daemon: Daemon, rollout_id: str, facts: list[StoredFact]) -> None:
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from random import Random
 
+from gevent.event import Event
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
@@ -55,6 +56,8 @@
     # Number of cycles since this daemon last had no reachable peer or still had to register.
     cycles_since_join: int = 0
     failed_joins_by_address: dict[str, int] = field(default_factory=dict)
+    # Set when the store has come back from a copy, which may lack this daemon's registration.
+    is_doubtful: Event = field(default_factory=Event)
 
 
 def run_registration_cycle(registration: Registration) -> timedelta:
@@ -81,6 +84,21 @@
     return REGISTRATION_INTERVAL
 
 
+def doubt_registration(registration: Registration) -> None:
+    """Have this daemon's registration written again, since the store may have lost it."""
+    if registration.is_registered:
+        registration.is_doubtful.set()
+
+
+def register_again(registration: Registration) -> None:
+    """Write this daemon's registration again if the store may have lost it."""
+    if registration.is_doubtful.is_set():
+        registration.is_registered = False
+        _register(registration, registration.blackboard.own_member.address)
+    if registration.is_registered:
+        registration.is_doubtful.clear()
+
+
 def sync_registrations(registration: Registration) -> bool:
     """Update this daemon's registration, and sync with registered daemons it does not know.
 
