Write the outcome of a rollout again when the store has lost it

After the store had come back from a copy an order's state said running for ever: the recorder wrote no outcome for an order that it had once read in a terminal state, and a recorder that had started since could have judged a finished rollout anew. Cause: the store's earlier answer was taken for lasting. Now an outcome that the store holds is published as a fact (completion or veto), which decides what is due, and is written again when the store says otherwise; a write needs the object that the order was read from.

--- a/comfreyhitch/rollouts/order_recorder.py
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -10,7 +10,13 @@
 from comfreyhitch.documents.models import DocumentSource, RawDocument, RolloutOrder, RolloutState
 from comfreyhitch.platform.client import PlatformClient, get_object, update_status
 from comfreyhitch.platform.models import PlatformObject, replace_status
-from comfreyhitch.rollouts.orders import RolloutOrderController, get_deadline, publish_order_veto
+from comfreyhitch.rollouts.orders import (
+    RolloutOrderController,
+    get_deadline,
+    has_succeeded,
+    publish_order_completion,
+    publish_order_veto,
+)
 from comfreyhitch.rollouts.stages import Stage, is_outcome_due, is_successful
 from comfreyhitch.utils.hashing import rank_by_rendezvous
 
@@ -41,6 +47,7 @@
     """Write the state that is due for each rollout order, if it is this daemon's turn."""
     for name, order in list(recorder.blackboard.rollout_orders_by_service.items()):
         if order.state in TERMINAL_STATES:
+            _keep_outcome(recorder, order)
             continue
         state = _get_due_state(recorder, order)
         if (
@@ -53,6 +60,8 @@
 
 def _get_due_state(recorder: RolloutOrderRecorder, order: RolloutOrder) -> RolloutState | None:
     blackboard = recorder.blackboard
+    if has_succeeded(blackboard, order):
+        return RolloutState.SUCCEEDED
     if order.rollout_id in blackboard.vetoes_by_rollout:
         return RolloutState.ROLLED_BACK
     now = blackboard.clock.now()
@@ -69,6 +78,18 @@
     return RolloutState.ROLLED_BACK
 
 
+def _keep_outcome(recorder: RolloutOrderRecorder, order: RolloutOrder) -> None:
+    """Publish an outcome that the store holds, so that the fleet knows it if the store loses it."""
+    if _get_recorder_rank(recorder.blackboard, order) >= MAX_RECORDERS:
+        return
+    store = recorder.orders.rollouts.store
+    if order.state is RolloutState.SUCCEEDED and not has_succeeded(recorder.blackboard, order):
+        publish_order_completion(store, order)
+    vetoes = recorder.blackboard.vetoes_by_rollout
+    if order.state is RolloutState.ROLLED_BACK and order.rollout_id not in vetoes:
+        publish_order_veto(store, order, "the store says that it was rolled back")
+
+
 def may_write_state(
     recorder: RolloutOrderRecorder, order: RolloutOrder, state: RolloutState
 ) -> bool:
@@ -112,7 +133,7 @@
     stored_order = _read_order(recorder, name, item)
     if (
         stored_order is None
-        or stored_order.rollout_id != order.rollout_id
+        or not _is_same_object(stored_order, order)
         or stored_order.state in TERMINAL_STATES
     ):
         return
@@ -133,6 +154,15 @@
             )
 
 
+def _is_same_object(stored_order: RolloutOrder, order: RolloutOrder) -> bool:
+    """Return whether the store holds an order in the object from which it was read."""
+    return (stored_order.service, stored_order.to_version, stored_order.created_revision) == (
+        order.service,
+        order.to_version,
+        order.created_revision,
+    )
+
+
 def _get_reason(recorder: RolloutOrderRecorder, order: RolloutOrder) -> str:
     veto = recorder.blackboard.vetoes_by_rollout.get(order.rollout_id)
     return "not proved good before its deadline" if veto is None else veto.reason
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -19,7 +19,7 @@
 from comfreyhitch.rollouts.evidence import get_window
 from comfreyhitch.rollouts.stages import Stage, get_next_stage, get_regression_thresholds
 from comfreyhitch.wire.codec import encode
-from comfreyhitch.wire.generated.ttypes import VetoRecord
+from comfreyhitch.wire.generated.ttypes import CompletionRecord, VetoRecord
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +66,21 @@
     return stored.expires_at - DEADLINE_RETENTION
 
 
+def has_succeeded(blackboard: Blackboard, order: RolloutOrder) -> bool:
+    """Return whether a rollout has succeeded, though the store may have lost that outcome."""
+    return order.rollout_id in blackboard.completed_at_by_rollout
+
+
+def publish_order_completion(store: FactStore, order: RolloutOrder) -> None:
+    """Publish that the store holds the success of a rollout."""
+    now = store.clock.now()
+    record = CompletionRecord(order.rollout_id, now.timestamp())
+    fact = StoredFact(
+        FactKind.COMPLETION, order.rollout_id, 1, encode(record), now + OUTCOME_LIFETIME
+    )
+    merge_facts(store, [fact])
+
+
 def publish_order_veto(store: FactStore, order: RolloutOrder, reason: str) -> None:
     """Publish a veto, which permanently takes all traffic from the new version."""
     now = store.clock.now()
@@ -78,7 +93,7 @@
     rollouts = controller.rollouts
     blackboard = rollouts.blackboard
     veto = blackboard.vetoes_by_rollout.get(order.rollout_id)
-    if order.state is RolloutState.SUCCEEDED:
+    if order.state is RolloutState.SUCCEEDED or has_succeeded(blackboard, order):
         return ActiveRollout(order.rollout_id, order.to_version, Stage.PROVEN, is_done=True)
     if order.state is RolloutState.ROLLED_BACK:
         reason = "the store says that it was rolled back"
