--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -17,6 +17,7 @@
 from comfreyhitch.testing.platform_models import (
     APP_PORT,
     CONTROL_PORT,
+    DEFAULT_GRACE_SECONDS,
     HOST_NAME,
     OUTBOUND_PORT,
     PEER_PORT,
@@ -37,13 +38,17 @@
 
 
 def start_platform_fleet(
-    folder: Path, targets: list[tuple[str, str, list[str]]], *, has_relays: bool = False
+    folder: Path,
+    targets: list[tuple[str, str, list[str]]],
+    *,
+    has_relays: bool = False,
+    grace_seconds: float = DEFAULT_GRACE_SECONDS,
 ) -> PlatformFleet:
     """Start a daemon and a target for each tuple of service, zone and target arguments.
 
     Wait until all instances serve all services; raise `TimeoutError` if they do not.
     """
-    fleet = PlatformFleet(Fleet.from_folder(folder))
+    fleet = PlatformFleet(Fleet.from_folder(folder), grace_seconds=grace_seconds)
     try:
         _start_all(fleet, targets, has_relays=has_relays)
     except TimeoutError:
@@ -214,7 +219,7 @@
         "AppAddr": f"{instance.relay_host or host}:{APP_PORT}",
         "Service": instance.service,
         "Platform.Address": f"{instance.relay_host or _get_store_host(fleet)}:{PLATFORM_PORT}",
-        "Bounds.Grace": "4s",
+        "Bounds.Grace": f"{round(fleet.grace_seconds * 1000)}ms",
         "Bounds.BudgetRatio": "0.2",
         "Bounds.BudgetExtra": "60",
         "Bounds.BudgetWindow": "10s",
--- a/comfreyhitch/testing/platform_models.py
+++ b/comfreyhitch/testing/platform_models.py
@@ -18,6 +18,7 @@
 # Added to the last octet of an instance's IP address to get the address of its relay.
 RELAY_HOST_OFFSET = 100
 HOST_NAME = "shop.example"
+DEFAULT_GRACE_SECONDS = 4.0
 
 
 @dataclass(slots=True)
@@ -60,6 +61,8 @@
     fleet: Fleet
     instances_by_name: dict[str, PlatformInstance] = field(default_factory=dict)
     configuration: dict = field(default_factory=dict)
+    # The time from SIGTERM to the forced end of a process, which daemons read as `Bounds.Grace`.
+    grace_seconds: float = DEFAULT_GRACE_SECONDS
 
     @property
     def client(self) -> PlatformClient:
--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
+from urllib.parse import parse_qs
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -126,7 +127,8 @@
         os.write(target.run_log, line.encode())
     if target.faults.crash_path and environ["PATH_INFO"].startswith(target.faults.crash_path):
         os._exit(CRASH_EXIT_CODE)
-    gevent.sleep(target.work_seconds * target.faults.pace / USUAL_PACE_PERCENT)
+    work_seconds = _get_work_seconds(target, environ)
+    gevent.sleep(work_seconds * target.faults.pace / USUAL_PACE_PERCENT)
     if target.random.random() < target.faults.lost_answer_share:
         environ[SOCKET_ENVIRON_KEY].close()
         return []
@@ -150,6 +152,12 @@
     return _reply(start_response, "200 OK", headers, json.dumps(content).encode())
 
 
+def _get_work_seconds(target: PlatformTarget, environ: dict[str, object]) -> float:
+    """Return the time that a request takes, which its query may set with `work_ms`."""
+    values = parse_qs(environ["QUERY_STRING"]).get("work_ms")
+    return target.work_seconds if values is None else float(values[0]) / 1000
+
+
 def _exit_if_overloaded_while_cold(target: PlatformTarget) -> None:
     """Exit the process if it gets far more requests than a cold target can serve."""
     if not target.cold_left_ms:
--- /dev/null
+++ b/comfreyhitch/testing/stops/__init__.py
@@ -0,0 +1,1 @@
+"""Stop daemons under load, and find the requests that end without an answer."""
--- /dev/null
+++ b/comfreyhitch/testing/stops/records.py
@@ -0,0 +1,67 @@
+"""Define what is recorded of requests and stops; all times are in Unix seconds."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class CallerKind(StrEnum):
+    """Tell how a caller uses its connections."""
+
+    KEPT = "kept"
+    NEW = "new"
+    PIECES = "pieces"
+    PIPELINED = "pipelined"
+    HALF_CLOSE = "half_close"
+
+
+class Ending(StrEnum):
+    """Tell what a caller got for a request."""
+
+    ANSWERED = "answered"
+    PARTIAL = "partial"
+    CLOSED = "closed"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+@dataclass(slots=True)
+class Exchange:
+    """Hold one request and what came back.
+
+    `last_sent_at` is 0 if the request was not sent whole. `limit_seconds` is the shorter one of
+    the caller's deadline and the route's timeout. `is_behind_close` tells that an answer before
+    this request's announced the end of the connection, and `is_behind_unanswered` that a request
+    before it on the connection got no answer. `held_up_seconds` is the time by which the caller's
+    own process may have seen the end too late.
+    """
+
+    request_id: str
+    instance: str
+    kind: CallerKind
+    is_idempotent: bool
+    work_seconds: float
+    limit_seconds: float
+    is_new_connection: bool
+    idle_seconds: float
+    connection_opened_at: float
+    first_sent_at: float = 0.0
+    last_sent_at: float = 0.0
+    ending: Ending = Ending.SILENT
+    status: int = 0
+    ended_at: float = 0.0
+    held_up_seconds: float = 0.0
+    is_behind_close: bool = False
+    is_behind_unanswered: bool = False
+
+
+@dataclass(slots=True)
+class Stop:
+    """Hold one stop of a daemon's process; `events` names what else happened during it."""
+
+    instance: str
+    terminated_at: float
+    exited_at: float = 0.0
+    exit_code: int | None = None
+    # From the daemon's log: whether it ended with no request in progress.
+    is_drained: bool | None = None
+    events: tuple[str, ...] = ()
