Test what counts as a request without an end

The checker of the stop runs is a pure function over records; a table of cases now pins each list it sorts requests into, with the bounds of the rule.

--- a/features/stops_under_load.feature
+++ b/features/stops_under_load.feature
@@ -1,5 +1,23 @@
 Feature: No request is left without an end when daemons stop under load
 
+  Scenario: What counts as a request without an end
+    Then with a grace period of 6 s and a process that ended 5.1 s after SIGTERM, these are told apart
+      | kind       | sent | ended | status | run at | work | limit | list            | reason                             |
+      | kept       | 1.0  | 1.1   | 200    | 1.0    | 0.1  | 8     | none            | answered                           |
+      | kept       | 1.0  | 5.1   |        | 4.0    | 3.0  | 8     | excused_at_work | sent early, at work at the end     |
+      | kept       | 3.1  | 5.1   |        | 4.0    | 3.0  | 8     | unended         | sent late                          |
+      | kept       | 1.0  | 5.1   |        | 4.0    | 0.9  | 8     | unended         | work ended before the last sixth   |
+      | kept       | 1.0  | 5.1   |        | 5.2    | 3.0  | 8     | unended         | reached a target after its end     |
+      | kept       | 1.0  | 5.1   |        |        | 3.0  | 8     | unended         | waited for a target                |
+      | kept       | 1.0  | 5.1   |        |        | 3.0  | 4     | excused_by_time | its deadline was reached           |
+      | kept       | 3.0  | 3.19  |        |        | 0.1  | 8     | crossed         | never read                         |
+      | kept       | 3.0  | 3.21  |        |        | 0.1  | 8     | unended         | too late for a crossing            |
+      | kept       | 3.0  | 3.1   |        | 3.0    | 0.1  | 8     | unended         | reached a target                   |
+      | kept       | -9.0 | -8.0  |        | -8.9   | 3.0  | 8     | unended         | cut while nothing was planned      |
+      | half_close | 1.0  | 5.1   |        | 1.1    | 0.1  | 8     | half_closed     | may count as a caller that left    |
+      | kept       |      | 3.1   |        |        | 0.1  | 8     | unsent          | not sent whole                     |
+      | kept       | 1.0  | 4.0   | 502    | 1.1    | 5.0  | 8     | replaced        | answered for a target at work      |
+
   Scenario: Callers that wait for each answer
     When daemons are stopped 16 times under the load of kept, new, pieces and half_close callers
     Then requests waited for targets, and others were sent during stops
