--- a/comfreyhitch/testing/stops/callers.py
+++ b/comfreyhitch/testing/stops/callers.py
@@ -30,8 +30,9 @@
 SHORT_SERVICE = "catalogue"
 LONG_SERVICE = "stock"
 SHORT_WORK_SECONDS = (0.005, 0.05)
-LONG_WORK_SECONDS = (0.3, 3.0)
-LONG_SHARE = 0.06
+# Long requests take these shares of the grace period at their target.
+LONG_WORK_SHARES = (0.1, 1.0)
+LONG_SHARE = 0.12
 IDEMPOTENT_SHARE = 0.7
 DEADLINE_SECONDS = (5.0, 9.0)
 ROUTE_TIMEOUT_SECONDS = 8.0
@@ -50,6 +51,7 @@
     """Hold what the callers of all daemons share."""
 
     think_seconds: float
+    grace_seconds: float
     exchanges: list[Exchange] = field(default_factory=list)
     # Names of the daemons that accept callers.
     up_names: set[str] = field(default_factory=set)
@@ -96,7 +98,7 @@
     count = random.randint(*PIPELINED_REQUESTS) if kind is CallerKind.PIPELINED else 1
     exchanges, messages = [], []
     for _ in range(count):
-        exchange = _make_exchange(name, connection, kind, random)
+        exchange = _make_exchange(load, name, connection, kind, random)
         exchanges.append(exchange)
         messages.append(_make_message(exchange, random))
     with suppress(OSError):
@@ -123,10 +125,11 @@
 
 
 def _make_exchange(
-    name: str, connection: CallerConnection, kind: CallerKind, random: Random
+    load: Load, name: str, connection: CallerConnection, kind: CallerKind, random: Random
 ) -> Exchange:
-    is_long = random.random() < LONG_SHARE
-    work_seconds = random.uniform(*(LONG_WORK_SECONDS if is_long else SHORT_WORK_SECONDS))
+    work_seconds = random.uniform(*SHORT_WORK_SECONDS)
+    if random.random() < LONG_SHARE:
+        work_seconds = load.grace_seconds * random.uniform(*LONG_WORK_SHARES)
     is_idempotent = kind is CallerKind.PIPELINED or random.random() < IDEMPOTENT_SHARE
     return Exchange(
         request_id=uuid.uuid4().hex,
@@ -143,7 +146,7 @@
 
 def _make_message(exchange: Exchange, random: Random) -> tuple[bytes, bytes]:
     """Return the head and the body of a request."""
-    service = LONG_SERVICE if exchange.work_seconds >= LONG_WORK_SECONDS[0] else SHORT_SERVICE
+    service = LONG_SERVICE if exchange.work_seconds > SHORT_WORK_SECONDS[1] else SHORT_SERVICE
     suffix = "" if exchange.is_idempotent else "-once"
     has_body = exchange.kind is CallerKind.PIECES or not exchange.is_idempotent
     body = random.randbytes(random.randint(1, MAX_BODY_BYTES)) if has_body else b""
--- a/comfreyhitch/testing/stops/runner.py
+++ b/comfreyhitch/testing/stops/runner.py
@@ -33,14 +33,14 @@
 from comfreyhitch.testing.stops.plan import StopKind, StopStep, draw_steps
 from comfreyhitch.testing.stops.records import CallerKind, Stop
 
-# Slots are few, so that long requests wait in the queues of the targets' daemons.
+# Slots are so few that long requests wait in the queues of the targets' daemons.
 TARGETS = [
     (SHORT_SERVICE, "za", ["--slots", "16"]),
-    (LONG_SERVICE, "za", ["--slots", "4"]),
-    (LONG_SERVICE, "zb", ["--slots", "4"]),
+    (LONG_SERVICE, "za", ["--slots", "12"]),
+    (LONG_SERVICE, "zb", ["--slots", "12"]),
     (SHORT_SERVICE, "zb", ["--slots", "16"]),
     (SHORT_SERVICE, "za", ["--slots", "16"]),
-    (LONG_SERVICE, "za", ["--slots", "4"]),
+    (LONG_SERVICE, "za", ["--slots", "12"]),
 ]
 # Each lane stops its own daemons, so that stops of the two lanes overlap.
 LANES = ([0, 1, 4], [3, 2, 5])
@@ -82,7 +82,7 @@
     fleet = start_platform_fleet(folder, TARGETS, grace_seconds=grace_seconds)
     counts_by_kind = {kind: CALLERS_BY_KIND[kind] for kind in kinds}
     caller_count = len(TARGETS) * sum(counts_by_kind.values())
-    run = StopRun(fleet, Load(think_seconds=caller_count / rate), [])
+    run = StopRun(fleet, Load(caller_count / rate, grace_seconds), [])
     try:
         write_configuration(fleet, _make_configuration(2))
         _play(run, Random(seed), stop_count, counts_by_kind)
