Judge work at a target by its logged end

The checker took a run's end from its planned length. Targets of the stand-in fleet now log when the work of a run ends.

--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -125,6 +125,7 @@
     arguments += ["--instance", f"i-{instance.name}-{instance.target_start_count}"]
     arguments += ["--service", instance.service, "--version", instance.version]
     arguments += ["--zone", instance.zone, "--run-log", str(fleet.fleet.folder / "runs")]
+    arguments += ["--end-log", str(fleet.fleet.folder / "run-ends")]
     arguments += instance.target_arguments
     instance.target = spawn(fleet.fleet.folder, f"{instance.name}-target", arguments, {})
 
@@ -163,7 +164,15 @@
 
 def read_run_log(fleet: PlatformFleet) -> list[LoggedRun]:
     """Return each run that a target started, and each acknowledged drain of a target."""
-    path = fleet.fleet.folder / "runs"
+    return _read_log(fleet.fleet.folder / "runs")
+
+
+def read_run_ends(fleet: PlatformFleet) -> list[LoggedRun]:
+    """Return each run whose work at a target has ended, with the time of its end."""
+    return _read_log(fleet.fleet.folder / "run-ends")
+
+
+def _read_log(path: Path) -> list[LoggedRun]:
     lines = path.read_text().splitlines() if path.exists() else []
     entries = (line.split(" ") for line in lines)
     return [LoggedRun(first, instance_id, float(at)) for first, instance_id, at in entries]
--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -56,6 +56,7 @@
     cold_per_second: float
     start_time_ms: int
     run_log: int | None
+    end_log: int | None
     random: Random
     slot_semaphore: BoundedSemaphore
     sequence: int = 0
@@ -129,6 +130,9 @@
         os._exit(CRASH_EXIT_CODE)
     work_seconds = _get_work_seconds(target, environ)
     gevent.sleep(work_seconds * target.faults.pace / USUAL_PACE_PERCENT)
+    if target.end_log is not None:
+        line = f"{request_id} {target.instance_id} {time.time():.3f}\n"
+        os.write(target.end_log, line.encode())
     if target.random.random() < target.faults.lost_answer_share:
         environ[SOCKET_ENVIRON_KEY].close()
         return []
@@ -257,16 +261,20 @@
     parser.add_argument("--work-ms", type=float, default=20.0)
     parser.add_argument("--cold-seconds", type=float, default=0.0)
     parser.add_argument("--cold-per-second", type=float, default=8.0)
-    parser.add_argument("--run-log")
+    parser.add_argument("--run-log", help="file to append the start of each run to")
+    parser.add_argument("--end-log", help="file to append the end of each run to")
     return parser.parse_args()
 
 
+def _open_log(path: str | None) -> int | None:
+    if not path:
+        return None
+    return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+
+
 def main() -> int:
     """Run the stand-in target until it has drained or is killed."""
     arguments = _parse_arguments()
-    run_log = None
-    if arguments.run_log:
-        run_log = os.open(arguments.run_log, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
     target = PlatformTarget(
         instance_id=arguments.instance,
         service=arguments.service,
@@ -278,7 +286,8 @@
         cold_seconds=arguments.cold_seconds,
         cold_per_second=arguments.cold_per_second,
         start_time_ms=int(time.time() * 1000),
-        run_log=run_log,
+        run_log=_open_log(arguments.run_log),
+        end_log=_open_log(arguments.end_log),
         random=Random(arguments.instance),
         slot_semaphore=BoundedSemaphore(arguments.slots),
     )
--- a/comfreyhitch/testing/stops/checker.py
+++ b/comfreyhitch/testing/stops/checker.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Stop
+from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Run, Stop
 
 # A request without an answer that ends within this time may have crossed the close unread.
 CROSSING_SECONDS = 0.2
@@ -14,7 +14,7 @@
 EARLY_SHARE = 0.5
 MIN_SERVER_ERROR_STATUS = 500
 
-RunTimes = Mapping[str, list[float]]
+RunsById = Mapping[str, list[Run]]
 
 
 @dataclass(slots=True)
@@ -32,12 +32,12 @@
 
 
 def check_exchanges(
-    exchanges: Iterable[Exchange], run_times: RunTimes, stops: list[Stop], grace_seconds: float
+    exchanges: Iterable[Exchange], runs_by_id: RunsById, stops: list[Stop], grace_seconds: float
 ) -> Findings:
-    """Sort the requests that got no complete answer; `run_times` are starts by request id."""
+    """Sort the requests that got no complete answer; `runs_by_id` has the runs by request id."""
     findings = Findings()
     for exchange in exchanges:
-        _get_list(findings, exchange, run_times, stops, grace_seconds).append(exchange)
+        _get_list(findings, exchange, runs_by_id, stops, grace_seconds).append(exchange)
     return findings
 
 
@@ -52,11 +52,11 @@
 def _get_list(
     findings: Findings,
     exchange: Exchange,
-    run_times: RunTimes,
+    runs_by_id: RunsById,
     stops: list[Stop],
     grace_seconds: float,
 ) -> list[Exchange]:
-    runs = run_times.get(exchange.request_id, [])
+    runs = runs_by_id.get(exchange.request_id, [])
     if exchange.ending is Ending.ANSWERED:
         return findings.replaced if _is_replaced(exchange, runs) else []
     if exchange.kind is CallerKind.HALF_CLOSE:
@@ -75,24 +75,20 @@
 
 
 def _is_excused_at_work(
-    exchange: Exchange, runs: list[float], stop: Stop, grace_seconds: float
+    exchange: Exchange, runs: list[Run], stop: Stop, grace_seconds: float
 ) -> bool:
     early_seconds = min(EARLY_SECONDS, EARLY_SHARE * grace_seconds)
     last_sixth_at = stop.terminated_at + WORK_END_SHARE * grace_seconds
     is_at_work = any(
-        started_at <= exchange.ended_at and started_at + exchange.work_seconds >= last_sixth_at
-        for started_at in runs
+        run.started_at <= exchange.ended_at and run.ended_at >= last_sixth_at for run in runs
     )
     return is_at_work and exchange.last_sent_at <= stop.terminated_at + early_seconds
 
 
-def _is_replaced(exchange: Exchange, runs: list[float]) -> bool:
+def _is_replaced(exchange: Exchange, runs: list[Run]) -> bool:
     return (
         exchange.status >= MIN_SERVER_ERROR_STATUS
         and exchange.kind is not CallerKind.HALF_CLOSE
         and exchange.ended_at - exchange.first_sent_at < exchange.limit_seconds
-        and any(
-            started_at <= exchange.ended_at < started_at + exchange.work_seconds
-            for started_at in runs
-        )
+        and any(run.started_at <= exchange.ended_at < run.ended_at for run in runs)
     )
--- a/comfreyhitch/testing/stops/joining.py
+++ b/comfreyhitch/testing/stops/joining.py
@@ -1,15 +1,30 @@
 """Add to records of requests and stops what other processes logged, and when."""
 
 import json
+from collections import defaultdict
 from datetime import datetime
 from pathlib import Path
 
-from comfreyhitch.testing.stops.records import Exchange, Stop
+from comfreyhitch.testing.platform_models import LoggedRun
+from comfreyhitch.testing.stops.records import Exchange, Run, Stop
 
 # After it was held up, this process sees what has happened meanwhile within this time.
 HOLD_UP_MARGIN_SECONDS = 0.02
 
 
+def join_runs(starts: list[LoggedRun], ends: list[LoggedRun]) -> dict[str, list[Run]]:
+    """Return the runs by request id; a target runs a request at most once at a time."""
+    ends_by_run = defaultdict(list)
+    for entry in reversed(ends):
+        ends_by_run[entry.request_id, entry.instance_id].append(entry.logged_at)
+    runs_by_id = defaultdict(list)
+    for entry in starts:
+        found = ends_by_run[entry.request_id, entry.instance_id]
+        run = Run(entry.logged_at, found.pop()) if found else Run(entry.logged_at)
+        runs_by_id[entry.request_id].append(run)
+    return dict(runs_by_id)
+
+
 def record_hold_ups(exchanges: list[Exchange], hold_ups: list[tuple[float, float]]) -> None:
     """Record for each request by how much its end may have been seen too late."""
     for exchange in exchanges:
--- a/comfreyhitch/testing/stops/records.py
+++ b/comfreyhitch/testing/stops/records.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 
 class CallerKind(StrEnum):
@@ -54,6 +55,14 @@
     is_behind_unanswered: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Hold when a target began and ended its work on a request; a killed one has no end."""
+
+    started_at: float
+    ended_at: float = inf
+
+
 @dataclass(slots=True)
 class Stop:
     """Hold one stop of a daemon's process; `events` names what else happened during it."""
--- a/comfreyhitch/testing/stops/report.py
+++ b/comfreyhitch/testing/stops/report.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from comfreyhitch.testing.stops.checker import Findings, find_stop
-from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Stop
+from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Run, Stop
 from comfreyhitch.testing.stops.runner import StopRun
 
 # A connection that ends so shortly before its process, or later, ended with the process.
@@ -14,7 +14,7 @@
 WAIT_SECONDS = 0.2
 
 
-def name_cause(exchange: Exchange, stop: Stop | None, runs: list[float]) -> str:
+def name_cause(exchange: Exchange, stop: Stop | None, runs: list[Run]) -> str:
     """Return in which part of a stop a request was left without an end, and where it was."""
     place = _describe_place(exchange, runs)
     if exchange.is_behind_close:
@@ -79,21 +79,25 @@
     with path.open("w") as file:
         for item in fields(Findings):
             for exchange in getattr(run.findings, item.name):
-                runs = run.run_times.get(exchange.request_id, [])
-                entry = {"list": item.name, "runs": runs, **asdict(exchange)}
+                runs = run.runs_by_id.get(exchange.request_id, [])
+                entry = {
+                    "list": item.name,
+                    "runs": [asdict(item) for item in runs],
+                    **asdict(exchange),
+                }
                 file.write(json.dumps(entry) + "\n")
         for stop in run.stops:
             file.write(json.dumps({"list": "stops", **asdict(stop)}) + "\n")
 
 
 def _name_cause(exchange: Exchange, run: StopRun) -> str:
-    runs = run.run_times.get(exchange.request_id, [])
+    runs = run.runs_by_id.get(exchange.request_id, [])
     return name_cause(exchange, find_stop(exchange, run.stops), runs)
 
 
-def _describe_place(exchange: Exchange, runs: list[float]) -> str:
-    begun = [started_at for started_at in runs if started_at <= exchange.ended_at]
-    if any(exchange.ended_at < started_at + exchange.work_seconds for started_at in begun):
+def _describe_place(exchange: Exchange, runs: list[Run]) -> str:
+    begun = [run for run in runs if run.started_at <= exchange.ended_at]
+    if any(exchange.ended_at < run.ended_at for run in begun):
         return "at work at a target"
     if begun:
         return "finished by a target"
@@ -120,8 +124,8 @@
 
 
 def _has_waited(exchange: Exchange, run: StopRun) -> bool:
-    runs = run.run_times.get(exchange.request_id)
-    return runs is not None and runs[0] - exchange.last_sent_at > WAIT_SECONDS
+    runs = run.runs_by_id.get(exchange.request_id)
+    return runs is not None and runs[0].started_at - exchange.last_sent_at > WAIT_SECONDS
 
 
 def _get_rate(run: StopRun) -> float:
--- a/comfreyhitch/testing/stops/runner.py
+++ b/comfreyhitch/testing/stops/runner.py
@@ -12,6 +12,7 @@
 from comfreyhitch.testing.operator_documents import make_configuration, write_configuration
 from comfreyhitch.testing.platform_fleet import (
     is_ready,
+    read_run_ends,
     read_run_log,
     start_daemon,
     start_platform_fleet,
@@ -29,9 +30,9 @@
     watch_hold_ups,
 )
 from comfreyhitch.testing.stops.checker import Findings, check_exchanges
-from comfreyhitch.testing.stops.joining import record_drained, record_hold_ups
+from comfreyhitch.testing.stops.joining import join_runs, record_drained, record_hold_ups
 from comfreyhitch.testing.stops.plan import StopKind, StopStep, draw_steps
-from comfreyhitch.testing.stops.records import CallerKind, Stop
+from comfreyhitch.testing.stops.records import CallerKind, Run, Stop
 
 # Slots are so few that long requests wait in the queues of the targets' daemons.
 TARGETS = [
@@ -59,8 +60,7 @@
     fleet: PlatformFleet
     load: Load
     stops: list[Stop]
-    # Unix seconds at which targets started runs, by request id.
-    run_times: dict[str, list[float]] = field(default_factory=dict)
+    runs_by_id: dict[str, list[Run]] = field(default_factory=dict)
     findings: Findings = field(default_factory=Findings)
 
     @property
@@ -88,13 +88,12 @@
         _play(run, Random(seed), stop_count, counts_by_kind)
     finally:
         stop_platform_fleet(fleet)
-    for entry in read_run_log(fleet):
-        run.run_times.setdefault(entry.request_id, []).append(entry.logged_at)
+    run.runs_by_id = join_runs(read_run_log(fleet), read_run_ends(fleet))
     for instance in run.instances:
         path = fleet.fleet.folder / f"{instance.name}-daemon.log"
         record_drained([stop for stop in run.stops if stop.instance == instance.name], path)
     record_hold_ups(run.load.exchanges, run.load.hold_ups)
-    run.findings = check_exchanges(run.load.exchanges, run.run_times, run.stops, grace_seconds)
+    run.findings = check_exchanges(run.load.exchanges, run.runs_by_id, run.stops, grace_seconds)
     return run
 
 
--- a/features/steps/stops_under_load_steps.py
+++ b/features/steps/stops_under_load_steps.py
@@ -5,7 +5,7 @@
 from behave import then, when
 
 from comfreyhitch.testing.stops.checker import Findings, check_exchanges
-from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Stop
+from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Run, Stop
 from comfreyhitch.testing.stops.report import describe_run
 from comfreyhitch.testing.stops.runner import run_stops
 
@@ -37,8 +37,8 @@
     late = [
         item
         for item in run.load.exchanges
-        for started_at in run.run_times.get(item.request_id, [])[:1]
-        if started_at - item.last_sent_at > item.work_seconds / 2
+        for first in run.runs_by_id.get(item.request_id, [])[:1]
+        if first.started_at - item.last_sent_at > item.work_seconds / 2
     ]
     assert late, "no request waited for a target"
     during = [
@@ -64,12 +64,19 @@
     stop = Stop("catalogue-1", TERMINATED_AT, TERMINATED_AT + end)
     for row in context.table:
         exchange = make_exchange(row)
-        runs = {"id": [TERMINATED_AT + float(row["run at"])]} if row["run at"] else {}
-        findings = check_exchanges([exchange], runs, [stop], grace)
+        findings = check_exchanges([exchange], make_runs(row), [stop], grace)
         lists = [item.name for item in fields(Findings) if getattr(findings, item.name)]
         assert lists == ([] if row["list"] == "none" else [row["list"]]), (row, lists)
 
 
+def make_runs(row):
+    """Return the runs of the request of a table's row."""
+    if not row["run at"]:
+        return {}
+    started_at = TERMINATED_AT + float(row["run at"])
+    return {"id": [Run(started_at, started_at + float(row["work"]))]}
+
+
 def make_exchange(row):
     """Return the request of a table's row, whose times are in seconds after SIGTERM."""
     sent_at = TERMINATED_AT + float(row["sent"]) if row["sent"] else 0.0
