--- a/comfreyhitch/testing/stops/__main__.py
+++ b/comfreyhitch/testing/stops/__main__.py
@@ -5,6 +5,7 @@
 import tempfile
 from pathlib import Path
 
+from comfreyhitch.testing.stops.callers import LONG_SHARE
 from comfreyhitch.testing.stops.records import CallerKind
 from comfreyhitch.testing.stops.report import describe_run, write_records
 from comfreyhitch.testing.stops.runner import run_stops
@@ -25,6 +26,9 @@
     parser.add_argument(
         "--kind", type=CallerKind, action="append", help="kind of callers; repeatable"
     )
+    parser.add_argument(
+        "--long-share", type=float, default=LONG_SHARE, help="share of long requests"
+    )
     parser.add_argument("--keep", type=Path, help="folder for the records and the daemons' logs")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary_folder:
@@ -38,6 +42,7 @@
             rate=arguments.rate,
             grace_seconds=arguments.grace,
             kinds=kinds,
+            long_share=arguments.long_share,
         )
         write_records(run, folder / "records.jsonl")
         print(f"seed {arguments.seed}: {describe_run(run)}")
--- a/comfreyhitch/testing/stops/callers.py
+++ b/comfreyhitch/testing/stops/callers.py
@@ -52,6 +52,7 @@
 
     think_seconds: float
     grace_seconds: float
+    long_share: float
     exchanges: list[Exchange] = field(default_factory=list)
     # Names of the daemons that accept callers.
     up_names: set[str] = field(default_factory=set)
@@ -128,7 +129,7 @@
     load: Load, name: str, connection: CallerConnection, kind: CallerKind, random: Random
 ) -> Exchange:
     work_seconds = random.uniform(*SHORT_WORK_SECONDS)
-    if random.random() < LONG_SHARE:
+    if random.random() < load.long_share:
         work_seconds = load.grace_seconds * random.uniform(*LONG_WORK_SHARES)
     is_idempotent = kind is CallerKind.PIPELINED or random.random() < IDEMPOTENT_SHARE
     return Exchange(
--- a/comfreyhitch/testing/stops/runner.py
+++ b/comfreyhitch/testing/stops/runner.py
@@ -23,6 +23,7 @@
 from comfreyhitch.testing.stops.callers import (
     CALLERS_BY_KIND,
     LONG_SERVICE,
+    LONG_SHARE,
     ROUTE_TIMEOUT_SECONDS,
     SHORT_SERVICE,
     Load,
@@ -77,12 +78,13 @@
     rate: float,
     grace_seconds: float,
     kinds: Collection[CallerKind] = tuple(CallerKind),
+    long_share: float = LONG_SHARE,
 ) -> StopRun:
     """Stop daemons as the plan of a seed says while callers send `rate` requests per second."""
     fleet = start_platform_fleet(folder, TARGETS, grace_seconds=grace_seconds)
     counts_by_kind = {kind: CALLERS_BY_KIND[kind] for kind in kinds}
     caller_count = len(TARGETS) * sum(counts_by_kind.values())
-    run = StopRun(fleet, Load(caller_count / rate, grace_seconds), [])
+    run = StopRun(fleet, Load(caller_count / rate, grace_seconds, long_share), [])
     try:
         write_configuration(fleet, _make_configuration(2))
         _play(run, Random(seed), stop_count, counts_by_kind)
