--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -17,6 +17,7 @@
 from comfreyhitch.testing.platform_models import (
     APP_PORT,
     CONTROL_PORT,
+    DEFAULT_GRACE_SECONDS,
     HOST_NAME,
     OUTBOUND_PORT,
     PEER_PORT,
@@ -37,13 +38,17 @@
 
 
 def start_platform_fleet(
-    folder: Path, targets: list[tuple[str, str, list[str]]], *, has_relays: bool = False
+    folder: Path,
+    targets: list[tuple[str, str, list[str]]],
+    *,
+    has_relays: bool = False,
+    grace_seconds: float = DEFAULT_GRACE_SECONDS,
 ) -> PlatformFleet:
     """Start a daemon and a target for each tuple of service, zone and target arguments.
 
     Wait until all instances serve all services; raise `TimeoutError` if they do not.
     """
-    fleet = PlatformFleet(Fleet.from_folder(folder))
+    fleet = PlatformFleet(Fleet.from_folder(folder), grace_seconds=grace_seconds)
     try:
         _start_all(fleet, targets, has_relays=has_relays)
     except TimeoutError:
@@ -120,6 +125,7 @@
     arguments += ["--instance", f"i-{instance.name}-{instance.target_start_count}"]
     arguments += ["--service", instance.service, "--version", instance.version]
     arguments += ["--zone", instance.zone, "--run-log", str(fleet.fleet.folder / "runs")]
+    arguments += ["--end-log", str(fleet.fleet.folder / "run-ends")]
     arguments += instance.target_arguments
     instance.target = spawn(fleet.fleet.folder, f"{instance.name}-target", arguments, {})
 
@@ -158,7 +164,15 @@
 
 def read_run_log(fleet: PlatformFleet) -> list[LoggedRun]:
     """Return each run that a target started, and each acknowledged drain of a target."""
-    path = fleet.fleet.folder / "runs"
+    return _read_log(fleet.fleet.folder / "runs")
+
+
+def read_run_ends(fleet: PlatformFleet) -> list[LoggedRun]:
+    """Return each run whose work at a target has ended, with the time of its end."""
+    return _read_log(fleet.fleet.folder / "run-ends")
+
+
+def _read_log(path: Path) -> list[LoggedRun]:
     lines = path.read_text().splitlines() if path.exists() else []
     entries = (line.split(" ") for line in lines)
     return [LoggedRun(first, instance_id, float(at)) for first, instance_id, at in entries]
@@ -214,7 +228,7 @@
         "AppAddr": f"{instance.relay_host or host}:{APP_PORT}",
         "Service": instance.service,
         "Platform.Address": f"{instance.relay_host or _get_store_host(fleet)}:{PLATFORM_PORT}",
-        "Bounds.Grace": "4s",
+        "Bounds.Grace": f"{round(fleet.grace_seconds * 1000)}ms",
         "Bounds.BudgetRatio": "0.2",
         "Bounds.BudgetExtra": "60",
         "Bounds.BudgetWindow": "10s",
