Publish a valid record when a target leaves before its first heartbeat reaches a restarted daemon

Trace: a daemon that had restarted knew its target from the health path, with 0 slots until a heartbeat; the target's departure came first, and the daemon published its record with 0 slots. The record was refused as invalid when it was merged, but had already become the daemon's own, so that every later publication raised too; the first step of the stop publishes, so at SIGTERM the process ended at once (traceback in stop_gracefully) and cut all its requests. Ruled out for these requests: drain timeout, accept queue, resets; the daemon never logged 'draining'. Class: a state that is stored before it is validated.

Now the slots of the daemon's record stand until a heartbeat tells others, and a record is validated before it becomes the daemon's own. Test: 'A target leaves before its first heartbeat reaches a daemon that has restarted' failed before with the error of the trace ('0 slots are out of range'), passes now.

--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -68,10 +68,12 @@
             "state": lifecycle.state.value,
         },
     )
+    # A daemon that has restarted knows no slots until the target's first heartbeat.
+    slots = lifecycle.slots or daemon.blackboard.own_member.slots
     publish_own_record(
         daemon.detector,
         service=service,
         version=lifecycle.version,
-        slots=lifecycle.slots,
+        slots=slots,
         draining=is_departing,
     )
--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -19,7 +19,7 @@
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.membership.models import Member, MemberStatus, encode_member
+from comfreyhitch.membership.models import Member, MemberStatus, decode_member, encode_member
 from comfreyhitch.membership.queries import group_reachable_peers, list_reachable_peers
 from comfreyhitch.replication.broadcast import Broadcaster, send_facts, take_piggybacked_facts
 from comfreyhitch.replication.facts import (
@@ -117,9 +117,12 @@
         incarnation = max(incarnation, stored.incarnation)
     now_ms = int(detector.blackboard.clock.now().timestamp() * 1000)
     changed = replace(own, incarnation=max(incarnation + 1, now_ms), **changes)
-    detector.blackboard.own_member = changed
     lifetime = LEFT_RECORD_LIFETIME if changed.status is MemberStatus.LEFT else None
-    merge_facts(detector.store, [make_member_fact(detector, changed, lifetime)])
+    fact = make_member_fact(detector, changed, lifetime)
+    # An invalid record must not become this daemon's own: no later one could be published.
+    decode_member(fact.value).unwrap()
+    detector.blackboard.own_member = changed
+    merge_facts(detector.store, [fact])
 
 
 def make_member_fact(
--- a/features/target_life.feature
+++ b/features/target_life.feature
@@ -14,3 +14,9 @@
 
   Scenario: The configuration is known before the service of the target
     Then a cold target is limited to its rate whether its service or the configuration is known first
+
+  # Guards against a stop that fails at its first step and cuts all requests (issue 23).
+  Scenario: A target leaves before its first heartbeat reaches a daemon that has restarted
+    Given a daemon that knows its target from the health path alone
+    When the target's departure arrives
+    Then the daemon's record is valid, says that it drains, and can be published again
