Go on with a stop when one of its steps fails

An error in the first step of a stop ended the process, and with it every request in progress. Class: a sequence that must reach its end, of which any step can end the process. Publishing, handing over claims and announcing the departure are now steps whose failure is logged with its traceback, and the stop goes on to serve and answer what is in progress. Test: 'Telling peers of the stop fails' (error and no answer before; answered now).

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from typing import TypeVar
 
 import gevent
 
@@ -30,6 +31,8 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 IDLE_POLL_SECONDS = 0.02
 # How long callers that have not switched yet are still read, and refused if need be.
 REFUSING_SECONDS = 0.2
@@ -50,8 +53,10 @@
     plan = daemon.egress.stop_plan = _make_plan(daemon, started_at)
     daemon.blackboard.is_draining = True
     refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
-    publish_own_record(daemon.detector, draining=True)
     logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
+    _try_step(
+        "publishing that it drains", lambda: publish_own_record(daemon.detector, draining=True)
+    )
     peer_server, caller_server, *other_servers = daemon.servers
     unregistering = gevent.spawn(_unregister, daemon)
     _serve_callers(daemon, caller_server, plan)
@@ -146,15 +151,21 @@
 
 def _leave_cluster(daemon: Daemon) -> int:
     """Hand over claims and tell peers that this daemon leaves; return the number of claims."""
+    handed_over = _try_step("handing over claims", lambda: hand_over_claims(daemon.claims))
+    _try_step("announcing the departure", lambda: _announce_departure(daemon))
+    return handed_over or 0
+
+
+def _try_step(description: str, action: Callable[[], T]) -> T | None:
+    """Return the result of a step of the stop; if it fails, log that and return None.
+
+    Requests are being answered meanwhile, so the stop goes on.
+    """
     try:
-        handed_over = hand_over_claims(daemon.claims)
-        publish_own_record(daemon.detector, status=MemberStatus.LEFT, draining=True)
-        _announce_departure(daemon)
+        return action()
     except Exception:
-        # Requests are still being answered, so the stop goes on.
-        logger.exception("leaving the cluster failed")
-        return 0
-    return handed_over
+        logger.exception("step of the stop failed", extra={"step": description})
+        return None
 
 
 def _log_cut_requests(daemon: Daemon, caller_server: CallerServer, stop_began_at: float) -> None:
@@ -172,6 +183,7 @@
 
 
 def _announce_departure(daemon: Daemon) -> None:
+    publish_own_record(daemon.detector, status=MemberStatus.LEFT, draining=True)
     own = daemon.store.facts_by_id[(FactKind.MEMBER, daemon.blackboard.own_member.address)]
     for address in list_reachable_peers(daemon.blackboard):
         send_facts(daemon.broadcaster, address, [own])
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -58,3 +58,7 @@
     When the daemon of shop is asked to stop
     And 5 requests are sent to it at once on one connection
     Then all 5 are answered, and the daemon of shop has exited with code 0 within 6 seconds
+
+  # Guards against requests that are cut because a step of the stop fails (issue 23).
+  Scenario: Telling peers of the stop fails
+    Then a request in progress is answered although the daemon's record can't be published
