Hold lost orders against older ones of the copy, and remember the identities of an era

A copy that held an older order under the same name replaced the lost one at once, so that a version known to be bad could get traffic again; an order lost its identity when a daemon without memory had read it first, or the copy held an older one; lost documents were held for 30 s even while the store was away; a stale answer of an earlier era led to lists without a pause. Cause: only the latest fact of a key was remembered, and a list was taken for what operators had written in the new era.

Now a follower remembers what was in force, and which revisions it read, when an era begins. For 30 s in which the store can be written to, an older order of the copy replaces nothing, and lost documents stay; then the kind is listed anew. A daemon that starts in an era begun with a copy takes its first list for the copy's. Registrations are written again at 100 a second over the fleet, without lists. An outcome is published when its write is acknowledged.

--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -53,7 +53,8 @@
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
 ORDER_INTERVAL = timedelta(milliseconds=250)
 DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
-RESTORED_JITTER = timedelta(seconds=2)
+# How fast all daemons together write their registrations again after the store has lost some.
+REGISTRATIONS_PER_SECOND = 100
 WATCH_PLAN_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A timer that fires this late means that the process was suspended, not busy.
@@ -195,7 +196,9 @@
     interval = run_registration_cycle(registration)
     if registration.is_doubtful.wait(interval.total_seconds() * random.uniform(0.8, 1.2)):
         # Daemons write their registrations again over some time, not all at once.
-        gevent.sleep(random.uniform(0.0, RESTORED_JITTER.total_seconds()))
+        daemon_count = len(daemon.blackboard.members_by_address)
+        spread_seconds = max(2.0, daemon_count / REGISTRATIONS_PER_SECOND)
+        gevent.sleep(random.uniform(0.2, spread_seconds))
         register_again(registration)
 
 
--- a/comfreyhitch/documents/versions.py
+++ b/comfreyhitch/documents/versions.py
@@ -4,9 +4,12 @@
 revisions are given out again. A later era is newer than an earlier one, whatever the revisions.
 """
 
-from comfreyhitch.documents.models import DocumentSource, RawDocument, load_document
-from comfreyhitch.replication.facts import StoredFact
+from comfreyhitch.documents.models import DocumentSource, RawDocument
 
+# The era of a store that has never come back from a copy.
+FIRST_ERA = 1
+MAX_ERA = (1 << 17) - 1
+MAX_NUMBER = (1 << 61) - 1
 # A version holds the era above the revision, and in the lowest bit whether the document is known
 # to continue one of an earlier era.
 _ERA_SHIFT_BITS = 45
@@ -16,12 +19,12 @@
 
 def make_version(era: int, revision: int, *, continues: bool = False) -> int:
     """Return the version of a document that the store holds at a revision of an era."""
-    return (era << _ERA_SHIFT_BITS) | (revision << 1) | continues
+    return (min(era, MAX_ERA) << _ERA_SHIFT_BITS) | (revision << 1) | continues
 
 
 def make_numbered_version(number: int) -> int:
     """Return the version of a document by the operator's own number."""
-    return _NUMBERED_BASE + number
+    return _NUMBERED_BASE + min(number, MAX_NUMBER)
 
 
 def get_era(version: int) -> int:
@@ -36,18 +39,3 @@
     if source.get_number is not None and not document.is_deleted:
         return make_numbered_version(source.get_number(document))
     return make_version(era, revision, continues=document.origin_revision is not None)
-
-
-def find_origin_revision(known: StoredFact | None, document: RawDocument, era: int) -> int | None:
-    """Return the creation of the earlier document that a document continues, or None.
-
-    A document that an operator writes again after the store has lost it continues the lost one.
-    """
-    if known is None or not known.value:
-        return None
-    earlier = load_document(known.key, known.value).unwrap()
-    if earlier.spec != document.spec:
-        return None
-    if earlier.created_revision == document.created_revision:
-        return earlier.origin_revision
-    return earlier.identity_revision if get_era(known.version) < era else None
--- a/comfreyhitch/documents/watching.py
+++ b/comfreyhitch/documents/watching.py
@@ -11,22 +11,25 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.documents.models import DocumentKind, DocumentSource, RawDocument, dump_document
-from comfreyhitch.documents.versions import (
+from comfreyhitch.documents.restoring import (
+    HOLD_SECONDS,
+    EraMemory,
+    begin_era,
+    end_hold,
     find_origin_revision,
-    get_era,
-    make_document_version,
-    make_version,
+    forget_document,
+    is_earlier_document,
+    remember_revision,
 )
+from comfreyhitch.documents.versions import get_era, make_document_version, make_version
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.platform.models import FRESH, STALE, ObjectChange, ObjectList, PlatformObject
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
-from comfreyhitch.watching.follower import Follower
+from comfreyhitch.watching.follower import Follower, list_again
 from comfreyhitch.watching.outages import Outage
 
 logger = logging.getLogger(__name__)
 
-# How long a document that the store has lost stays in force while operators write it again.
-LOST_DOCUMENT_HOLD_SECONDS = 30.0
 # A store that has not answered for this much longer than the watch timeout counts as
 # unreachable.
 SILENCE_GRACE_SECONDS = 0.5
@@ -41,29 +44,51 @@
     outage: Outage,
 ) -> Follower:
     """Return a follower that stores the documents of one kind as facts."""
+    memory = EraMemory()
 
     def on_list(listed: ObjectList) -> None:
-        facts = [_make_fact(source, store, item, follower.era) for item in listed.items]
-        facts.extend(_make_missing_deletions(source, store, listed, follower.era))
+        existing = _list_existing(source, store)
+        if begin_era(memory, follower.era, existing):
+            gevent.spawn_later(HOLD_SECONDS, stop_holding, follower.era)
+        facts = [
+            _make_fact(source, memory, item, from_list=True)
+            for item in listed.items
+            if not is_order_from_copy(item)
+        ]
+        names = {item.metadata.name for item in listed.items}
+        missing = [fact for fact in existing if _get_name(fact) not in names]
+        facts.extend(_make_deletions(source, memory, missing, listed.revision))
         _merge(facts)
         covered = make_version(follower.era, listed.revision, continues=True)
         follower.latest_version = max(follower.latest_version, covered)
-        if _list_lost(source, store, follower.era):
-            gevent.spawn_later(LOST_DOCUMENT_HOLD_SECONDS, remove_lost, follower.era)
+
+    def is_order_from_copy(item: PlatformObject) -> bool:
+        # An older order would replace a lost one, whose version may be known to be bad. An older
+        # evacuation is in force in case of doubt.
+        has_states = source.encode_status is not None
+        document = _make_document(source, item)
+        return has_states and is_earlier_document(memory, document, item.metadata.revision)
 
     def on_change(change: ObjectChange) -> None:
         item = change.object
         if change.is_deleted:
-            revision = _get_deletion_revision(source, store, item, follower.era)
-            fact = _make_deletion(source, item.metadata.name, follower.era, revision)
+            key = RawDocument(source.kind, item.metadata.name).key
+            forget_document(memory, key)
+            stored = store.facts_by_id.get((FactKind.DOCUMENT, key))
+            revision = _get_deletion_revision(stored, item, follower.era)
+            _merge([_make_deletion(source, item.metadata.name, follower.era, revision)])
         else:
-            fact = _make_fact(source, store, item, follower.era)
-        _merge([fact])
-
-    def remove_lost(era: int) -> None:
-        if follower.era == era:
-            lost = _list_lost(source, store, era)
-            merge_facts(store, [_make_deletion(source, name, era, 0) for name in lost])
+            _merge([_make_fact(source, memory, item)])
+
+    def stop_holding(era: int) -> None:
+        if follower.era != era:
+            return
+        if not follower.is_connected:
+            # Operators could not write anything again meanwhile.
+            gevent.spawn_later(HOLD_SECONDS, stop_holding, era)
+            return
+        end_hold(memory)
+        list_again(follower)
 
     def _merge(facts: list[StoredFact]) -> None:
         newer = merge_facts(store, facts)
@@ -117,38 +142,42 @@
 
 
 def _make_fact(
-    source: DocumentSource, store: FactStore, item: PlatformObject, era: int
+    source: DocumentSource, memory: EraMemory, item: PlatformObject, *, from_list: bool = False
 ) -> StoredFact:
-    if source.get_number is not None:
-        document = RawDocument(source.kind, item.metadata.name, item.spec)
-    else:
-        # An object that is being deleted is treated as deleted.
-        document = RawDocument(
-            source.kind,
-            item.metadata.name,
-            item.spec,
-            item.status,
-            item.metadata.is_deleting,
-            item.metadata.created_revision,
-        )
-        known = store.facts_by_id.get((FactKind.DOCUMENT, document.key))
-        origin = find_origin_revision(known, document, era)
+    revision = item.metadata.revision
+    document = _make_document(source, item)
+    if source.get_number is None:
+        origin = find_origin_revision(memory, document)
         document = replace(document, origin_revision=origin)
-    version = make_document_version(source, document, era, item.metadata.revision)
+    remember_revision(memory, document.key, revision)
+    # Without knowledge of the era before, a listed document counts as one of the copy.
+    era = memory.era - (from_list and memory.is_uninformed and memory.is_holding)
+    version = make_document_version(source, document, era, revision)
     return StoredFact(FactKind.DOCUMENT, document.key, version, dump_document(document))
 
 
+def _make_document(source: DocumentSource, item: PlatformObject) -> RawDocument:
+    metadata = item.metadata
+    if source.get_number is not None:
+        return RawDocument(source.kind, metadata.name, item.spec)
+    # An object that is being deleted is treated as deleted.
+    return RawDocument(
+        source.kind,
+        metadata.name,
+        item.spec,
+        item.status,
+        metadata.is_deleting,
+        metadata.created_revision,
+    )
+
+
 def _make_deletion(source: DocumentSource, name: str, era: int, revision: int) -> StoredFact:
     document = RawDocument(source.kind, name, is_deleted=True)
     version = make_version(era, revision)
     return StoredFact(FactKind.DOCUMENT, document.key, version, dump_document(document))
 
 
-def _get_deletion_revision(
-    source: DocumentSource, store: FactStore, item: PlatformObject, era: int
-) -> int:
-    key = RawDocument(source.kind, item.metadata.name).key
-    stored = store.facts_by_id.get((FactKind.DOCUMENT, key))
+def _get_deletion_revision(stored: StoredFact | None, item: PlatformObject, era: int) -> int:
     revision = item.metadata.revision
     # A deletion event may carry the revision of the last change before the deletion, so the
     # deletion needs a higher one. A stored document with a newer revision than the event was
@@ -158,34 +187,38 @@
     return revision + 1 if has_stored_revision else revision
 
 
-def _make_missing_deletions(
-    source: DocumentSource, store: FactStore, listed: ObjectList, era: int
+def _make_deletions(
+    source: DocumentSource, memory: EraMemory, missing: list[StoredFact], listed_revision: int
 ) -> list[StoredFact]:
-    """Return a deletion for each stored document of this era that is missing from a newer list."""
-    names = {item.metadata.name for item in listed.items}
-    covered = make_version(era, listed.revision, continues=True)
+    """Return the deletions of documents that are missing from a newer list.
+
+    While documents of earlier eras are held, the store lacks them because it has lost them.
+    """
+    covered = make_version(memory.era, listed_revision, continues=True)
+    deleted = [
+        fact
+        for fact in missing
+        if fact.version <= covered
+        and (get_era(fact.version) == memory.era or not memory.is_holding)
+    ]
+    for fact in deleted:
+        forget_document(memory, fact.key)
     return [
-        _make_deletion(source, name, era, listed.revision)
-        for name, fact in _list_existing(source, store)
-        if name not in names and get_era(fact.version) == era and fact.version <= covered
+        _make_deletion(source, _get_name(fact), memory.era, listed_revision) for fact in deleted
     ]
 
 
-def _list_lost(source: DocumentSource, store: FactStore, era: int) -> list[str]:
-    """Return the names of the documents that the store has lost by coming back from a copy.
-
-    A document that the store still holds has been given a version of the new era.
-    """
-    return [name for name, fact in _list_existing(source, store) if get_era(fact.version) < era]
+def _get_name(fact: StoredFact) -> str:
+    return fact.key.partition("/")[2]
 
 
-def _list_existing(source: DocumentSource, store: FactStore) -> list[tuple[str, StoredFact]]:
-    """Return name and fact of each stored document of a kind that is ordered by the store."""
+def _list_existing(source: DocumentSource, store: FactStore) -> list[StoredFact]:
+    """Return the facts of the documents of a kind, if the store orders them."""
     if source.get_number is not None:
         return []
     prefix = f"{source.kind.value}/"
     return [
-        (fact.key.removeprefix(prefix), fact)
+        fact
         for fact in store.facts_by_id.values()
         if fact.kind is FactKind.DOCUMENT and fact.value and fact.key.startswith(prefix)
     ]
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -91,11 +91,8 @@
 
 
 def register_again(registration: Registration) -> None:
-    """Write this daemon's registration again if the store may have lost it."""
-    if registration.is_doubtful.is_set():
-        registration.is_registered = False
-        _register(registration, registration.blackboard.own_member.address)
-    if registration.is_registered:
+    """Write this daemon's registration again; one that exists is left as it is."""
+    if _register(registration, registration.blackboard.own_member.address):
         registration.is_doubtful.clear()
 
 
@@ -195,7 +192,8 @@
             _delete(registration, address)
 
 
-def _register(registration: Registration, address: str) -> None:
+def _register(registration: Registration, address: str) -> bool:
+    """Register a daemon, and return whether the store holds its registration."""
     own = registration.blackboard.own_member
     item = PlatformObject(
         metadata=Metadata(name=_make_name(address)),
@@ -204,8 +202,10 @@
     match create_object(registration.client, DAEMONS, item):
         case Ok(_) | Err(PlatformError(failure=PlatformFailure.CONFLICT)):
             registration.is_registered = True
+            return True
         case Err(error):
             logger.info("registration failed", extra={"error": str(error)})
+            return False
 
 
 def _delete(registration: Registration, address: str) -> None:
--- a/comfreyhitch/rollouts/order_recorder.py
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -148,6 +148,8 @@
                 "rollout's state was not written", extra={"service": name, "error": str(error)}
             )
         case Ok(_):
+            if state is RolloutState.SUCCEEDED:
+                publish_order_completion(recorder.orders.rollouts.store, order)
             logger.info(
                 "rollout's state was written",
                 extra={"service": name, "rollout": order.rollout_id, "state": state.value},
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -93,11 +93,11 @@
     rollouts = controller.rollouts
     blackboard = rollouts.blackboard
     veto = blackboard.vetoes_by_rollout.get(order.rollout_id)
-    if order.state is RolloutState.SUCCEEDED or has_succeeded(blackboard, order):
-        return ActiveRollout(order.rollout_id, order.to_version, Stage.PROVEN, is_done=True)
     if order.state is RolloutState.ROLLED_BACK:
         reason = "the store says that it was rolled back"
         return ActiveRollout(order.rollout_id, order.to_version, Stage.CANARY, veto_reason=reason)
+    if order.state is RolloutState.SUCCEEDED or has_succeeded(blackboard, order):
+        return ActiveRollout(order.rollout_id, order.to_version, Stage.PROVEN, is_done=True)
     if veto is not None:
         return ActiveRollout(
             order.rollout_id, order.to_version, Stage.CANARY, veto_reason=veto.reason
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -121,6 +121,13 @@
         follower.waiting.kill(block=False)
 
 
+def list_again(follower: Follower) -> None:
+    """End the current watch, and list the kind anew."""
+    follower.revision = None
+    if follower.waiting is not None:
+        follower.waiting.kill(block=False)
+
+
 def get_backoff_seconds(follower: Follower) -> float:
     """Return the exponential backoff after a failure in seconds, with jitter."""
     exponent = min(max(0, follower.failures - 1), 10)
@@ -140,8 +147,7 @@
     follower.initial_list_mode = FRESH
     era = follower.era if listed.era is None else listed.era
     if era < follower.era:
-        detail = f"answer is from era {era}, although era {follower.era} has begun"
-        return PlatformError(PlatformFailure.UNAVAILABLE, detail)
+        return _make_stale_answer_error(follower, era)
     is_restored = 0 < follower.era < era
     follower.era = era
     logger.info(
@@ -175,7 +181,9 @@
             return error
         case Ok(batch):
             pass
-    if batch.era is not None and batch.era != follower.era:
+    if batch.era is not None and batch.era < follower.era:
+        return _make_stale_answer_error(follower, batch.era)
+    if batch.era is not None and batch.era > follower.era:
         logger.warning(
             "store has come back from a copy; listing again",
             extra={"kind": follower.kind, "era": batch.era, "known_era": follower.era},
@@ -190,6 +198,11 @@
     return None
 
 
+def _make_stale_answer_error(follower: Follower, era: int) -> PlatformError:
+    detail = f"answer is from era {era}, although era {follower.era} has begun"
+    return PlatformError(PlatformFailure.UNAVAILABLE, detail)
+
+
 def _wait(follower: Follower, timeout_seconds: float) -> Result[ChangeBatch, PlatformError] | None:
     """Wait for changes; return None if the watch was cut short by `set_watch_timeout`."""
     follower.asked_at = follower.clock.monotonic()
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -183,3 +183,10 @@
     When the daemon reaches the store again
     Then configuration 12 is in force everywhere within 5 seconds
     And configuration 12 stays in force everywhere for 3 seconds
+
+  Scenario: What one daemon makes of the lists and events of a restored store
+    Then an older order in the copy does not replace the lost one while operators may write it again
+    And an order that is written again keeps its identity, also if the copy held an older one, and one that an operator has deleted loses it
+    And a daemon that starts after the return takes nothing from the copy for newer than what its peers know
+    And lost documents are held only while the store can be written to, and then removed
+    And an answer of an earlier era is an error, not a reason to list at once
