Sync with configured peers that were not reached when a daemon joined

Traced in its logs: the first daemon started last; the three that name it as their peer had met each other by then, so that they had joined, and never tried it again; it names none itself. Class: a step of the start that is given up once another way has worked. Not the platform's path, where no peers are configured.

Each sync now also tries one configured peer that no member record is known of.

--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -7,6 +7,12 @@
 import gevent
 
 from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.daemon.joining import (
+    doubt_own_registration,
+    join_cluster,
+    keep_registered,
+    sync_with_random_peer,
+)
 from comfreyhitch.daemon.observers import remove_expired
 from comfreyhitch.documents.watching import (
     is_store_unreachable,
@@ -15,28 +21,20 @@
 )
 from comfreyhitch.egress.eligibility import refresh_candidates
 from comfreyhitch.egress.probes import send_probes
-from comfreyhitch.idempotency.recovery import recover_claims
 from comfreyhitch.ingress.health import probe_target_if_due
 from comfreyhitch.membership.detector import (
-    publish_own_record,
     run_probe_round,
 )
 from comfreyhitch.membership.queries import (
-    group_reachable_peers,
     is_platform_reader,
     list_reachable_peers,
 )
 from comfreyhitch.membership.registration import (
     Registration,
-    doubt_registration,
-    register_again,
-    run_registration_cycle,
-    sync_registrations,
 )
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import StoredFact, expire_facts
-from comfreyhitch.replication.peers import Peers, choose_sync_peer
 from comfreyhitch.replication.sync import sync_with_peer
 from comfreyhitch.rollouts.controller import RolloutController, choose_analyzers, run_rollouts
 from comfreyhitch.rollouts.order_recorder import RolloutOrderRecorder, run_rollout_order_recorder
@@ -49,12 +47,10 @@
 
 PROBE_INTERVAL = timedelta(milliseconds=100)
 EXPIRY_INTERVAL = timedelta(seconds=5)
-JOIN_RETRY_INTERVAL = timedelta(seconds=1)
+RESTART_INTERVAL = timedelta(seconds=1)
 ROLLOUT_INTERVAL = timedelta(milliseconds=500)
 ORDER_INTERVAL = timedelta(milliseconds=250)
 DOCUMENT_SYNC_INTERVAL = timedelta(milliseconds=500)
-# How fast all daemons together write their registrations again after the store has lost some.
-REGISTRATIONS_PER_SECOND = 100
 WATCH_PLAN_INTERVAL = timedelta(milliseconds=500)
 PAUSE_CHECK_INTERVAL = timedelta(milliseconds=500)
 # A timer that fires this late means that the process was suspended, not busy.
@@ -67,7 +63,7 @@
     settings = daemon.settings
     loops = [
         (settings.gossip_interval, lambda: run_probe_round(daemon.detector)),
-        (settings.sync_interval, lambda: _sync_with_random_peer(daemon)),
+        (settings.sync_interval, lambda: sync_with_random_peer(daemon)),
         (PROBE_INTERVAL, lambda: send_probes(daemon.egress)),
         (EXPIRY_INTERVAL, lambda: _remove_expired_facts(daemon)),
         (PROBE_INTERVAL, lambda: probe_target_if_due(daemon.ingress)),
@@ -77,7 +73,7 @@
     _start_rollouts(daemon)
     if daemon.platform is not None:
         _start_platform_controllers(daemon, daemon.platform)
-    daemon.greenlets.append(gevent.spawn(_join_cluster, daemon))
+    daemon.greenlets.append(gevent.spawn(join_cluster, daemon))
     daemon.greenlets.append(gevent.spawn(_watch_for_pauses, daemon))
 
 
@@ -135,7 +131,7 @@
     )
     registration = daemon.registration
     daemon.greenlets.append(
-        gevent.spawn(_run_continuously, lambda: _register(daemon, registration))
+        gevent.spawn(_run_continuously, lambda: keep_registered(daemon, registration))
     )
 
 
@@ -146,7 +142,7 @@
         follower = make_document_follower(
             source, daemon.store, client, daemon.clock, daemon.detector.random, outage
         )
-        follower.on_restored = lambda: _doubt_registration(daemon)
+        follower.on_restored = lambda: doubt_own_registration(daemon)
         daemon.followers_by_document_kind[source.kind] = follower
         daemon.greenlets.append(
             gevent.spawn(_run_continuously, lambda follower=follower: follow(follower))
@@ -183,23 +179,7 @@
     """Receive newer documents from a peer while the store is unreachable."""
     followers = list(daemon.followers_by_document_kind.values())
     if is_store_unreachable(followers, daemon.clock.monotonic()):
-        _sync_with_random_peer(daemon)
-
-
-def _doubt_registration(daemon: Daemon) -> None:
-    if daemon.registration is not None:
-        doubt_registration(daemon.registration)
-
-
-def _register(daemon: Daemon, registration: Registration) -> None:
-    random = daemon.detector.random
-    interval = run_registration_cycle(registration)
-    if registration.is_doubtful.wait(interval.total_seconds() * random.uniform(0.8, 1.2)):
-        # Daemons write their registrations again over some time, not all at once.
-        daemon_count = len(daemon.blackboard.members_by_address)
-        spread_seconds = max(2.0, daemon_count / REGISTRATIONS_PER_SECOND)
-        gevent.sleep(random.uniform(0.2, spread_seconds))
-        register_again(registration)
+        sync_with_random_peer(daemon)
 
 
 def _send_to_analyzers(daemon: Daemon, rollout_id: str, facts: list[StoredFact]) -> None:
@@ -214,7 +194,7 @@
             action()
         except Exception:
             logger.exception("controller failed; restarting it")
-        gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
+        gevent.sleep(RESTART_INTERVAL.total_seconds())
 
 
 def _run_periodically(interval: timedelta, action: Callable[[], None]) -> None:
@@ -226,45 +206,6 @@
             logger.exception("controller failed; running it again at its next interval")
 
 
-def _join_cluster(daemon: Daemon) -> None:
-    """Join through configured or registered peers, then recover claims lost in a restart."""
-    while not _try_to_join(daemon):
-        gevent.sleep(JOIN_RETRY_INTERVAL.total_seconds())
-    # The record that this daemon published before it joined reached only the few peers that it
-    # knew then.
-    publish_own_record(daemon.detector)
-    recover_claims(daemon.claims)
-
-
-def _try_to_join(daemon: Daemon) -> bool:
-    synced = [
-        sync_with_peer(daemon.store, daemon.pool, address) for address in daemon.settings.peers
-    ]
-    has_synced_registrations = _has_synced_registrations(daemon.registration)
-    if list_reachable_peers(daemon.blackboard):
-        return True
-    # A daemon that has configured peers but reaches none may be partitioned from them, so it
-    # keeps trying.
-    return has_synced_registrations and not synced
-
-
-def _has_synced_registrations(registration: Registration | None) -> bool:
-    if registration is None:
-        return True
-    # If every daemon has to register, a separate loop lists the registrations and registers.
-    return registration.is_joined if registration.is_required else sync_registrations(registration)
-
-
-def _sync_with_random_peer(daemon: Daemon) -> None:
-    peers = group_reachable_peers(daemon.blackboard)
-    if not peers.all:
-        # No peer is reachable, so the configured peers are tried again.
-        peers = Peers(list(daemon.settings.peers), {})
-    peer = choose_sync_peer(peers, daemon.detector.random)
-    if peer is not None:
-        sync_with_peer(daemon.store, daemon.pool, peer)
-
-
 def _remove_expired_facts(daemon: Daemon) -> None:
     expired = expire_facts(daemon.store)
     if expired:
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -32,3 +32,11 @@
     Then requests still run in each zone
     When the partition heals
     Then every daemon marks all others as alive within 15 seconds
+
+  # Guards against daemons that joined without one of their configured peers and never meet it.
+  Scenario: A configured peer starts after those that name it have met each other
+    Given a fleet that is not started
+      | service   | zone | count |
+      | catalogue | za   | 3     |
+    When the second and third instance start, and name the first, which starts when they have met
+    Then every daemon knows every target within 10 seconds
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -53,6 +53,11 @@
     start_fleet(context.fleet)
 
 
+@given("a fleet that is not started")
+def make_fleet_without_start(context):
+    make_fleet(context, context.table)
+
+
 @given("a running fleet with a platform")
 def start_fleet_with_platform(context):
     make_fleet(context, context.table, has_platform=True)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -10,6 +10,7 @@
     set_relay_faults,
     start_daemon,
     start_target,
+    wait_until_joined,
 )
 from comfreyhitch.testing.processes import (
     kill,
@@ -132,3 +133,23 @@
 def heal_partition(context):
     for instance in context.fleet.instances_by_name.values():
         set_relay_faults(instance, blocked_sources=[])
+
+
+@when("the second and third instance start, and name the first, which starts when they have met")
+def start_first_last(context):
+    first, second, third = list_instances(context, "catalogue")
+    for instance in (second, third):
+        # Each names the first, and the third names the second as well.
+        started = [item.peer_address for item in (second, third) if item.daemon is not None]
+        instance.environment["peers"] = ",".join([first.peer_address, *started])
+        start_daemon(context.fleet, instance)
+        start_target(context.fleet, instance)
+    wait_until_joined(context.fleet)
+    first.environment["peers"] = ""
+    start_daemon(context.fleet, first)
+    start_target(context.fleet, first)
+
+
+@then("every daemon knows every target within {seconds:g} seconds")
+def check_all_joined(context, seconds):
+    wait_until_joined(context.fleet, seconds)
