Keep a rolled-back version out after a later order for its service

Cause: what is known of a version was looked up in the present order of its service alone. With the next order, v2 was only 'another version than v3', which is what an old version is. The class is a decision that is forgotten together with the request that it answered.

Now the vetoes and completions, which all daemons replicate, say for each version of a service how its newest rollout ended. A rolled-back version is refused by callers' daemons and by its own until it is ordered itself, also if its order is removed.

--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -5,7 +5,7 @@
 from datetime import datetime
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.documents.models import DocumentKind, RolloutOrder
+from comfreyhitch.documents.models import DocumentKind, RolloutOrder, ServiceVersion
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.membership.models import Member
 from comfreyhitch.rollouts.models import Evidence, RolloutStatus
@@ -70,6 +70,8 @@
     freezes: tuple[Freeze, ...] = DEFAULT_FREEZES
     vetoes_by_rollout: dict[str, Veto] = field(default_factory=dict)
     completed_at_by_rollout: dict[str, datetime] = field(default_factory=dict)
+    # Versions of ordered rollouts that were rolled back, whatever has been ordered since.
+    veto_reasons_by_version: dict[ServiceVersion, str] = field(default_factory=dict)
     rollout_statuses_by_id: dict[str, RolloutStatus] = field(default_factory=dict)
     stages_by_rollout: dict[str, int] = field(default_factory=dict)
     evidence_by_rollout: dict[str, dict[tuple[str, int], Evidence]] = field(
@@ -101,6 +103,9 @@
     active = blackboard.active_rollouts_by_service.get(service)
     if active is not None and active.to_version == version:
         return active.veto_reason
+    lasting_reason = blackboard.veto_reasons_by_version.get(ServiceVersion(service, version))
+    if lasting_reason is not None:
+        return lasting_reason
     policy = blackboard.services_by_name.get(service)
     if policy is None or policy.rollout is None or policy.rollout.to_version != version:
         return None
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -14,6 +14,7 @@
 from comfreyhitch.membership.models import decode_member
 from comfreyhitch.replication.facts import FactKind, FactStore, Observer, StoredFact, Validator
 from comfreyhitch.rollouts.models import read_evidence_record
+from comfreyhitch.rollouts.outcomes import refresh_rolled_back_versions
 from comfreyhitch.wire.codec import decode
 from comfreyhitch.wire.generated.ttypes import (
     CompletionRecord,
@@ -38,6 +39,8 @@
     }
 )
 
+OUTCOME_KINDS = frozenset({FactKind.VETO, FactKind.COMPLETION})
+
 
 def make_validators(decoders: DecodersByKind) -> dict[FactKind, Validator]:
     """Return the validators that facts of peers have to pass before they are merged."""
@@ -76,6 +79,8 @@
             _apply_sections(blackboard, store)
         if FactKind.DOCUMENT in kinds:
             on_documents()
+        if kinds & OUTCOME_KINDS:
+            refresh_rolled_back_versions(blackboard)
         if kinds & ELIGIBILITY_KINDS:
             refresh_candidates(blackboard)
 
--- a/comfreyhitch/documents/models.py
+++ b/comfreyhitch/documents/models.py
@@ -29,6 +29,28 @@
     ROLLED_BACK = "rolled-back"
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceVersion:
+    """Name a version of a service."""
+
+    service: str
+    version: str
+
+
+def make_rollout_id(service: str, version: str, revision: int) -> str:
+    """Return the id of the rollout that an order of a revision asks for."""
+    return f"{service}:{version}:{revision}"
+
+
+def parse_rollout_id(rollout_id: str) -> ServiceVersion | None:
+    """Return what a rollout id of an order moves, or None for an id of another form."""
+    service, _, rest = rollout_id.partition(":")
+    version, _, revision = rest.rpartition(":")
+    if not service or not version or not revision.isascii() or not revision.isdigit():
+        return None
+    return ServiceVersion(service, version)
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutOrder:
     """Hold an operator's order to roll out a version of a service within a duration.
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -14,6 +14,7 @@
     RolloutOrder,
     RolloutState,
     ZoneOutOrder,
+    make_rollout_id,
 )
 from comfreyhitch.platform.durations import Duration, decode_duration
 from comfreyhitch.platform.names import (
@@ -144,7 +145,7 @@
         return Err(_format_error(document, error))
     return Ok(
         RolloutOrder(
-            rollout_id=f"{model.service}:{model.to_version}:{document.identity_revision}",
+            rollout_id=make_rollout_id(model.service, model.to_version, document.identity_revision),
             service=model.service,
             to_version=model.to_version,
             duration=model.duration,
--- a/features/ordered_rollouts.feature
+++ b/features/ordered_rollouts.feature
@@ -20,3 +20,8 @@
 
   Scenario: Which daemon reports the state
     Then a few recorders may write each state, one after the other, with the takeover delay between them
+
+  # Guards against a rolled-back version that counts as an old one once another is ordered.
+  Scenario: A version that was rolled back, and the next order
+    Then a rolled-back version gets no request after a later order, until it is ordered itself
+    And a version whose order is removed after its rollback gets no request either
