Watch linearizably after a sign that the store's replicas lag

Cause: a daemon took an answer that may be old for proof of what is current. A watch that was cut was sent again as a stale read, from the old revision, at a replica that knew neither of the changes nor that the history had gone; no call at all reached the store in the two seconds after. The same held for the first list at a start.

Now a watch that ends early without a change, an answer below the revision that has been read, an expired history, an outage and a stale first list each make the daemon's watches linearizable for ten seconds.

The stand-in store can let stale reads lag, and drop its history while it cuts the watches.

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -256,6 +256,22 @@
         "Few daemons wait on the platform",
         (("sections/reader.py", "READERS_PER_ZONE = 2", "READERS_PER_ZONE = 200"),),
     ),
+    Removal(
+        "linearizable watches while the store's replicas may lag",
+        "The store drops its history while its replicas lag",
+        (
+            (
+                "watching/follower.py",
+                "return FRESH if now < follower.doubtful_until else STALE",
+                "return STALE",
+            ),
+        ),
+    ),
+    Removal(
+        "refusal of a rolled-back version after a later order",
+        "A version that was rolled back, and the next order",
+        (("core/blackboard.py", "if lasting_reason is not None:", "if False:"),),
+    ),
     Removal(
         "writer's mark",
         "Two operators edit the same section",
--- a/comfreyhitch/testing/platform_watches.py
+++ b/comfreyhitch/testing/platform_watches.py
@@ -9,6 +9,7 @@
     ApiError,
     Query,
     StoreState,
+    get_visible_revision,
     raise_if_down,
 )
 from comfreyhitch.wire.sockets import is_disconnected
@@ -20,14 +21,17 @@
 def watch(state: StoreState, kind: str, query: Query, sock: gevent.socket.socket) -> dict:
     """Return the events of a kind after a revision, waiting for them if there are none yet."""
     since = int(query["Watch"])
-    if not state.oldest_revision <= since <= state.revision:
+    # A replica that lags does not know yet that the history is gone.
+    is_lagging = get_visible_revision(state, query) < state.revision
+    if not is_lagging and not state.oldest_revision <= since <= state.revision:
         raise ApiError("410 Gone", {"Error": f"no history from {since} on"})
     era = state.era
+    cuts = state.watch_cuts
     state.watches += 1
     state.max_watches = max(state.max_watches, state.watches)
     try:
         with gevent.Timeout(min(MAX_WAIT_SECONDS, int(query.get("WaitMs", "0")) / 1000), False):
-            while _must_wait(state, era, kind, since):
+            while _must_wait(state, era, kind, since, query) and state.watch_cuts == cuts:
                 if is_disconnected(sock):
                     break
                 state.change_event.wait(DISCONNECT_CHECK_SECONDS)
@@ -37,18 +41,20 @@
         # The server closes the connection without a response on this error.
         raise ConnectionResetError(errno.ECONNRESET, "watch cut by the restored copy")
     raise_if_down(state)
-    return {"events": find_events(state, kind, since), "StoreRevision": state.revision}
+    visible = get_visible_revision(state, query)
+    return {"events": find_events(state, kind, since, visible), "StoreRevision": visible}
 
 
-def find_events(state: StoreState, kind: str, since: int) -> list[dict]:
-    """Return the events of a kind after a revision."""
+def find_events(state: StoreState, kind: str, since: int, visible: int) -> list[dict]:
+    """Return the events of a kind after a revision, up to the newest visible one."""
     return [
         event
         for revision, event_kind, event in state.events
-        if event_kind == kind and revision > since
+        if event_kind == kind and since < revision <= visible
     ]
 
 
-def _must_wait(state: StoreState, era: int, kind: str, since: int) -> bool:
+def _must_wait(state: StoreState, era: int, kind: str, since: int, query: Query) -> bool:
     is_cut = state.faults.is_down or state.era != era
-    return not is_cut and not find_events(state, kind, since)
+    visible = get_visible_revision(state, query)
+    return not is_cut and not find_events(state, kind, since, visible)
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -35,6 +35,10 @@
 MAX_BACKOFF_SECONDS = 2.0
 # Prevents a busy loop on a store that ends watches at once without a change.
 MIN_WATCH_SECONDS = 0.05
+# A watch that ends without a change earlier than this share of its wait was cut off.
+MIN_WAITED_SHARE = 0.9
+# How long reads are linearizable after a sign that the store's replicas may lag.
+DOUBT_SECONDS = 10.0
 
 
 class StoreUnavailableError(Exception):
@@ -60,9 +64,11 @@
     on_list: Callable[[ObjectList], None]
     on_change: Callable[[ObjectChange], None]
     watch_timeout_seconds: float = SHORT_WATCH_SECONDS
-    # Mode of the first list. A stale one costs the store less, and the watch from its revision
-    # delivers the changes that it lacks.
+    # Mode of the first list. A stale one costs the store less, and a linearizable watch from its
+    # revision delivers the changes that it lacks.
     initial_list_mode: ReadMode = FRESH
+    # Until then watches are linearizable; a stale one might not tell what this daemon has missed.
+    doubtful_until: float = 0.0
     # Shared by the followers of one daemon.
     outage: Outage = field(default_factory=Outage)
     revision: int | None = None
@@ -112,6 +118,11 @@
     return error
 
 
+def get_watch_mode(follower: Follower, now: float) -> ReadMode:
+    """Return how the next watch reads; `now` is in monotonic seconds."""
+    return FRESH if now < follower.doubtful_until else STALE
+
+
 def set_watch_timeout(follower: Follower, timeout_seconds: float) -> None:
     """Set how long watches wait; a current one that has waited longer is renewed at once."""
     follower.watch_timeout_seconds = timeout_seconds
@@ -144,6 +155,8 @@
             return error
         case Ok(listed):
             pass
+    if mode is STALE:
+        _doubt_replicas(follower, "list may be stale")
     follower.initial_list_mode = FRESH
     era = follower.era if listed.era is None else listed.era
     if era < follower.era:
@@ -176,11 +189,15 @@
                 extra={"kind": follower.kind},
             )
             follower.revision = None
+            _doubt_replicas(follower, "history is gone")
             return None
         case Err(error):
             return error
         case Ok(batch):
             pass
+    waited_seconds = follower.clock.monotonic() - started_at
+    if _is_doubtful(follower, batch, waited_seconds, watch_timeout_seconds):
+        _doubt_replicas(follower, "watch was cut off")
     if batch.era is not None and batch.era < follower.era:
         return _make_stale_answer_error(follower, batch.era)
     if batch.era is not None and batch.era > follower.era:
@@ -193,11 +210,31 @@
     for change in batch.events:
         follower.on_change(change)
     follower.revision = max(follower.revision, batch.revision)
-    if not batch.events and follower.clock.monotonic() - started_at < MIN_WATCH_SECONDS:
+    if not batch.events and waited_seconds < MIN_WATCH_SECONDS:
         gevent.sleep(MIN_WATCH_SECONDS)
     return None
 
 
+def _is_doubtful(
+    follower: Follower, batch: ChangeBatch, waited_seconds: float, watch_timeout_seconds: float
+) -> bool:
+    """Return whether an answer shows that its replica lags, or that the watch was cut off."""
+    is_behind = batch.revision < follower.revision
+    has_ended_early = not batch.events and waited_seconds < MIN_WAITED_SHARE * watch_timeout_seconds
+    return is_behind or has_ended_early
+
+
+def _doubt_replicas(follower: Follower, reason: str) -> None:
+    """Read linearizably for a while, so that nothing that happened meanwhile is missed."""
+    now = follower.clock.monotonic()
+    if now >= follower.doubtful_until:
+        logger.info(
+            "watching linearizably",
+            extra={"kind": follower.kind, "reason": reason, "revision": follower.revision},
+        )
+    follower.doubtful_until = now + DOUBT_SECONDS
+
+
 def _make_stale_answer_error(follower: Follower, era: int) -> PlatformError:
     detail = f"answer is from era {era}, although era {follower.era} has begun"
     return PlatformError(PlatformFailure.UNAVAILABLE, detail)
@@ -207,7 +244,12 @@
     """Wait for changes; return None if the watch was cut short by `set_watch_timeout`."""
     follower.asked_at = follower.clock.monotonic()
     waiting = follower.waiting = gevent.spawn(
-        wait_for_changes, follower.client, follower.kind, follower.revision, timeout_seconds, STALE
+        wait_for_changes,
+        follower.client,
+        follower.kind,
+        follower.revision,
+        timeout_seconds,
+        get_watch_mode(follower, follower.asked_at),
     )
     try:
         waiting.join()
@@ -224,6 +266,7 @@
             logger.info(
                 "store is back", extra={"kind": follower.kind, "failures": follower.failures}
             )
+            _doubt_replicas(follower, "calls had failed")
         follower.failures = 0
         end_outage(follower.outage)
         follower.last_answered_at = follower.clock.monotonic()
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -32,3 +32,10 @@
     Given the stand-in store
     Then only readers, small fleets and daemons with a disturbance renew their watches often
     And a daemon whose long watch is broken learns of a change from its peers and renews the watch
+
+  # Guards against an old answer of the store that is taken for proof of what is current.
+  Scenario: The store drops its history while its replicas lag
+    Given the stand-in store
+    Then a change that was made before the watches were cut is in force within a second
+    And a daemon that starts has what is current within a second, though its first lists are old
+    And a watch that waits its time and hears nothing costs the store little again after a while
