Load one target of a new version at twice its share, and count its requests beside it

Cause: what the trial could show was limited by who happened to have callers, and its load was below what the version is to bear.

Now one target gets the requests of the stage RAMP, at twice the mean load with all traffic, and the daemon beside it counts them: 34, whoever sends them; callers' daemons go on elsewhere at its first refusal. Doubt counts all evidence as well as that under load, holds a version back before it has all traffic, and vetoes it while its success is not written. A hedge counts as a request to the new version.

The emulation plays the counting daemon; the bounds of its scenarios are as before, and 'Exposure' now checks that all limits together leave the stated room.

--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -40,6 +40,7 @@
     DRAINING = "draining"
     ZONE_OUT = "zone-out"
     VERSION_VETOED = "version-vetoed"
+    VERSION_ON_TRIAL = "version-on-trial"
     QUARANTINED = "quarantined"
     FENCED = "fenced"
     KEY_MISMATCH = "key-mismatch"
--- a/comfreyhitch/egress/candidates.py
+++ b/comfreyhitch/egress/candidates.py
@@ -8,6 +8,7 @@
 from comfreyhitch.egress.views import get_or_create_view, is_full
 from comfreyhitch.rollouts.exposure import (
     ExposureCounter,
+    count_request,
     get_load_share,
     may_send_to_new_version,
     select_trial_targets,
@@ -46,8 +47,15 @@
     if active is None:
         return
     counter = _get_or_create_exposure(egress, active)
-    counter.requests += 1
-    counter.new_version_requests += version == active.to_version
+    stage = Stage(active.stage)
+    count_request(counter, stage, is_new_version=version == active.to_version)
+
+
+def end_trial(egress: Egress, service: str) -> None:
+    """Send no more requests to the target under load, which has had its number."""
+    active = egress.blackboard.active_rollouts_by_service.get(service)
+    if active is not None:
+        _get_or_create_exposure(egress, active).is_trial_over = True
 
 
 def _choose_during_rollout(
@@ -68,7 +76,7 @@
     daemons = len(egress.blackboard.members_by_address)
     counter = _get_or_create_exposure(egress, active)
     stage = Stage(active.stage)
-    load_share = get_load_share(stage, len(new))
+    load_share = get_load_share(len(new))
     if may_send_to_new_version(counter, stage, daemons, egress.random, load_share):
         trial_targets = select_trial_targets(new, stage, active.rollout_id)
         candidate = egress.select_target(trial_targets, tried_addresses, now)
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -17,7 +17,7 @@
     start_attempt,
     wait_for_any,
 )
-from comfreyhitch.egress.candidates import choose_candidate
+from comfreyhitch.egress.candidates import choose_candidate, count_exposure
 from comfreyhitch.egress.retries import RequestProgress
 from comfreyhitch.egress.state import Egress, get_retry_budget
 from comfreyhitch.utils.token_bucket import take_tokens
@@ -107,6 +107,7 @@
     progress.attempts += 1
     progress.call.attempt_number += 1
     progress.tried_addresses.add(candidate.address)
+    count_exposure(egress, progress.call.service, candidate.version)
     try:
         attempts.append(start_attempt(egress, progress.call, candidate))
         egress.metrics.egress.hedges.inc({"service": progress.call.service})
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -30,6 +30,7 @@
         Refusal.DRAINING,
         Refusal.ZONE_OUT,
         Refusal.VERSION_VETOED,
+        Refusal.VERSION_ON_TRIAL,
         Refusal.WRONG_SERVICE,
         Refusal.TARGET_STARTING,
         Refusal.TARGET_SLOW,
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -4,7 +4,7 @@
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
 from comfreyhitch.egress.attempts import start_attempt
-from comfreyhitch.egress.candidates import choose_candidate, count_exposure
+from comfreyhitch.egress.candidates import choose_candidate, count_exposure, end_trial
 from comfreyhitch.egress.classify import AttemptRecord, OutgoingCall
 from comfreyhitch.egress.fencing import await_answer_with_fencing
 from comfreyhitch.egress.hedging import await_answer_with_hedging
@@ -72,6 +72,8 @@
     )
     call.attempt_records.append(record)
     outcome = _send_and_wait(egress, progress, candidate)
+    if outcome.is_err() and outcome.err_value.refusal is Refusal.VERSION_ON_TRIAL:
+        end_trial(egress, call.service)
     record.seconds = egress.blackboard.clock.monotonic() - now
     record.outcome = describe_outcome(outcome)
     return outcome
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -18,6 +18,8 @@
 from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
+from comfreyhitch.rollouts.exposure import admit_trial_request
+from comfreyhitch.rollouts.stages import Stage
 from comfreyhitch.utils.recent_set import add_recent, is_recent
 
 # Maximum time for which an outcome is delayed to check whether the target has crashed.
@@ -46,6 +48,9 @@
     started_at = clock.monotonic()
     if not admit_within_cold_rate(ingress, started_at):
         return Err(make_refusal(Refusal.TARGET_COLD, "target is cold and has its share"))
+    if not _admit_during_trial(ingress):
+        detail = "target has had its requests until all traffic may move"
+        return Err(make_refusal(Refusal.VERSION_ON_TRIAL, detail))
     call.sent_at = started_at
     call.pace_at_send = ingress.pace
     if record is not None:
@@ -76,6 +81,15 @@
     return ingress.warm_up_limiter is None or admit_during_warm_up(ingress.warm_up_limiter, now)
 
 
+def _admit_during_trial(ingress: Ingress) -> bool:
+    """Return whether the target may get one more request if its version is being rolled out."""
+    own = ingress.blackboard.own_member
+    active = ingress.blackboard.active_rollouts_by_service.get(own.service)
+    if active is None or active.is_done or active.to_version != own.version:
+        return True
+    return admit_trial_request(ingress.trial_counter, active.rollout_id, Stage(active.stage))
+
+
 def _report_crash(ingress: Ingress, call: IncomingCall) -> None:
     if not ingress.header_names.instance:
         ingress.report_crash(call.fingerprint)
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -17,6 +17,7 @@
 from comfreyhitch.ingress.records import RecordStore
 from comfreyhitch.ingress.target import TargetConnectionPool, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
+from comfreyhitch.rollouts.exposure import TrialCounter
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.recent_set import RecentSet
@@ -52,6 +53,7 @@
     header_names: TargetHeaderNames = DEFAULT_TARGET_HEADERS
     lifecycle: TargetLifecycle = field(default_factory=TargetLifecycle)
     warm_up_limiter: WarmUpLimiter | None = None
+    trial_counter: TrialCounter = field(default_factory=TrialCounter)
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
     pace: PaceReading | None = None
--- a/comfreyhitch/rollouts/analysis.py
+++ b/comfreyhitch/rollouts/analysis.py
@@ -14,9 +14,10 @@
 
 # A rollout does not advance while the p-value of a comparison is below this bound.
 SUSPICION_ALPHA = 1e-2
+SLOW_SUSPICION_ALPHA = 1e-3
 # A version does not count as proven while the p-value of its failures since the last stage began
 # is below this bound. In doubt it is rolled back: callers then keep the version that works.
-DOUBT_ALPHA = 0.2
+DOUBT_ALPHA = 0.15
 MIN_EXPECTED_FAILURE_SHARE = 0.01
 MIN_EXPECTED_SLOW_SHARE = 0.02
 FAILURE_SHARE_MARGIN = 0.02
@@ -40,11 +41,16 @@
     alpha: float
     min_failing_windows: int
     min_slow_windows: int
+    # The same for slow requests. An instance is slower than usual for seconds at a time, so that
+    # its requests are slow together.
+    slow_alpha: float
 
 
 # For rollouts that last minutes or longer. The numbers of windows keep a disturbance of a few
 # seconds from being reported as a regression.
-DEFAULT_THRESHOLDS = RegressionThresholds(alpha=1e-6, min_failing_windows=3, min_slow_windows=6)
+DEFAULT_THRESHOLDS = RegressionThresholds(
+    alpha=1e-6, min_failing_windows=3, min_slow_windows=6, slow_alpha=1e-6
+)
 
 
 @dataclass(slots=True)
@@ -71,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StageEvidence:
-    """Hold what the new version did since the current stage has begun.
+    """Hold what the new version did since the targets in use have borne their full load.
 
     `is_doubtful` is set if so many requests failed that a version as good as the old one would
     rarely do so.
@@ -86,23 +92,22 @@
 def analyze_stage(
     evidence: Sequence[Evidence], new_version: str, first_window: int
 ) -> StageEvidence:
-    """Compare the new version's failures since a window with those of the old version.
+    """Compare the new version's failures, also those since a window, with those of the old one.
 
-    Answers versions that fail only once they have all traffic: earlier evidence would hide it.
+    Answers versions that fail only under load: earlier evidence would hide it.
     """
-    old, new = RouteCounts(), RouteCounts()
+    old, new, new_since = RouteCounts(), RouteCounts(), RouteCounts()
     for item in evidence:
-        if item.version != new_version:
-            total = old
-        elif item.window >= first_window:
-            total = new
-        else:
-            continue
         for counts in item.counts_by_route.values():
-            add_counts(total, counts)
+            add_counts(new if item.version == new_version else old, counts)
+            if item.version == new_version and item.window >= first_window:
+                add_counts(new_since, counts)
     expected = max(MIN_EXPECTED_FAILURE_SHARE, _get_expected_share(old.failures, old.requests))
-    p_value = bound_upper_tail(new.failures, new.requests, expected)
-    return StageEvidence(new.requests, p_value < DOUBT_ALPHA, new.failures, expected)
+    is_doubtful = any(
+        bound_upper_tail(total.failures, total.requests, expected) < DOUBT_ALPHA
+        for total in (new, new_since)
+    )
+    return StageEvidence(new_since.requests, is_doubtful, new_since.failures, expected)
 
 
 def analyze_evidence(
@@ -200,9 +205,9 @@
     p_value = bound_upper_tail(slow, requests, expected)
     # A short slowdown of one instance affects one or two windows, a slow version all of them.
     slow_windows = sum(_is_slow_window(counts, slow_bucket, expected) for counts in windows)
-    if p_value < thresholds.alpha and slow_windows >= thresholds.min_slow_windows:
+    if p_value < thresholds.slow_alpha and slow_windows >= thresholds.min_slow_windows:
         return f"{slow} of {requests} requests were slow, against {expected:.1%} expected", True
-    return None, p_value < SUSPICION_ALPHA
+    return None, p_value < SLOW_SUSPICION_ALPHA
 
 
 def _is_slow_window(counts: RouteCounts, slow_bucket: int, expected: float) -> bool:
--- a/comfreyhitch/rollouts/exposure.py
+++ b/comfreyhitch/rollouts/exposure.py
@@ -1,12 +1,13 @@
 """Limit how many requests a new version gets until it has succeeded.
 
 Each daemon limits its requests to the new version to a share of the requests it sends to the
-service, plus an equal part of a small number for the whole fleet. This bounds the sum over all
-daemons without any coordination between them, however many of the requests fail, and whatever the
-evidence says. The limits leave room for the requests between the success and the deadline.
+service, plus an equal part of a small number for the whole fleet. In the stage `RAMP`, the daemon
+beside the only target in use counts them instead. Both bound the sum without any coordination
+between daemons, however many of the requests fail, and whatever the evidence says. The limits leave
+room for the requests between the success and the deadline.
 
-Before the new version has all traffic, its requests go to so few of its targets that each of them
-bears the load that it will bear then: a version that fails only under load shows it early.
+In the stage `RAMP` that target bears the load that it will bear with all traffic: a version that
+fails only under load shows it then.
 """
 
 from collections.abc import Sequence
@@ -21,6 +22,10 @@
 # With a single target, trouble of its machine would count as trouble of the version.
 MIN_TRIAL_TARGETS = 2
 TRIAL_TARGET_SHARE = 0.04
+# Requests to the target under load until all traffic moves, those before the stage included.
+MAX_LOADED_TARGET_REQUESTS = 34
+# Load of that target, as a multiple of the mean with all traffic, which peaks exceed.
+LOAD_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,30 +40,57 @@
     fleet_requests: float
 
 
-EXPOSURE_LIMITS_BY_STAGE = {
+TRIAL_LIMITS_BY_STAGE = {
     Stage.CANARY: ExposureLimit(request_share=0.01, fleet_requests=8.0),
-    Stage.WIDER: ExposureLimit(request_share=0.01, fleet_requests=14.0),
-    Stage.RAMP: ExposureLimit(request_share=0.01, fleet_requests=36.0),
-    Stage.FULL: ExposureLimit(request_share=0.05, fleet_requests=40.0),
-    Stage.PROVEN: ExposureLimit(request_share=0.05, fleet_requests=40.0),
+    Stage.WIDER: ExposureLimit(request_share=0.01, fleet_requests=10.0),
 }
+# Applies to the requests since all of them may go to the new version.
+FULL_TRAFFIC_LIMIT = ExposureLimit(request_share=0.045, fleet_requests=4.0)
 
 
 @dataclass(slots=True)
 class ExposureCounter:
-    """Count this daemon's requests to a service during one rollout."""
+    """Count this daemon's requests to a service during one rollout.
+
+    The requests to the new version before and after all traffic may go there are counted apart.
+    """
 
     requests: int = 0
-    new_version_requests: int = 0
+    trial_requests: int = 0
+    full_traffic_requests: int = 0
     # Random fraction of a request that is added to the count. Without it, daemons with a small
     # limit would all send their first request to the new version at the same time.
     jitter: float = 0.0
+    # Whether the target under load has refused a request for having had its number.
+    is_trial_over: bool = False
 
     @classmethod
     def from_random(cls, random: Random) -> "ExposureCounter":
         """Return a counter that starts at zero, with random jitter."""
         return cls(jitter=random.random())
 
+    @property
+    def new_version_requests(self) -> int:
+        """Return the number of requests to the new version."""
+        return self.trial_requests + self.full_traffic_requests
+
+
+@dataclass(slots=True)
+class TrialCounter:
+    """Count the requests to one target of a new version before all traffic may go there."""
+
+    rollout_id: str = ""
+    requests: int = 0
+
+
+def count_request(counter: ExposureCounter, stage: Stage, *, is_new_version: bool) -> None:
+    """Count a request to the service of a rollout."""
+    counter.requests += 1
+    if stage >= Stage.FULL:
+        counter.full_traffic_requests += is_new_version
+    else:
+        counter.trial_requests += is_new_version
+
 
 def may_send_to_new_version(
     counter: ExposureCounter, stage: Stage, daemon_count: int, random: Random, load_share: float
@@ -67,21 +99,33 @@
 
     Within the limit of the stage, `load_share` of the requests does.
     """
-    limit = EXPOSURE_LIMITS_BY_STAGE[stage]
+    if stage is Stage.RAMP:
+        return not counter.is_trial_over and random.random() < load_share
+    limit = TRIAL_LIMITS_BY_STAGE.get(stage, FULL_TRAFFIC_LIMIT)
+    count = counter.full_traffic_requests if stage >= Stage.FULL else counter.trial_requests
     allowed = limit.request_share * counter.requests + limit.fleet_requests / max(1, daemon_count)
-    if counter.new_version_requests + counter.jitter >= allowed:
+    return count + counter.jitter < allowed
+
+
+def admit_trial_request(counter: TrialCounter, rollout_id: str, stage: Stage) -> bool:
+    """Return whether a target of the new version may get one more request, and count it."""
+    if counter.rollout_id != rollout_id:
+        counter.rollout_id = rollout_id
+        counter.requests = 0
+    if stage >= Stage.FULL:
+        return True
+    if counter.requests >= MAX_LOADED_TARGET_REQUESTS:
         return False
-    return random.random() < load_share
+    counter.requests += 1
+    return True
 
 
-def get_load_share(stage: Stage, target_count: int) -> float:
-    """Return the share of the requests that gives each used target its load with all traffic.
+def get_load_share(target_count: int) -> float:
+    """Return the share of the requests that loads the target in the stage `RAMP`.
 
     `target_count` is the number of all targets of the new version.
     """
-    if stage < Stage.RAMP:
-        return 1.0
-    return _get_used_count(stage, target_count) / max(1, target_count)
+    return LOAD_FACTOR / max(1, target_count)
 
 
 def select_trial_targets(
@@ -102,5 +146,7 @@
 def _get_used_count(stage: Stage, target_count: int) -> int:
     if stage >= Stage.FULL:
         return target_count
+    if stage is Stage.RAMP:
+        return min(target_count, 1)
     trial_count = max(MIN_TRIAL_TARGETS, ceil(TRIAL_TARGET_SHARE * target_count))
     return min(target_count, trial_count)
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -22,6 +22,7 @@
     get_evidence_stage,
     get_next_stage,
     get_regression_thresholds,
+    has_lost_proof,
 )
 from comfreyhitch.wire.codec import encode
 from comfreyhitch.wire.generated.ttypes import CompletionRecord, VetoRecord
@@ -138,6 +139,12 @@
     evidence_stage = get_evidence_stage(stage)
     first_window = controller.first_window_by_stage.get((order.rollout_id, evidence_stage), window)
     stage_evidence = analyze_stage(evidence, order.to_version, first_window)
+    if has_lost_proof(stage, stage_evidence):
+        reason = (
+            f"{stage_evidence.failures} of {stage_evidence.requests} requests failed under load"
+        )
+        publish_order_veto(rollouts.store, order, reason)
+        return
     next_stage = get_next_stage(stage, elapsed, order.duration, analysis, stage_evidence)
     if next_stage is stage:
         return
--- a/comfreyhitch/rollouts/stages.py
+++ b/comfreyhitch/rollouts/stages.py
@@ -32,10 +32,10 @@
 
 
 REQUIREMENTS_BY_STAGE = {
-    Stage.WIDER: StageRequirement(min_progress=0.35, min_requests=6),
-    Stage.RAMP: StageRequirement(min_progress=0.5, min_requests=10),
-    Stage.FULL: StageRequirement(min_progress=0.91, min_requests=14, min_stage_requests=3),
-    Stage.PROVEN: StageRequirement(min_progress=0.93, min_requests=16, min_stage_requests=3),
+    Stage.WIDER: StageRequirement(min_progress=0.27, min_requests=6),
+    Stage.RAMP: StageRequirement(min_progress=0.4, min_requests=10),
+    Stage.FULL: StageRequirement(min_progress=0.91, min_requests=12, min_stage_requests=3),
+    Stage.PROVEN: StageRequirement(min_progress=0.93, min_requests=14, min_stage_requests=3),
 }
 # Share of the duration after which the outcome is due, so that it is written in time.
 OUTCOME_DUE_PROGRESS = 0.95
@@ -43,9 +43,11 @@
 # succeeds, so that requests still running at the old version can finish.
 MIN_FULL_TRAFFIC_SHARE = 0.03
 # When the new version gets more traffic, weaker evidence is enough to report a regression.
-LOW_TRAFFIC_THRESHOLDS = RegressionThresholds(alpha=1e-4, min_failing_windows=2, min_slow_windows=3)
+LOW_TRAFFIC_THRESHOLDS = RegressionThresholds(
+    alpha=1e-4, min_failing_windows=2, min_slow_windows=3, slow_alpha=1e-4
+)
 HIGH_TRAFFIC_THRESHOLDS = RegressionThresholds(
-    alpha=1e-2, min_failing_windows=2, min_slow_windows=3
+    alpha=1e-2, min_failing_windows=2, min_slow_windows=3, slow_alpha=1e-4
 )
 
 
@@ -75,6 +77,11 @@
     return next_stage
 
 
+def has_lost_proof(stage: Stage, stage_evidence: StageEvidence) -> bool:
+    """Return whether evidence that came after a version was proven puts it in doubt."""
+    return stage is Stage.PROVEN and stage_evidence.is_doubtful
+
+
 def get_evidence_stage(stage: Stage) -> Stage:
     """Return the stage since whose beginning the evidence counts for the next stage.
 
--- a/features/rollout_emulation.py
+++ b/features/rollout_emulation.py
@@ -18,6 +18,9 @@
 )
 from comfreyhitch.rollouts.exposure import (
     ExposureCounter,
+    TrialCounter,
+    admit_trial_request,
+    count_request,
     get_load_share,
     may_send_to_new_version,
 )
@@ -26,6 +29,7 @@
     get_evidence_stage,
     get_next_stage,
     get_regression_thresholds,
+    has_lost_proof,
     is_outcome_due,
     is_successful,
 )
@@ -105,6 +109,7 @@
         clock = self.clock.make_clock()
         self.logs = {version: EvidenceLog.from_clock(clock) for version in ("v1", "v2")}
         self.counters = [ExposureCounter.from_random(random) for _ in range(daemon_count)]
+        self.trial_counter = TrialCounter()
         self.stage = Stage.CANARY
         self.first_windows_by_stage = {Stage.CANARY: get_window(clock)}
         self.full_since = None
@@ -116,24 +121,30 @@
     def send_request(self):
         """Send a request to one of the versions, and note its outcome for later."""
         counter = self.random.choice(self.counters)
-        is_new = self.is_passed or (
-            not self.is_vetoed
-            and may_send_to_new_version(
-                counter,
-                self.stage,
-                len(self.counters),
-                self.random,
-                get_load_share(self.stage, NEW_TARGETS),
-            )
-        )
-        counter.requests += 1
-        counter.new_version_requests += is_new
-        self.requests_after_success += self.is_passed
+        is_new = self.is_passed or (not self.is_vetoed and self.admits_new(counter))
+        if self.is_passed:
+            counter.requests += 1
+            self.requests_after_success += 1
+        else:
+            count_request(counter, self.stage, is_new_version=is_new)
         log = self.logs["v2" if is_new else "v1"]
         behaviour = self.behaviour if is_new else GOOD_BEHAVIOUR
         at = self.clock.seconds + OUTCOME_DELAY_SECONDS
         self.pending_outcomes.append((at, log, behaviour, self.stage))
 
+    def admits_new(self, counter):
+        """Return whether a request goes to the new version, and whether its target takes it."""
+        daemon_count = len(self.counters)
+        load_share = get_load_share(NEW_TARGETS)
+        if not may_send_to_new_version(counter, self.stage, daemon_count, self.random, load_share):
+            return False
+        if self.stage is not Stage.RAMP:
+            # The daemon beside the target counts these too, but there are too few to matter.
+            return True
+        is_admitted = admit_trial_request(self.trial_counter, ORDER.rollout_id, self.stage)
+        counter.is_trial_over = not is_admitted
+        return is_admitted
+
     def record_outcomes(self):
         """Record the outcomes that have arrived."""
         while self.pending_outcomes and self.pending_outcomes[0][0] <= self.clock.seconds:
@@ -150,11 +161,14 @@
             self.is_vetoed = True
             return
         elapsed = timedelta(seconds=self.clock.seconds)
+        first_window = self.first_windows_by_stage[get_evidence_stage(self.stage)]
+        stage_evidence = analyze_stage(evidence, "v2", first_window)
+        if has_lost_proof(self.stage, stage_evidence):
+            self.is_vetoed = True
+            return
         if is_outcome_due(elapsed, ROLLOUT_DURATION):
             self.end(elapsed)
             return
-        first_window = self.first_windows_by_stage[get_evidence_stage(self.stage)]
-        stage_evidence = analyze_stage(evidence, "v2", first_window)
         stage = get_next_stage(self.stage, elapsed, ROLLOUT_DURATION, analysis, stage_evidence)
         if stage is not self.stage:
             self.stage = stage
@@ -172,12 +186,12 @@
 
     def make_result(self):
         """Return what has happened."""
-        version_requests = sum(counter.new_version_requests for counter in self.counters)
+        before_success = sum(counter.new_version_requests for counter in self.counters)
         return RolloutResult(
             self.is_passed,
             sum(counter.requests for counter in self.counters),
-            version_requests,
-            version_requests - self.requests_after_success,
+            before_success + self.requests_after_success,
+            before_success,
         )
 
 
--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -23,10 +23,15 @@
     analyze_stage,
 )
 from comfreyhitch.rollouts.exposure import (
-    EXPOSURE_LIMITS_BY_STAGE,
+    FULL_TRAFFIC_LIMIT,
+    MAX_LOADED_TARGET_REQUESTS,
     MIN_TRIAL_TARGETS,
+    TRIAL_LIMITS_BY_STAGE,
     TRIAL_TARGET_SHARE,
     ExposureCounter,
+    TrialCounter,
+    admit_trial_request,
+    count_request,
     get_load_share,
     may_send_to_new_version,
     select_trial_targets,
@@ -40,6 +45,7 @@
 )
 from comfreyhitch.rollouts.orders import get_deadline
 from comfreyhitch.rollouts.stages import (
+    OUTCOME_DUE_PROGRESS,
     REQUIREMENTS_BY_STAGE,
     Stage,
     get_next_stage,
@@ -64,7 +70,7 @@
 MAX_FALSE_ALARM_SHARE = 0.03
 MAX_MISSED_SHARE = 0.02
 # Load of a trial target, as a share of its load once all traffic has moved.
-MIN_TRIAL_LOAD_SHARE = 0.7
+MIN_TRIAL_LOAD_SHARE = 1.0
 
 
 @then(
@@ -78,6 +84,7 @@
     @given(st.sampled_from(list(Stage)), requests, st.integers(0, 2**32))
     def check(stage, requests_by_daemon, number):
         random = Random(number)
+        target_counter = TrialCounter()
         exposed = 0
         for count in requests_by_daemon:
             counter = ExposureCounter.from_random(random)
@@ -85,10 +92,15 @@
                 is_new = may_send_to_new_version(
                     counter, stage, len(requests_by_daemon), random, load_share=1.0
                 )
-                counter.requests += 1
-                counter.new_version_requests += is_new
+                if is_new and stage is Stage.RAMP:
+                    is_new = admit_trial_request(target_counter, ORDER.rollout_id, stage)
+                    counter.is_trial_over = not is_new
+                count_request(counter, stage, is_new_version=is_new)
             exposed += counter.new_version_requests
-        limit = EXPOSURE_LIMITS_BY_STAGE[stage]
+        if stage is Stage.RAMP:
+            assert exposed <= MAX_LOADED_TARGET_REQUESTS
+            return
+        limit = TRIAL_LIMITS_BY_STAGE.get(stage, FULL_TRAFFIC_LIMIT)
         # Each daemon may exceed its part of the limit by up to one request, less its jitter.
         excess = len(requests_by_daemon)
         assert (
@@ -96,12 +108,21 @@
         )
 
     check()
-    assert all(
-        limit.request_share < MAX_EXPOSURE_SHARE for limit in EXPOSURE_LIMITS_BY_STAGE.values()
+    last_trial_limit = TRIAL_LIMITS_BY_STAGE[Stage.WIDER]
+    # What is left of the requests after all may go to the new version, but for what it gets before
+    # it succeeds.
+    share_after_success = 1.0 - OUTCOME_DUE_PROGRESS
+    assert (
+        last_trial_limit.request_share * REQUIREMENTS_BY_STAGE[Stage.RAMP].min_progress
+        + FULL_TRAFFIC_LIMIT.request_share
+        + share_after_success
+        <= MAX_EXPOSURE_SHARE + 1e-9
     )
-    assert all(
-        limit.fleet_requests < MAX_EXTRA_EXPOSURE_REQUESTS
-        for limit in EXPOSURE_LIMITS_BY_STAGE.values()
+    assert (
+        last_trial_limit.fleet_requests
+        + MAX_LOADED_TARGET_REQUESTS
+        + FULL_TRAFFIC_LIMIT.fleet_requests
+        < MAX_EXTRA_EXPOSURE_REQUESTS
     )
 
 
@@ -122,8 +143,8 @@
             assert len(chosen) == count
             return
         assert len(chosen) <= max(MIN_TRIAL_TARGETS, TRIAL_TARGET_SHARE * count + 1)
-        load_share = get_load_share(stage, count) * count / len(chosen)
         if stage is Stage.RAMP:
+            load_share = get_load_share(count) * count / len(chosen)
             assert load_share >= MIN_TRIAL_LOAD_SHARE, (count, chosen)
 
     check()
