Take a refusal for another request as no proof about the present one

Report of another operator: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that had run or were running (REFUSED), or such a request ran at a second target (TWICE). It acts here: a response with the header of a refusal, or a 421, was taken before the request id that it echoes was compared.

Now the echoed id is compared first. A response for another request leaves the verdict at 'may have run', and its connection is closed.

'A target that repeats an earlier refusal' fails without the change and passes with it.

--- a/comfreyhitch/ingress/response_checks.py
+++ b/comfreyhitch/ingress/response_checks.py
@@ -17,6 +17,11 @@
 ) -> Outcome:
     """Return the response if the target itself made it for this request, else a failure."""
     values = {name.lower(): value for name, value in response.headers}
+    echoed = values.get(header_names.request_id.lower(), request_id)
+    if request_id and echoed != request_id:
+        # On a kept connection, a response may be the repetition of an earlier one.
+        detail = f"response is for request {echoed!r}"
+        return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, detail))
     if header_names.not_run and header_names.not_run.lower() in values:
         detail = f"target refused it with status {response.status}"
         return Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_REFUSED, detail))
--- a/features/steps/response_steps.py
+++ b/features/steps/response_steps.py
@@ -1,6 +1,8 @@
 """Test how responses of targets are read and validated, over real sockets where it matters."""
 
 import itertools
+import socket
+import struct
 from contextlib import contextmanager, suppress
 
 import gevent
@@ -51,7 +53,7 @@
         server.stop()
 
 
-def send(connections, body=b"", request_id="r1"):
+def send(connections, body=b"", request_id="r1", expected_instance=""):
     """Send one request, and return its outcome."""
     request = TargetRequest(
         method="POST" if body else "GET",
@@ -62,6 +64,7 @@
         needs_new_connection=False,
         body_limit_bytes=1_000_000,
         request_id=request_id,
+        expected_instance=expected_instance,
     )
     return call_target(connections, request, None, lambda: None)
 
@@ -208,3 +211,51 @@
                 assert send(connections).is_ok(), name
                 gevent.sleep(0.05)
         assert len(accepted) == (1 if name == "open" else 2), name
+
+
+@then("an earlier refusal that is written once more proves nothing about the next request")
+def check_repeated_refusal(context):
+    refused = (
+        b"HTTP/1.1 503 Busy\r\nX-Comfreyhitch-Request-Id: old\r\n"
+        b"X-Comfreyhitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    misdirected = (
+        b"HTTP/1.1 421 Misdirected\r\nX-Comfreyhitch-Request-Id: old\r\n"
+        b"X-Comfreyhitch-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n"
+    )
+    for refusal in (refused, misdirected):
+        connections_seen = []
+
+        def respond(sock, refusal=refusal, connections_seen=connections_seen):
+            connections_seen.append(sock)
+            while read_request_head(sock):
+                sock.sendall(refusal)
+
+        with running_target(respond) as connections:
+            old = send(connections, request_id="old", expected_instance="i-1").err_value
+            assert old.verdict is Verdict.NOT_RUN, old
+            failure = send(connections, request_id="new", expected_instance="i-1").err_value
+            assert failure.verdict is Verdict.MAY_HAVE_RUN, failure
+            # Nothing more is read from a connection whose responses are out of step.
+            assert not connections.idle_connections
+        assert len(connections_seen) == 1
+
+
+@then("a target that ends in the middle of its head, by a close or a reset, gave no response")
+def check_cut_heads(context):
+    head_length = STAMPED.index(b"\r\n\r\n") + 4
+    for length in range(head_length):
+        for has_reset in (False, True):
+
+            def respond(sock, length=length, has_reset=has_reset):
+                read_request_head(sock)
+                sock.sendall(STAMPED[:length])
+                if has_reset:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+
+            with running_target(respond) as connections:
+                failure = send(connections).err_value
+                assert failure.verdict is Verdict.MAY_HAVE_RUN, (length, has_reset, failure)
+                assert failure.status == 504, (length, has_reset, failure)
+                assert not connections.idle_connections
--- a/features/target_responses.feature
+++ b/features/target_responses.feature
@@ -17,3 +17,10 @@
 
   Scenario: Connections that the target closes, resets or leaves with stray bytes
     Then an idle connection is reused only while it is open and has no unread bytes
+
+  # Guards against a refusal of another request that makes a request count as not run.
+  Scenario: A target that repeats an earlier refusal
+    Then an earlier refusal that is written once more proves nothing about the next request
+
+  Scenario: A target that stops in the middle of the head of its response
+    Then a target that ends in the middle of its head, by a close or a reset, gave no response
