Read the good entries of the store although another writer left odd ones

Report of another operator: one odd entry among those of the upstreams (nested very deeply, a number too large, a port out of range) made the daemons end again and again, or stop following the list. Parts of it act here: 100,000 brackets raised RecursionError through the client of the store and through the decoding of heartbeats; an integer of over 4,300 digits, or one entry with an invalid revision, refused the whole list, so that a kind was not followed any more; a registration that is no table raised AttributeError; a connection to port 99999 raised OverflowError, which nothing on the way takes for a failed connection.

Entries that are no objects are logged and left out; those that name themselves take nothing back. Revisions, sequence numbers, ports and starts have the ranges that the wire and the code can hold.

'Odd entries among those of the platform' fails without the change at its first entry, and passes with it.

--- a/comfreyhitch/documents/models.py
+++ b/comfreyhitch/documents/models.py
@@ -151,7 +151,7 @@
         return Ok(RawDocument(kind, name, is_deleted=True))
     try:
         content = json.loads(value)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(f"{key}: {error}")
     if not isinstance(content, dict) or content.keys() - {_ORIGIN_FIELD} != _REPLICATED_FIELDS:
         return Err(f"{key}: document fields must be exactly spec, status, created and maybe origin")
--- a/comfreyhitch/documents/watching.py
+++ b/comfreyhitch/documents/watching.py
@@ -55,7 +55,8 @@
             for item in listed.items
             if not is_order_from_copy(item)
         ]
-        names = {item.metadata.name for item in listed.items}
+        # An entry that can't be read takes nothing back.
+        names = {item.metadata.name for item in listed.items} | listed.odd_names
         missing = [fact for fact in existing if _get_name(fact) not in names]
         facts.extend(_make_deletions(source, memory, missing, listed.revision))
         _merge(facts)
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -24,6 +24,7 @@
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.replication.sync import sync_with_peer
 from comfreyhitch.wire.connections import PeerPool
+from comfreyhitch.wire.sockets import is_address
 
 logger = logging.getLogger(__name__)
 
@@ -116,7 +117,7 @@
             return False
         case Ok(listed):
             registration.has_listed = True
-            addresses = [str((item.spec or {}).get("address", "")) for item in listed.items]
+            addresses = [address for item in listed.items if (address := _get_address(item))]
     is_joined = registration.is_joined = _sync_with_unknown(registration, addresses)
     _delete_left_registrations(registration, addresses)
     if mode is FRESH:
@@ -161,9 +162,15 @@
             pass
 
 
+def _get_address(item: PlatformObject) -> str:
+    """Return the address in a registration, or an empty string if it holds none."""
+    address = item.spec.get("address") if isinstance(item.spec, dict) else None
+    return address if isinstance(address, str) and is_address(address) else ""
+
+
 def _sync_with_unknown(registration: Registration, addresses: list[str]) -> bool:
     known = registration.blackboard.members_by_address
-    unknown = [address for address in addresses if address and address not in known]
+    unknown = [address for address in addresses if address not in known]
     registration.random.shuffle(unknown)
     is_joined = True
     joined = 0
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -1,6 +1,7 @@
 """Client of the platform's store, which makes one attempt on a new connection for each call."""
 
 import json
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -12,10 +13,12 @@
 from geventhttpclient.url import URL
 from result import Err, Ok, Result
 
+from comfreyhitch.platform.decoding import decode_json
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
 from comfreyhitch.platform.models import (
     FRESH,
     ChangeBatch,
+    ObjectChange,
     ObjectList,
     PlatformObject,
     ReadMode,
@@ -23,6 +26,8 @@
 )
 from comfreyhitch.platform.names import HEADER_STORE_ERA
 
+logger = logging.getLogger(__name__)
+
 API_PREFIX = "/v1/objects"
 SECTIONS = "sections"
 DAEMONS = "daemons"
@@ -40,6 +45,9 @@
 
 Model = TypeVar("Model", bound=msgspec.Struct)
 
+# The field that holds the entries of a list or a batch, and their model.
+_ENTRIES_BY_MODEL = {ObjectList: ("items", PlatformObject), ChangeBatch: ("events", ObjectChange)}
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformClient:
@@ -71,6 +79,7 @@
 ) -> Result[ObjectList, PlatformError]:
     """Return all objects of a kind, with the store's revision as of the first page."""
     items: list[PlatformObject] = []
+    odd_names: frozenset[str] = frozenset()
     query = _make_query(mode)
     first: ObjectList | None = None
     while True:
@@ -83,9 +92,13 @@
             detail = "store came back from a copy between two pages of a list"
             return Err(PlatformError(PlatformFailure.UNAVAILABLE, detail))
         items.extend(found.items)
-        if not found.has_more or not found.items:
-            return Ok(msgspec.structs.replace(first, items=items, has_more=False))
-        after = quote(found.items[-1].metadata.name, safe="")
+        odd_names |= found.odd_names
+        names = {item.metadata.name for item in found.items} | found.odd_names
+        if not found.has_more or not any(names):
+            return Ok(
+                msgspec.structs.replace(first, items=items, odd_names=odd_names, has_more=False)
+            )
+        after = quote(max(names), safe="")
         query = [*_make_query(mode), f"after={after}"]
 
 
@@ -198,10 +211,9 @@
 def _decode(response_body: bytes) -> Result[Any, PlatformError]:
     if not response_body:
         return Ok(None)
-    try:
-        return Ok(json.loads(response_body))
-    except ValueError as error:
-        return Err(PlatformError(PlatformFailure.REFUSED, f"response is not JSON: {error}"))
+    return decode_json(response_body).map_err(
+        lambda reason: PlatformError(PlatformFailure.REFUSED, f"response is not JSON: {reason}")
+    )
 
 
 def _make_path(kind: str, name: str) -> str:
@@ -225,13 +237,49 @@
 def _parse_read(model: type[Model], answer: StoreAnswer) -> Result[Model, PlatformError]:
     if model is PlatformObject:
         return _parse(model, answer.content)
-    return _parse(model, answer.content).map(
-        lambda parsed: msgspec.structs.replace(parsed, era=answer.era)
+    content, odd_names = _separate_odd_entries(model, answer.content)
+    return _parse(model, content).map(
+        lambda parsed: msgspec.structs.replace(
+            parsed, era=answer.era, odd_names=frozenset(odd_names)
+        )
     )
 
 
+def _separate_odd_entries(model: type[Model], content: Any) -> tuple[Any, list[str]]:
+    """Return a list or batch without the entries that are no objects, and the names of those.
+
+    Another writer may have left them, and the others hold.
+    """
+    field, entry_model = _ENTRIES_BY_MODEL[model]
+    entries = content.get(field) if isinstance(content, dict) else None
+    if not isinstance(entries, list):
+        return content, []
+    good = []
+    odd_names = []
+    for entry in entries:
+        parsed = _parse(entry_model, entry)
+        if parsed.is_ok():
+            good.append(entry)
+            continue
+        name = _find_name(entry)
+        odd_names.append(name)
+        logger.warning(
+            "entry of the store is ignored",
+            extra={"entry": name, "reason": str(parsed.err_value)[:200]},
+        )
+    return {**content, field: good}, odd_names
+
+
+def _find_name(entry: Any) -> str:
+    """Return the name of an entry that may lack any field, or an empty string."""
+    for field in ("Object", "Metadata", "Name"):
+        if isinstance(entry, dict):
+            entry = entry.get(field, entry)
+    return entry if isinstance(entry, str) else ""
+
+
 def _parse(model: type[Model], content: Any) -> Result[Model, PlatformError]:
     try:
         return Ok(msgspec.convert(content, model))
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, RecursionError) as error:
         return Err(PlatformError(PlatformFailure.REFUSED, f"not a {model.__name__}: {error}"))
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -35,6 +35,7 @@
 Count = Annotated[int, Meta(ge=1)]
 Text = Annotated[str, Meta(min_length=1, max_length=256)]
 DEFAULT_MAX_CONNECTIONS = 100
+MAX_NUMBER = 1e12
 STATES_BY_NAME = {
     "running": RolloutState.RUNNING,
     "succeeded": RolloutState.SUCCEEDED,
@@ -47,7 +48,7 @@
     """Validate the service that gets one weighted share of a route's requests."""
 
     service: Text = field(name="Service")
-    weight: Annotated[float, Meta(ge=0)] = field(name="Weight")
+    weight: Annotated[float, Meta(ge=0, le=MAX_NUMBER)] = field(name="Weight")
 
 
 class RouteModel(Struct, frozen=True):
@@ -74,7 +75,7 @@
     name: Text = field(name="Name")
     health_path: Annotated[str, Meta(pattern=r"^/")] = field(name="HealthPath")
     cold_time: Duration = field(name="ColdStart")
-    cold_rate: Annotated[float, Meta(gt=0)] = field(name="ColdPerS")
+    cold_rate: Annotated[float, Meta(gt=0, le=MAX_NUMBER)] = field(name="ColdPerS")
     max_connections: Count = field(default=DEFAULT_MAX_CONNECTIONS, name="MaxConns")
 
 
--- a/comfreyhitch/platform/heartbeats.py
+++ b/comfreyhitch/platform/heartbeats.py
@@ -12,6 +12,11 @@
 
 MAX_SLOTS = 10_000
 ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+# One heartbeat a second for thirty years.
+MAX_SEQUENCE = 10**9
+# The end of the year 9999, in Unix milliseconds.
+MAX_UNIX_MS = 253_402_300_799_999
+MAX_PORT = 65_535
 NO_COLD_TIME = Duration(0)
 
 
@@ -29,7 +34,7 @@
 
     state: Literal["ready", "draining"] = field(name="State")
     # Increases with each heartbeat of an incarnation.
-    sequence: Annotated[int, Meta(ge=0)] = field(name="Seq")
+    sequence: Annotated[int, Meta(ge=0, le=MAX_SEQUENCE)] = field(name="Seq")
     # Remaining time of the cold start, during which the target can serve only little load.
     cold_left: Duration = field(default=NO_COLD_TIME, name="ColdLeft")
 
@@ -41,7 +46,7 @@
     info: InfoModel = field(name="Info")
     status: StatusModel = field(name="Status")
     # Start of this incarnation, in Unix milliseconds.
-    born: Annotated[int, Meta(ge=0)] | None = None
+    born: Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)] | None = None
 
 
 _decoder = msgspec.json.Decoder(HeartbeatModel, dec_hook=decode_duration)
@@ -62,7 +67,11 @@
         model = _decoder.decode(body)
     except msgspec.DecodeError as error:
         return Err(str(error))
+    except RecursionError:
+        return Err("body is nested too deeply")
     host, _, port = model.address.rpartition(":")
+    if not 0 < int(port) <= MAX_PORT:
+        return Err(f"port {port} is out of range - at `$.Address`")
     heartbeat = Heartbeat(
         instance_id=instance_id,
         service=model.info.service,
--- a/comfreyhitch/platform/models.py
+++ b/comfreyhitch/platform/models.py
@@ -1,21 +1,26 @@
 """Objects of the platform's store."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 WRITER_MARK_ANNOTATION = "writer-mark"
 WRITER_ANNOTATION = "writer"
 
 
+# Revisions share 64 bits with the era.
+MAX_REVISION = (1 << 44) - 1
+Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+
+
 class Metadata(Struct, frozen=True):
     """Validate the metadata of an object; `revision` is that of its last change."""
 
     name: str = field(name="Name")
-    revision: int = field(default=0, name="Rev")
-    created_revision: int = field(default=0, name="CreateRevision")
+    revision: Revision = field(default=0, name="Rev")
+    created_revision: Revision = field(default=0, name="CreateRevision")
     finalizers: list[str] = field(default_factory=list, name="Finalizers")
     is_deleting: bool = field(default=False, name="Deleting")
 
@@ -32,12 +37,14 @@
     """Validate one page of a list; `revision` is that of the whole store.
 
     `era` rises each time the store comes back from an older copy; None if the store names none.
+    `odd_names` are those of entries that are no objects, as far as they have names.
     """
 
-    revision: int = field(name="StoreRevision")
+    revision: Revision = field(name="StoreRevision")
     items: list[PlatformObject] = field(default_factory=list)
     has_more: bool = field(default=False, name="HasMore")
     era: int | None = None
+    odd_names: frozenset[str] = frozenset()
 
 
 class ObjectChange(Struct, frozen=True):
@@ -50,9 +57,10 @@
 class ChangeBatch(Struct, frozen=True):
     """Validate the response to a watch; the next watch starts at `revision`."""
 
-    revision: int = field(name="StoreRevision")
+    revision: Revision = field(name="StoreRevision")
     events: list[ObjectChange] = field(default_factory=list)
     era: int | None = None
+    odd_names: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -39,6 +39,9 @@
         sock.settimeout(timeout_seconds)
         sock.connect((host, port))
         configure_socket(sock)
+    except OverflowError as error:
+        sock.close()
+        raise OSError(f"{host}:{port} is no address: {error}") from error
     except BaseException:
         sock.close()
         raise
--- a/features/platform_input.feature
+++ b/features/platform_input.feature
@@ -21,3 +21,11 @@
 
   Scenario: Load of a target
     Then load headers are parsed, a text of fewer than three values is ignored, and no parsed count is negative
+
+  # Guards against one odd entry of another writer that keeps daemons from following the others.
+  Scenario: Odd entries among those of the platform
+    Then a follower has the good ones among them, and takes none back that it can't read
+    And a daemon registers and joins although registrations hold nonsense
+    And a heartbeat with nested, too large or out of range values is refused
+    And a connection to a port out of range fails as any other that can't be made
+    And what is nested too deeply is read as null, and any other content unchanged
