Hold the rate limit that a target names beside it, and heed leaving said in responses

Cause: the capability was missing; no line read the headers.

Design: every request to a target passes the daemon beside it, which also sees every response. That daemon holds the limit for all callers together, with a bucket of one second of the limit (two requests at least), which starts empty and outlives responses that overtake each other. What doesn't fit is refused at once, before it queues, and goes to another target without drawing on a budget; the last request of a limit is kept for the highest class; if no target takes it, Retry-After is a second. A limit ends when a response names none, or with the incarnation. Zero means none but health checks; a value that is no decimal number leaves what was known.

Server-Leaving in any response, also of the health path, makes the target draining at once for all daemons; heartbeats that say 'ready' do not undo that for the same incarnation. A daemon that has started again passes nothing on before it has asked the health path once.

The record shows no header names, so the bare ones of the report and those with the platform's prefix are both read.

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -266,6 +266,27 @@
         "A version that was rolled back, and the next order",
         (("core/blackboard.py", "if lasting_reason is not None:", "if False:"),),
     ),
+    Removal(
+        "rate limit that a target names",
+        "A target names a limit, and leaves",
+        (
+            (
+                "ingress/state.py",
+                "set_rate_limit(ingress.rate_limit, limit,",
+                "set_rate_limit(ingress.rate_limit, None,",
+            ),
+        ),
+    ),
+    Removal(
+        "leaving said in responses",
+        "A target names a limit, and leaves",
+        (("ingress/state.py", "if mark_leaving(", "if False and mark_leaving("),),
+    ),
+    Removal(
+        "comparison of the request id before a refusal counts",
+        "A target that repeats an earlier refusal",
+        (("ingress/response_checks.py", "if request_id and echoed != request_id:", "if False:"),),
+    ),
     Removal(
         "writer's mark",
         "Two operators edit the same section",
--- a/comfreyhitch/core/headers.py
+++ b/comfreyhitch/core/headers.py
@@ -1,6 +1,6 @@
 """Names of the headers between callers, daemons and targets."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 HEADER_SERVICE = "Comfreyhitch-Service"
 HEADER_TENANT = "Comfreyhitch-Tenant"
@@ -32,3 +32,9 @@
     if not wanted:
         return ""
     return next((value for field, value in headers if field.lower() == wanted), "")
+
+
+def find_any_header(headers: Iterable[tuple[str, str]], names: Collection[str]) -> str:
+    """Return the value of the first header with one of some names, or an empty string."""
+    wanted = {name.lower() for name in names}
+    return next((value for field, value in headers if field.lower() in wanted), "")
--- a/comfreyhitch/core/target_headers.py
+++ b/comfreyhitch/core/target_headers.py
@@ -26,6 +26,10 @@
     load: str = ""
     # Milliseconds for which the target is still cold.
     cold_ms: str = ""
+    # On each response of a target in need: the requests a second that it takes from all daemons.
+    rate_limit: tuple[str, ...] = ()
+    # On each response of a target that is leaving: 1.
+    leaving: tuple[str, ...] = ()
 
 
 DEFAULT_TARGET_HEADERS = TargetHeaderNames(timeout=HEADER_TIMEOUT, attempt=HEADER_ATTEMPT)
--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -57,6 +57,7 @@
     TARGET_FAILED = "target-failed"
     TARGET_REFUSED = "target-refused"
     TARGET_COLD = "target-cold"
+    TARGET_LIMITED = "target-limited"
     TARGET_SLOW = "target-slow"
     TARGET_STARTING = "target-starting"
     WRONG_INSTANCE = "wrong-instance"
--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -48,6 +48,11 @@
     return True
 
 
+def handle_leaving(daemon: Daemon) -> None:
+    """Stop new requests to a target that says in its responses that it is leaving."""
+    _publish_target_state(daemon, daemon.blackboard.own_member.service)
+
+
 def _has_moved(daemon: Daemon, host: str, port: int) -> bool:
     connections = daemon.ingress.connections
     return connections is None or (connections.host, connections.port) != (host, port)
--- a/comfreyhitch/egress/interface.py
+++ b/comfreyhitch/egress/interface.py
@@ -83,6 +83,8 @@
 _RETRY_AFTER_BY_REFUSAL = {
     Refusal.TARGET_COLD: timedelta(milliseconds=200),
     Refusal.OVERLOADED: timedelta(milliseconds=200),
+    # Targets in need take few requests a second, and name their limits for seconds.
+    Refusal.TARGET_LIMITED: timedelta(seconds=1),
     Refusal.TARGET_STARTING: timedelta(milliseconds=300),
     Refusal.NO_CONFIGURATION: timedelta(milliseconds=500),
     # No target may serve the request, and a short wait does not change that.
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -34,6 +34,7 @@
         Refusal.WRONG_SERVICE,
         Refusal.TARGET_STARTING,
         Refusal.TARGET_SLOW,
+        Refusal.TARGET_LIMITED,
         Refusal.PEER_UNREACHABLE,
     }
 )
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -5,6 +5,7 @@
 
 from comfreyhitch.admission.limiter import record_response, record_start, restart_from_initial_limit
 from comfreyhitch.admission.queue import start_waiting
+from comfreyhitch.admission.rate_limit import take_request
 from comfreyhitch.admission.warm_up import admit_during_warm_up
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
@@ -14,7 +15,11 @@
 from comfreyhitch.ingress.models import IncomingCall
 from comfreyhitch.ingress.pace import wait_for_usual_pace
 from comfreyhitch.ingress.records import RecordState, RequestRecord, mark_running
-from comfreyhitch.ingress.refusals import find_refusal, make_refusal
+from comfreyhitch.ingress.refusals import (
+    find_refusal,
+    make_limit_refusal,
+    make_refusal,
+)
 from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
@@ -46,11 +51,9 @@
         # A fence query that arrived meanwhile was told that the request never runs.
         return Err(make_refusal(Refusal.FENCED, "request was withdrawn before it was sent"))
     started_at = clock.monotonic()
-    if not admit_within_cold_rate(ingress, started_at):
-        return Err(make_refusal(Refusal.TARGET_COLD, "target is cold and has its share"))
-    if not _admit_during_trial(ingress):
-        detail = "target has had its requests until all traffic may move"
-        return Err(make_refusal(Refusal.VERSION_ON_TRIAL, detail))
+    failure = _find_rate_refusal(ingress, call, started_at)
+    if failure is not None:
+        return Err(failure)
     call.sent_at = started_at
     call.pace_at_send = ingress.pace
     if record is not None:
@@ -68,6 +71,18 @@
     return outcome
 
 
+def _find_rate_refusal(ingress: Ingress, call: IncomingCall, now: float) -> Failure | None:
+    """Return why the target gets no more requests now, or count this one and return None."""
+    if not admit_within_cold_rate(ingress, now):
+        return make_refusal(Refusal.TARGET_COLD, "target is cold and has its share")
+    if not take_request(ingress.rate_limit, call.traffic_class, now):
+        return make_limit_refusal(ingress)
+    if not _admit_during_trial(ingress):
+        detail = "target has had its requests until all traffic may move"
+        return make_refusal(Refusal.VERSION_ON_TRIAL, detail)
+    return None
+
+
 def admit_within_cold_rate(ingress: Ingress, now: float) -> bool:
     """Return whether the target may get one more request now.
 
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -50,12 +50,15 @@
         body_limit_bytes=HEALTH_BODY_LIMIT_BYTES,
         is_probe=True,
     )
-    outcome = call_target(ingress.connections, request, None, lambda: None)
+    connections = ingress.connections
+    outcome = call_target(connections, request, None, lambda: None)
     now = clock.monotonic()
     ingress.metrics.ingress.target_probes.inc({})
     ingress.metrics.ingress.target_probe_seconds.add({}, now - started_at)
     is_down = outcome.is_err() and outcome.err_value.refusal is Refusal.TARGET_UNREACHABLE
     ingress.blackboard.is_target_healthy = not is_down
+    # Meanwhile another target may have been attached.
+    ingress.is_probed = ingress.is_probed or ingress.connections is connections
     match outcome:
         case Ok(response):
             _apply_response(ingress, response, now)
@@ -80,7 +83,9 @@
 
 
 def _is_urgent(ingress: Ingress) -> bool:
-    """Return whether only a probe can tell how many requests the target may get."""
+    """Return whether only a probe can tell if and how many requests the target may get."""
+    if ingress.header_names.leaving and not ingress.is_probed:
+        return True
     if ingress.warm_up_limiter is None:
         return False
     return ingress.lifecycle.is_suspected or ingress.lifecycle.state is TargetState.STARTING
--- a/comfreyhitch/ingress/lifecycle.py
+++ b/comfreyhitch/ingress/lifecycle.py
@@ -138,6 +138,19 @@
     lifecycle.is_suspected = True
 
 
+def mark_leaving(lifecycle: TargetLifecycle, instance_id: str) -> bool:
+    """Mark the target as leaving, and return whether that is new.
+
+    `instance_id` is the one that the response names, or empty; a later heartbeat of the same
+    incarnation does not bring the target back.
+    """
+    if lifecycle.state in (TargetState.DRAINING, TargetState.GONE):
+        return False
+    lifecycle.instance_id = lifecycle.instance_id or instance_id
+    lifecycle.state = TargetState.DRAINING
+    return True
+
+
 def is_cold(lifecycle: TargetLifecycle, now: float) -> bool:
     """Return whether the target must get only a limited rate of requests."""
     return lifecycle.is_suspected or now < lifecycle.cold_until
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -1,5 +1,6 @@
 """Hold the state of one daemon's ingress."""
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -8,22 +9,38 @@
 from comfreyhitch.admission.limiter import reset_baseline, set_fixed_limit
 from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.admission.queue import AdmissionQueue
+from comfreyhitch.admission.rate_limit import (
+    NamedRateLimit,
+    has_free_request,
+    parse_rate_limit,
+    set_rate_limit,
+)
 from comfreyhitch.admission.warm_up import WarmUpLimiter, set_warm_up_rate
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.headers import find_any_header, find_header
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
+from comfreyhitch.core.verdicts import Response
 from comfreyhitch.idempotency.claims import ClaimClient
-from comfreyhitch.ingress.lifecycle import TargetLifecycle, TargetState, mark_suspected
+from comfreyhitch.ingress.lifecycle import (
+    TargetLifecycle,
+    TargetState,
+    mark_leaving,
+    mark_suspected,
+)
 from comfreyhitch.ingress.records import RecordStore
 from comfreyhitch.ingress.target import TargetConnectionPool, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.rollouts.exposure import TrialCounter
+from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.utils.recent_set import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.generated.ttypes import LoadReport
 
+logger = logging.getLogger(__name__)
+
 REQUEST_RECORD_RETENTION_SECONDS = 180.0
 MAX_REQUEST_RECORDS = 50_000
 MAX_RECORD_BYTES = 8 * 1024 * 1024
@@ -31,6 +48,7 @@
 LATENCY_EWMA_WEIGHT = 0.1
 # Capacity of the target probe budget in seconds of its rate, which allows bursts of probes.
 PROBE_BURST_SECONDS = 0.5
+LEAVING_VALUE = "1"
 
 
 @dataclass(slots=True)
@@ -54,8 +72,13 @@
     lifecycle: TargetLifecycle = field(default_factory=TargetLifecycle)
     warm_up_limiter: WarmUpLimiter | None = None
     trial_counter: TrialCounter = field(default_factory=TrialCounter)
+    rate_limit: NamedRateLimit = field(default_factory=NamedRateLimit)
+    # Called when the target says in a response, for the first time, that it is leaving.
+    on_leaving: Callable[[], None] = lambda: None
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
+    # Whether the target's health path was probed since the target was attached.
+    is_probed: bool = False
     pace: PaceReading | None = None
     pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
@@ -106,10 +129,31 @@
         close_connections(ingress.connections)
     ingress.connections = TargetConnectionPool.from_address(host, port, clock, ingress.header_names)
     ingress.connections.on_unexpected_close = lambda: mark_suspected(ingress.lifecycle)
+    ingress.connections.on_response = lambda response: apply_target_notices(ingress, response)
+    ingress.rate_limit = NamedRateLimit()
+    ingress.is_probed = False
     set_slots(ingress, slots)
     reset_learned_limit(ingress)
 
 
+def apply_target_notices(ingress: Ingress, response: Response) -> None:
+    """Apply what a response says of its target: a rate limit, and whether it is leaving."""
+    names = ingress.header_names
+    text = find_any_header(response.headers, names.rate_limit)
+    limit = parse_rate_limit(text.strip())
+    known = ingress.rate_limit.requests_per_second
+    if text and limit is None:
+        logger.warning("target names an invalid rate limit", extra={"value": text[:40]})
+    else:
+        set_rate_limit(ingress.rate_limit, limit, ingress.blackboard.clock.monotonic())
+    if (known is None) != (ingress.rate_limit.requests_per_second is None):
+        logger.info("target's rate limit", extra={"requests_per_second": limit})
+    if find_any_header(response.headers, names.leaving).strip() == LEAVING_VALUE:
+        instance_id = find_header(response.headers, names.instance)
+        if mark_leaving(ingress.lifecycle, instance_id):
+            ingress.on_leaving()
+
+
 def set_slots(ingress: Ingress, slots: int) -> None:
     """Set how many requests the target can run at a time."""
     if ingress.settings.limit_rule == "slots":
@@ -162,6 +206,9 @@
         return False
     if ingress.lifecycle.state is not TargetState.READY:
         return False
+    now = blackboard.clock.monotonic()
+    if not has_free_request(ingress.rate_limit, TrafficClass.BACKGROUND, now):
+        return False
     return blackboard.own_member.zone not in blackboard.zones_out
 
 
--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -13,7 +13,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
-from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Verdict
+from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.ingress.response_checks import validate_response
 from comfreyhitch.ingress.responses import (
     ResponseReader,
@@ -48,6 +48,8 @@
     clock: Clock
     header_names: TargetHeaderNames = DEFAULT_TARGET_HEADERS
     idle_connections: list[IdleConnection] = field(default_factory=list)
+    # Called with each response that answers the request on its connection.
+    on_response: Callable[[Response], None] = lambda response: None
     # Called when the target has closed an idle connection before it expired.
     on_unexpected_close: Callable[[], None] = lambda: None
 
@@ -101,7 +103,7 @@
     stop_watching = _cancel_on_disconnect(cancel_socket)
     try:
         is_sent = _exchange(sock, request, reader, connections.clock)
-        outcome = _validate(connections.header_names, request, reader)
+        outcome = _validate(connections, request, reader)
         is_reusable = is_sent and reader.is_reusable and not _is_failed(outcome)
         return outcome
     except RequestCancelledError:
@@ -128,12 +130,19 @@
 
 
 def _validate(
-    header_names: TargetHeaderNames, request: TargetRequest, reader: ResponseReader
+    connections: TargetConnectionPool, request: TargetRequest, reader: ResponseReader
 ) -> Outcome:
     response = reader.make_response()
+    header_names = connections.header_names
     if request.is_probe:
+        connections.on_response(response)
         return Ok(response)
-    return validate_response(header_names, response, request.request_id, request.expected_instance)
+    outcome = validate_response(
+        header_names, response, request.request_id, request.expected_instance
+    )
+    if not _is_failed(outcome):
+        connections.on_response(response)
+    return outcome
 
 
 def _is_failed(outcome: Outcome) -> bool:
--- a/comfreyhitch/platform/names.py
+++ b/comfreyhitch/platform/names.py
@@ -17,6 +17,8 @@
     instance="X-Comfreyhitch-Instance-Id",
     load="X-Comfreyhitch-Server-Load",
     cold_ms="X-Comfreyhitch-Cold-Ms",
+    rate_limit=("Server-Limit", "X-Comfreyhitch-Server-Limit"),
+    leaving=("Server-Leaving", "X-Comfreyhitch-Server-Leaving"),
 )
 
 PATH_READY = "/v1/ready"
--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -39,6 +39,10 @@
     lost_answer_share: float = 0.0
     pace: int = USUAL_PACE_PERCENT
     crash_path: str = ""
+    # The rate limit that every response names, as text; none if empty.
+    rate_limit: str = ""
+    # Whether every response says that the target is leaving.
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -96,7 +100,7 @@
     values = {key[5:].replace("_", "-").lower(): value for key, value in environ.items()}
     request_id = values.get(HEADER_REQUEST_ID.lower(), "")
     expected = values.get(PLATFORM_TARGET_HEADERS.expected_instance.lower(), target.instance_id)
-    headers = [(HEADER_REQUEST_ID, request_id)]
+    headers = [(HEADER_REQUEST_ID, request_id), *_make_notices(target)]
     if expected != target.instance_id:
         headers.append((PLATFORM_TARGET_HEADERS.instance, target.instance_id))
         return _reply(start_response, "421 Misdirected Request", headers, b"")
@@ -140,6 +144,7 @@
         (HEADER_REQUEST_ID, request_id),
         (PLATFORM_TARGET_HEADERS.origin, f"{target.instance_id}.{request_id}"),
         (PLATFORM_TARGET_HEADERS.load, _describe_load(target)),
+        *_make_notices(target),
     ]
     if target.random.random() < target.faults.failure_share:
         return _reply(start_response, "500 Internal Server Error", headers, b"stand-in failure")
@@ -178,11 +183,23 @@
         (PLATFORM_TARGET_HEADERS.instance, target.instance_id),
         (PLATFORM_TARGET_HEADERS.load, _describe_load(target)),
         (PLATFORM_TARGET_HEADERS.cold_ms, str(target.cold_left_ms)),
+        *_make_notices(target),
     ]
-    status = "503 Service Unavailable" if target.is_draining else "200 OK"
+    is_out = target.is_draining or target.faults.is_leaving
+    status = "503 Service Unavailable" if is_out else "200 OK"
     return _reply(start_response, status, headers, b"")
 
 
+def _make_notices(target: PlatformTarget) -> list[tuple[str, str]]:
+    """Return the headers of all responses about a limit and about leaving."""
+    notices = []
+    if target.faults.rate_limit:
+        notices.append((PLATFORM_TARGET_HEADERS.rate_limit[0], target.faults.rate_limit))
+    if target.faults.is_leaving:
+        notices.append((PLATFORM_TARGET_HEADERS.leaving[0], "1"))
+    return notices
+
+
 def _describe_load(target: PlatformTarget) -> str:
     return f"{target.running},{target.waiting},{target.slots},{target.faults.pace}"
 
