--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -7,75 +7,25 @@
 import sys
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from random import Random
 from urllib.parse import parse_qs
 
 import gevent
 from gevent.lock import BoundedSemaphore
 from gevent.pywsgi import WSGIServer
-from geventhttpclient import HTTPClient
 
-from comfreyhitch.platform.names import HEADER_REQUEST_ID, PATH_INSTANCES, PLATFORM_TARGET_HEADERS
+from comfreyhitch.platform.names import HEADER_REQUEST_ID, PLATFORM_TARGET_HEADERS
 from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
+from comfreyhitch.testing.target_heartbeats import drain_and_exit, send_heartbeats
+from comfreyhitch.testing.target_models import USUAL_PACE_PERCENT, PlatformTarget
 
 HEALTH_PATH = "/health"
-HEARTBEAT_INTERVAL_SECONDS = 0.5
-DRAIN_DURATION_SECONDS = 2.5
-# Written to the run log in place of a request id when the daemon has acknowledged a drain.
-DRAIN_MARKER = "#drain"
 CRASH_EXIT_CODE = 9
 OVERLOAD_EXIT_CODE = 7
-USUAL_PACE_PERCENT = 100
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
-@dataclass(slots=True)
-class TargetFaults:
-    """Hold the injected faults of a target, which can be changed while it runs."""
-
-    failure_share: float = 0.0
-    lost_answer_share: float = 0.0
-    pace: int = USUAL_PACE_PERCENT
-    crash_path: str = ""
-    # The rate limit that every response names, as text; none if empty.
-    rate_limit: str = ""
-    # Whether every response says that the target is leaving.
-    is_leaving: bool = False
-
-
-@dataclass(slots=True)
-class PlatformTarget:
-    """Hold the state of one target incarnation."""
-
-    instance_id: str
-    service: str
-    version: str
-    zone: str
-    address: str
-    slots: int
-    work_seconds: float
-    cold_seconds: float
-    cold_per_second: float
-    start_time_ms: int
-    run_log: int | None
-    end_log: int | None
-    random: Random
-    slot_semaphore: BoundedSemaphore
-    sequence: int = 0
-    waiting: int = 0
-    running: int = 0
-    is_draining: bool = False
-    cold_arrival_times: list[float] = field(default_factory=list)
-    faults: TargetFaults = field(default_factory=TargetFaults)
-
-    @property
-    def cold_left_ms(self) -> int:
-        """Return the remaining milliseconds of the cold start, or 0 after it."""
-        return max(0, int(self.start_time_ms + self.cold_seconds * 1000 - time.time() * 1000))
-
-
 def make_application(
     target: PlatformTarget,
 ) -> Callable[[dict[str, object], StartResponse], Iterable[bytes]]:
@@ -211,57 +161,6 @@
     return [body]
 
 
-def send_heartbeat(control: str, target: PlatformTarget) -> bool:
-    """Send a heartbeat to the target's daemon; return whether the daemon acknowledged it."""
-    target.sequence += 1
-    content = {
-        "Address": target.address,
-        "born": target.start_time_ms,
-        "Info": {
-            "Service": target.service,
-            "Version": target.version,
-            "Zone": target.zone,
-            "Slots": target.slots,
-        },
-        "Status": {
-            "State": "draining" if target.is_draining else "ready",
-            "Seq": target.sequence,
-            "ColdLeft": f"{target.cold_left_ms}ms",
-        },
-    }
-    return _call_daemon(control, "PUT", target, json.dumps(content).encode())
-
-
-def _call_daemon(control: str, method: str, target: PlatformTarget, body: bytes) -> bool:
-    host, _, port = control.partition(":")
-    client = HTTPClient(host, int(port), concurrency=1, connection_timeout=1.0)
-    try:
-        path = f"{PATH_INSTANCES}{target.instance_id}"
-        return client.request(method, path, body).status_code == 200
-    except OSError:
-        return False
-    finally:
-        client.close()
-
-
-def _send_heartbeats(control: str, target: PlatformTarget) -> None:
-    while True:
-        send_heartbeat(control, target)
-        gevent.sleep(HEARTBEAT_INTERVAL_SECONDS)
-
-
-def _drain_and_exit(control: str, target: PlatformTarget) -> None:
-    target.is_draining = True
-    while not send_heartbeat(control, target):
-        gevent.sleep(0.1)
-    if target.run_log is not None:
-        line = f"{DRAIN_MARKER} {target.instance_id} {time.time():.3f}\n"
-        os.write(target.run_log, line.encode())
-    gevent.sleep(DRAIN_DURATION_SECONDS)
-    _call_daemon(control, "DELETE", target, b"")
-    os._exit(0)
-
-
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description="Stand-in for a target on the platform")
     parser.add_argument("--address", required=True)
@@ -313,9 +212,9 @@
         (host, int(port)), make_application(target), handler_class=QuietHandler, log=None
     )
     server.start()
-    gevent.spawn(_send_heartbeats, arguments.control, target)
+    gevent.spawn(send_heartbeats, arguments.control, target)
     gevent.signal_handler(
-        signal.SIGTERM, lambda: gevent.spawn(_drain_and_exit, arguments.control, target)
+        signal.SIGTERM, lambda: gevent.spawn(drain_and_exit, arguments.control, target)
     )
     server.serve_forever()
     return 0
--- a/comfreyhitch/testing/soak/checks.py
+++ b/comfreyhitch/testing/soak/checks.py
@@ -7,10 +7,11 @@
 from comfreyhitch.testing.platform_models import (
     LoggedRun,
 )
-from comfreyhitch.testing.platform_target import DRAIN_MARKER, OVERLOAD_EXIT_CODE
+from comfreyhitch.testing.platform_target import OVERLOAD_EXIT_CODE
 from comfreyhitch.testing.soak.callers import SentRequest, is_matching_response
 from comfreyhitch.testing.soak.plan import FaultKind
 from comfreyhitch.testing.soak.state import FaultSpan, is_unplanned
+from comfreyhitch.testing.target_heartbeats import DRAIN_MARKER
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SUCCESS_STATUS = 200
