Publish the evidence of the running window also once a version is proven

Cause: with all traffic at the new version its daemons publish the running window, but only until it is proven; the failures that came after were published when the window was over, after the success.

--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -123,7 +123,7 @@
     blackboard = rollouts.blackboard
     stage = _get_current_stage(blackboard, order)
     # With all traffic at the new version, a window would be long over before it is complete.
-    includes_current = stage is Stage.FULL and blackboard.own_member.version == order.to_version
+    includes_current = stage >= Stage.FULL and blackboard.own_member.version == order.to_version
     publish_evidence(rollouts, order.rollout_id, includes_current=includes_current)
     if not is_analyzer(blackboard, order.rollout_id):
         return
