--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -237,11 +237,13 @@
 def _parse_read(model: type[Model], answer: StoreAnswer) -> Result[Model, PlatformError]:
     if model is PlatformObject:
         return _parse(model, answer.content)
-    content, odd_names = _separate_odd_entries(model, answer.content)
-    return _parse(model, content).map(
-        lambda parsed: msgspec.structs.replace(
-            parsed, era=answer.era, odd_names=frozenset(odd_names)
-        )
+    parsed = _parse(model, answer.content)
+    odd_names: list[str] = []
+    if parsed.is_err():
+        content, odd_names = _separate_odd_entries(model, answer.content)
+        parsed = _parse(model, content)
+    return parsed.map(
+        lambda page: msgspec.structs.replace(page, era=answer.era, odd_names=frozenset(odd_names))
     )
 
 
