--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -17,7 +17,7 @@
 from comfreyhitch.watching.follower import read_once
 from comfreyhitch.wire.sockets import connect
 from features.steps.document_steps import make_follower, make_replica
-from features.steps.platform_input_steps import HEARTBEAT
+from features.steps.heartbeat_input_steps import HEARTBEAT
 from features.steps.registration_steps import make_registration
 
 DEEP = "[" * 100_000 + "]" * 100_000
