--- a/comfreyhitch/rollouts/exposure.py
+++ b/comfreyhitch/rollouts/exposure.py
@@ -6,8 +6,8 @@
 between daemons, however many of the requests fail, and whatever the evidence says. The limits leave
 room for the requests between the success and the deadline.
 
-In the stage `RAMP` that target bears the load that it will bear with all traffic: a version that
-fails only under load shows it then.
+In the stage `RAMP` that target bears more than its share of all traffic: a version that fails only
+under load shows it then.
 """
 
 from collections.abc import Sequence
--- a/comfreyhitch/rollouts/orders.py
+++ b/comfreyhitch/rollouts/orders.py
@@ -8,7 +8,12 @@
 from comfreyhitch.core.blackboard import ActiveRollout, Blackboard
 from comfreyhitch.documents.models import RolloutOrder, RolloutState
 from comfreyhitch.replication.facts import FactKind, FactStore, StoredFact, merge_facts
-from comfreyhitch.rollouts.analysis import analyze_evidence, analyze_stage
+from comfreyhitch.rollouts.analysis import (
+    EvidenceAnalysis,
+    StageEvidence,
+    analyze_evidence,
+    analyze_stage,
+)
 from comfreyhitch.rollouts.controller import (
     OUTCOME_LIFETIME,
     RolloutController,
@@ -17,6 +22,7 @@
     publish_evidence,
 )
 from comfreyhitch.rollouts.evidence import get_window
+from comfreyhitch.rollouts.models import Evidence
 from comfreyhitch.rollouts.stages import (
     Stage,
     get_evidence_stage,
@@ -132,22 +138,42 @@
     if analysis.regression is not None:
         publish_order_veto(rollouts.store, order, analysis.regression)
         return
-    deadline = get_deadline(rollouts.store, order)
-    elapsed = order.duration - (deadline - blackboard.clock.now())
-    window = get_window(blackboard.clock)
-    controller.first_window_by_stage.setdefault((order.rollout_id, stage), window)
-    evidence_stage = get_evidence_stage(stage)
-    first_window = controller.first_window_by_stage.get((order.rollout_id, evidence_stage), window)
-    stage_evidence = analyze_stage(evidence, order.to_version, first_window)
+    stage_evidence = _analyze_stage(controller, order, stage, evidence)
     if has_lost_proof(stage, stage_evidence):
         reason = (
             f"{stage_evidence.failures} of {stage_evidence.requests} requests failed under load"
         )
         publish_order_veto(rollouts.store, order, reason)
         return
+    deadline = get_deadline(rollouts.store, order)
+    elapsed = order.duration - (deadline - blackboard.clock.now())
     next_stage = get_next_stage(stage, elapsed, order.duration, analysis, stage_evidence)
     if next_stage is stage:
         return
+    _log_next_stage(order, next_stage, analysis, stage_evidence)
+    fact = StoredFact(
+        FactKind.STAGE, order.rollout_id, int(next_stage), b"", deadline + OUTCOME_LIFETIME
+    )
+    merge_facts(rollouts.store, [fact])
+
+
+def _analyze_stage(
+    controller: RolloutOrderController, order: RolloutOrder, stage: Stage, evidence: list[Evidence]
+) -> StageEvidence:
+    """Return what the new version did since the stage from which evidence counts."""
+    window = get_window(controller.rollouts.blackboard.clock)
+    controller.first_window_by_stage.setdefault((order.rollout_id, stage), window)
+    evidence_stage = get_evidence_stage(stage)
+    first_window = controller.first_window_by_stage.get((order.rollout_id, evidence_stage), window)
+    return analyze_stage(evidence, order.to_version, first_window)
+
+
+def _log_next_stage(
+    order: RolloutOrder,
+    next_stage: Stage,
+    analysis: EvidenceAnalysis,
+    stage_evidence: StageEvidence,
+) -> None:
     logger.info(
         "rollout advances",
         extra={
@@ -159,10 +185,6 @@
             "expected_failure_share": round(stage_evidence.expected_share, 4),
         },
     )
-    fact = StoredFact(
-        FactKind.STAGE, order.rollout_id, int(next_stage), b"", deadline + OUTCOME_LIFETIME
-    )
-    merge_facts(rollouts.store, [fact])
 
 
 def _get_current_stage(blackboard: Blackboard, order: RolloutOrder) -> Stage:
