Let one brief watch tell of silence for all watches of its daemon

A store that cuts watches off silently does so for all kinds. Now only the watch of the configuration, which binds soonest, is brief at the first reader of a zone; when it is not answered, the daemon sends its other watches again too.

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -259,7 +259,12 @@
     Removal(
         "brief watches of the first reader of a zone",
         "The store cuts all watches off silently, and drops its history",
-        (("watching/waits.py", "if conditions.is_first_reader:", "if False:"),),
+        (("watching/waits.py", "if conditions.is_first_reader else", "if False else"),),
+    ),
+    Removal(
+        "renewal of the other watches after silence",
+        "The store cuts all watches off silently, and drops its history",
+        (("watching/follower.py", "        follower.on_silence()", "        pass"),),
     ),
     Removal(
         "refusal of a rolled-back version after a later order",
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -14,6 +14,7 @@
     sync_with_random_peer,
 )
 from comfreyhitch.daemon.observers import remove_expired
+from comfreyhitch.documents.models import DocumentKind
 from comfreyhitch.documents.watching import (
     is_store_unreachable,
     is_watch_late,
@@ -40,9 +41,14 @@
 from comfreyhitch.rollouts.controller import RolloutController, choose_analyzers, run_rollouts
 from comfreyhitch.rollouts.order_recorder import RolloutOrderRecorder, run_rollout_order_recorder
 from comfreyhitch.rollouts.orders import RolloutOrderController, run_rollout_orders
-from comfreyhitch.watching.follower import follow, set_watch_timeout
+from comfreyhitch.watching.follower import follow, renew_together, set_watch_timeout
 from comfreyhitch.watching.outages import Outage
-from comfreyhitch.watching.waits import WatchConditions, WatchPlan, plan_watch_seconds
+from comfreyhitch.watching.waits import (
+    WatchConditions,
+    WatchPlan,
+    get_lead_watch_seconds,
+    plan_watch_seconds,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -57,6 +63,8 @@
 # A timer that fires this late means that the process was suspended, not busy.
 PAUSE_THRESHOLD = timedelta(seconds=3)
 STALE_SYNC_ATTEMPTS = 5
+# The kind whose watch shows whether the store still answers watches.
+LEAD_KIND = DocumentKind.ROUTES
 
 
 def start_controllers(daemon: Daemon) -> None:
@@ -148,6 +156,7 @@
         daemon.greenlets.append(
             gevent.spawn(_run_continuously, lambda follower=follower: follow(follower))
         )
+    renew_together(list(daemon.followers_by_document_kind.values()))
     daemon.greenlets.append(
         gevent.spawn(
             _run_periodically,
@@ -173,8 +182,9 @@
         unanswered_probes=daemon.detector.unanswered_probes,
     )
     seconds = plan_watch_seconds(plan, conditions, daemon.clock.monotonic())
-    for follower in followers_by_kind.values():
-        set_watch_timeout(follower, seconds)
+    lead_seconds = get_lead_watch_seconds(seconds, conditions)
+    for kind, follower in followers_by_kind.items():
+        set_watch_timeout(follower, lead_seconds if kind is LEAD_KIND else seconds)
 
 
 def _sync_documents_if_store_unreachable(daemon: Daemon) -> None:
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -1,7 +1,7 @@
 """Follow objects of one kind despite expired revisions, errors and unresponsive connections."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -85,6 +85,8 @@
     # no answer came.
     is_cut_short: bool = False
     unanswered_watches: int = 0
+    # Called when a brief watch was not answered.
+    on_silence: Callable[[], None] = lambda: None
 
     @property
     def is_connected(self) -> bool:
@@ -132,6 +134,18 @@
         follower.waiting.kill(block=False)
 
 
+def renew_together(followers: Sequence[Follower]) -> None:
+    """Have all followers send their watches again when a brief watch of one is not answered."""
+
+    def renew_others(silent: Follower) -> None:
+        for follower in followers:
+            if follower is not silent and follower.waiting is not None:
+                follower.waiting.kill(block=False)
+
+    for follower in followers:
+        follower.on_silence = lambda follower=follower: renew_others(follower)
+
+
 def list_again(follower: Follower) -> None:
     """End the current watch, and list the kind anew."""
     follower.revision = None
@@ -228,6 +242,7 @@
         waiting.kill()
     if not has_answer:
         follower.unanswered_watches += 1
+        follower.on_silence()
         return None
     follower.unanswered_watches = 0
     answer = waiting.get()
--- a/comfreyhitch/watching/waits.py
+++ b/comfreyhitch/watching/waits.py
@@ -2,16 +2,16 @@
 
 Answers a fleet of hundreds of daemons whose documents change rarely: the store counts each
 renewed watch as a call, so only the readers of each availability zone renew theirs every few
-seconds, and the first of them several times a second. The other daemons wait longer; they hear of
-changes from their own watch and from their peers. A daemon for which one of the two may be broken
-renews as often as a reader.
+seconds, and the first of them one of its watches several times a second. The other daemons wait
+longer; they hear of changes from their own watch and from their peers. A daemon for which one of the
+two may be broken renews as often as a reader.
 """
 
 from dataclasses import dataclass
 
 # A watch that the store has cut off silently looks like one without news until its time is over.
-# The first reader of each availability zone notices it within the time in which a document has to
-# be in force, and tells its peers.
+# With one brief watch, the first reader of each availability zone notices it within the time in
+# which a document has to be in force, renews its other watches and tells its peers.
 BRIEF_WATCH_SECONDS = 0.5
 # A watch on an unresponsive connection times out after this time plus one second.
 SHORT_WATCH_SECONDS = 3.0
@@ -58,8 +58,6 @@
     if _is_disturbed(plan, conditions):
         plan.settled_since = now
     plan.was_watch_late = conditions.is_watch_late
-    if conditions.is_first_reader:
-        return BRIEF_WATCH_SECONDS
     is_settled = now - plan.settled_since >= SETTLING_SECONDS
     is_large_fleet = conditions.daemon_count >= MIN_DAEMONS_FOR_LONG_WATCHES
     if conditions.is_reader or not is_large_fleet or not is_settled:
@@ -67,6 +65,11 @@
     return LONG_WATCH_SECONDS
 
 
+def get_lead_watch_seconds(planned_seconds: float, conditions: WatchConditions) -> float:
+    """Return how many seconds the watch may wait whose silence renews the others of its daemon."""
+    return BRIEF_WATCH_SECONDS if conditions.is_first_reader else planned_seconds
+
+
 def _is_disturbed(plan: WatchPlan, conditions: WatchConditions) -> bool:
     # A peer is often a few milliseconds ahead, but not at two checks in a row.
     is_watch_broken = conditions.is_watch_late and plan.was_watch_late
--- a/features/steps/silent_watch_steps.py
+++ b/features/steps/silent_watch_steps.py
@@ -9,8 +9,13 @@
 from comfreyhitch.documents.models import DocumentKind
 from comfreyhitch.testing.platform_objects import drop_history
 from comfreyhitch.testing.processes import wait_until
-from comfreyhitch.watching.follower import follow, read_once
-from comfreyhitch.watching.waits import WatchConditions, WatchPlan, plan_watch_seconds
+from comfreyhitch.watching.follower import follow, read_once, renew_together
+from comfreyhitch.watching.waits import (
+    WatchConditions,
+    WatchPlan,
+    get_lead_watch_seconds,
+    plan_watch_seconds,
+)
 from features.steps.document_steps import (
     make_configuration,
     make_follower,
@@ -32,8 +37,7 @@
     state = context.store_state
     write_object(context, DocumentKind.ROUTES, "main", make_configuration(3))
     blackboard, store = make_replica(Clock.from_system())
-    for kind in (DocumentKind.ROUTES, DocumentKind.ZONE_OUT):
-        start_following(context, kind, store)
+    start_following(context, store)
     # The silence begins at any moment of a watch.
     gevent.sleep(Random(context.seed).uniform(0.2, 1.2))
     state.faults.are_watches_silent = True
@@ -48,10 +52,11 @@
     wait_until(lambda: is_in_force(blackboard, 9, {"za"}), IN_FORCE_SECONDS, "a later change")
 
 
-def start_following(context, kind, store):
-    """Follow a kind of document as the first reader of a zone does in a calm time."""
-    follower = make_follower(context, kind, store)
-    assert read_once(follower) is None
+def start_following(context, store):
+    """Follow two kinds of documents as the first reader of a zone does in a calm time."""
+    lead, other = (
+        make_follower(context, kind, store) for kind in (DocumentKind.ROUTES, DocumentKind.ZONE_OUT)
+    )
     conditions = WatchConditions(
         daemon_count=100,
         is_first_reader=True,
@@ -60,10 +65,16 @@
         is_watch_late=False,
         unanswered_probes=0,
     )
-    plan = WatchPlan(settled_since=0.0)
-    follower.watch_timeout_seconds = plan_watch_seconds(plan, conditions, SETTLED_SECONDS)
-    greenlet = gevent.spawn(follow, follower)
-    context.add_cleanup(greenlet.kill)
+    seconds = plan_watch_seconds(WatchPlan(settled_since=0.0), conditions, SETTLED_SECONDS)
+    for follower, watch_seconds in (
+        (lead, get_lead_watch_seconds(seconds, conditions)),
+        (other, seconds),
+    ):
+        assert read_once(follower) is None
+        follower.watch_timeout_seconds = watch_seconds
+    renew_together([lead, other])
+    for follower in (lead, other):
+        context.add_cleanup(gevent.spawn(follow, follower).kill)
 
 
 def is_in_force(blackboard, version, zones_out):
@@ -76,7 +87,7 @@
     state = context.store_state
     state.faults.delay_seconds = 0.0
     blackboard, store = make_replica(Clock.from_system())
-    start_following(context, DocumentKind.ROUTES, store)
+    start_following(context, store)
     version = blackboard.route_table.version + 2
     state.faults.delay_seconds = 0.8
     # A watch that is late is sent again with more time each time.
--- a/features/steps/watch_wait_steps.py
+++ b/features/steps/watch_wait_steps.py
@@ -24,6 +24,7 @@
     SHORT_WATCH_SECONDS,
     WatchConditions,
     WatchPlan,
+    get_lead_watch_seconds,
     plan_watch_seconds,
 )
 from features.steps.document_steps import (
@@ -68,8 +69,10 @@
                 and now - disturbed_at >= SETTLING_SECONDS
             )
             expected = LONG_WATCH_SECONDS if may_wait else SHORT_WATCH_SECONDS
+            planned = plan_watch_seconds(plan, conditions, now)
+            assert planned == expected
             expected = BRIEF_WATCH_SECONDS if conditions.is_first_reader else expected
-            assert plan_watch_seconds(plan, conditions, now) == expected
+            assert get_lead_watch_seconds(planned, conditions) == expected
 
     check()
     for disturbance in (
