--- a/comfreyhitch/watching/waits.py
+++ b/comfreyhitch/watching/waits.py
@@ -3,8 +3,8 @@
 Answers a fleet of hundreds of daemons whose documents change rarely: the store counts each
 renewed watch as a call, so only the readers of each availability zone renew theirs every few
 seconds, and the first of them one of its watches several times a second. The other daemons wait
-longer; they hear of changes from their own watch and from their peers. A daemon for which one of the
-two may be broken renews as often as a reader.
+longer; they hear of changes from their own watch and from their peers. A daemon for which one of
+the two may be broken renews as often as a reader.
 """
 
 from dataclasses import dataclass
