Roll a version back as soon as it can't succeed any more

Its targets had started 3 to 4 s after the order, six requests had come out, and the outcome was due 0.4 s before the deadline, less than the 0.6 s after which a second recorder takes over.

Cause: made both outcomes due at 0.95 of the duration, though only a success needs to be late, and left one recorder to write it.

Now a version without all traffic is rolled back at 0.93, and recorders take over after 0.3 s. 'When the outcome is due' fails on the values before (a second recorder would write a rollback or a success 0.1 s before the deadline of 14 s, a third one after it) and passes.

--- a/comfreyhitch/rollouts/order_recorder.py
+++ b/comfreyhitch/rollouts/order_recorder.py
@@ -26,7 +26,7 @@
 RETRY_INTERVAL = timedelta(milliseconds=500)
 # Each recorder waits this much longer than the one ranked before it, so that it writes only if
 # that one has not.
-TAKEOVER_DELAY = timedelta(milliseconds=600)
+TAKEOVER_DELAY = timedelta(milliseconds=300)
 MAX_RECORDERS = 3
 
 
@@ -67,9 +67,9 @@
     now = blackboard.clock.now()
     store = recorder.orders.rollouts.store
     elapsed = order.duration - (get_deadline(store, order) - now)
-    if not is_outcome_due(elapsed, order.duration):
-        return RolloutState.RUNNING
     stage = Stage(blackboard.stages_by_rollout.get(order.rollout_id, 0))
+    if not is_outcome_due(stage, elapsed, order.duration):
+        return RolloutState.RUNNING
     full_since = recorder.orders.full_traffic_since_by_rollout.get(order.rollout_id, now)
     if is_successful(stage, now - full_since, order.duration):
         return RolloutState.SUCCEEDED
--- a/comfreyhitch/rollouts/stages.py
+++ b/comfreyhitch/rollouts/stages.py
@@ -39,6 +39,8 @@
 }
 # Share of the duration after which the outcome is due, so that it is written in time.
 OUTCOME_DUE_PROGRESS = 0.95
+# By then a version that may succeed has all traffic; the rollback of any other is due.
+ROLLBACK_DUE_PROGRESS = 0.93
 # Share of the duration for which the new version has to have all traffic before the rollout
 # succeeds, so that requests still running at the old version can finish.
 MIN_FULL_TRAFFIC_SHARE = 0.03
@@ -90,9 +92,10 @@
     return min(stage, Stage.RAMP)
 
 
-def is_outcome_due(elapsed: timedelta, duration: timedelta) -> bool:
+def is_outcome_due(stage: Stage, elapsed: timedelta, duration: timedelta) -> bool:
     """Return whether the rollout has to succeed or be rolled back now."""
-    return elapsed >= duration * OUTCOME_DUE_PROGRESS
+    progress = ROLLBACK_DUE_PROGRESS if stage < Stage.FULL else OUTCOME_DUE_PROGRESS
+    return elapsed >= duration * progress
 
 
 def is_successful(stage: Stage, full_traffic_duration: timedelta, duration: timedelta) -> bool:
--- a/features/ordered_rollouts.feature
+++ b/features/ordered_rollouts.feature
@@ -18,6 +18,10 @@
   Scenario: The deadline
     Then daemons whose clocks differ agree on the remaining time, and a clock that jumps is slewed
 
+  # Guards against an outcome that is due so late that only one recorder can write it in time.
+  Scenario: When the outcome is due
+    Then a rollback is due early enough for each recorder to write it before the deadline, and a success for the first two
+
   Scenario: Which daemon reports the state
     Then a few recorders may write each state, one after the other, with the takeover delay between them
 
--- a/features/rollout_emulation.py
+++ b/features/rollout_emulation.py
@@ -166,7 +166,7 @@
         if has_lost_proof(self.stage, stage_evidence):
             self.is_vetoed = True
             return
-        if is_outcome_due(elapsed, ROLLOUT_DURATION):
+        if is_outcome_due(self.stage, elapsed, ROLLOUT_DURATION):
             self.end(elapsed)
             return
         stage = get_next_stage(self.stage, elapsed, ROLLOUT_DURATION, analysis, stage_evidence)
--- a/features/steps/ordered_rollout_steps.py
+++ b/features/steps/ordered_rollout_steps.py
@@ -1,6 +1,7 @@
 """Properties of ordered rollouts: exposure, stages, analysis, deadline and recorders."""
 
 import itertools
+from datetime import timedelta
 from random import Random
 
 from behave import then
@@ -49,6 +50,7 @@
     REQUIREMENTS_BY_STAGE,
     Stage,
     get_next_stage,
+    is_outcome_due,
 )
 from features.fakes import FakeClock, make_member
 from features.rollout_emulation import (
@@ -71,6 +73,9 @@
 MAX_MISSED_SHARE = 0.02
 # Load of a trial target, as a share of its load once all traffic has moved.
 MIN_TRIAL_LOAD_SHARE = 1.0
+# Two calls to a store that is not disturbed; and two looks at an order.
+MIN_WRITE_SECONDS = 0.3
+ANALYSIS_SECONDS = 0.2
 
 
 @then(
@@ -184,6 +189,26 @@
     check()
 
 
+@then(
+    "a rollback is due early enough for each recorder to write it before the deadline, and a "
+    "success for the first two"
+)
+def check_due_times(context):
+    for stage in Stage:
+        due_at = next(
+            seconds
+            for seconds in (number / 100 for number in range(10_000))
+            if is_outcome_due(stage, timedelta(seconds=seconds), ROLLOUT_DURATION)
+        )
+        recorder_count = MAX_RECORDERS if stage < Stage.FULL else 2
+        last_write_at = due_at + (recorder_count - 1) * TAKEOVER_DELAY.total_seconds()
+        remaining = ROLLOUT_DURATION.total_seconds() - last_write_at
+        assert remaining >= MIN_WRITE_SECONDS, (stage, remaining)
+        # A version that may succeed is not rolled back before it can have all traffic.
+        full_at = REQUIREMENTS_BY_STAGE[Stage.FULL].min_progress * ROLLOUT_DURATION
+        assert due_at > full_at.total_seconds() + ANALYSIS_SECONDS, (stage, due_at)
+
+
 @then("a version that fails once it has all traffic is in doubt whatever it did before")
 def check_doubt(context):
     early = RouteCounts(requests=300, failures=0)
