Show requests that run twice after additional bytes of an upstream (TWICE)

Cause: an answer without a request's id counts as proof that the present request has not run, if it says so. Bytes that belong to no request make the ingress report a running request as not run.

--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -51,8 +51,9 @@
     is_leaving: bool = False
     # Called with each request that is run; may end the upstream.
     on_arrival: Callable[["Upstream", Arrival], None] = lambda upstream, arrival: None
-    # Returns by how much longer than usual the next request takes.
-    get_slowness: Callable[[], float] = lambda: 1.0
+    # Returns additional bytes that follow the present answer, at the point where the next one on
+    # its connection is expected.
+    make_extra_bytes: Callable[[], bytes] = lambda: b""
     running: int = 0
     waiting: int = 0
     semaphore: asyncio.Semaphore | None = None
@@ -146,9 +147,12 @@
     task = asyncio.current_task()
     upstream.tasks.add(task)
     upstream.writers.add(writer)
+    extra_bytes = b""
     try:
         while (message := await http11.read_message(reader)) is not None:
+            writer.write(extra_bytes)
             writer.write(await _answer(upstream, message))
+            extra_bytes = upstream.make_extra_bytes()
             await writer.drain()
     except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
         pass
@@ -191,7 +195,7 @@
         upstream.waiting -= 1
     upstream.running += 1
     try:
-        await asyncio.sleep(upstream.work_seconds * upstream.get_slowness())
+        await asyncio.sleep(upstream.work_seconds)
     finally:
         upstream.running -= 1
         semaphore.release()
