--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -343,6 +343,7 @@
         "PortRange": f"{ports['Peer']},{ports['Peer'] + 15}",
         "Seeds": "",
         "Bootstrap": "true",
+        "Limits.MemoryMb": "300",
         "Discovery": "local",
         "Entry": "local",
         "Heartbeat": "1500ms",
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -12,6 +12,11 @@
 STAMP = "X-Comfreyhitch-Server-Stamp"
 REQUEST_ID = "X-Comfreyhitch-Request-Id"
 NOT_EXECUTED = "X-Comfreyhitch-Not-Executed"
+# An endless head comes at 39 MB a second at most.
+ENDLESS_LINE = b"X-Filler: f\r\n"
+ENDLESS_LINES = 12_000
+ENDLESS_PAUSE_SECONDS = 0.004
+ENDLESS_SECONDS = 10.0
 EXPECT_INSTANCE = "x-comfreyhitch-expect-instance"
 
 
@@ -40,7 +45,8 @@
     work_seconds: float = 0.05
     version: str = "v1"
     arrivals: list[Arrival] = field(default_factory=list)
-    finished: list[str] = field(default_factory=list)
+    # When the work on each request ended, in monotonic seconds by request id.
+    finished: dict[str, float] = field(default_factory=dict)
     sequence: int = 0
     born: int = 0
     state: str = "ready"
@@ -54,6 +60,8 @@
     # Returns additional bytes that follow the present answer, at the point where the next one on
     # its connection is expected.
     make_extra_bytes: Callable[[], bytes] = lambda: b""
+    # Returns whether bytes that are no response come in place of the present answer, without end.
+    is_endless: Callable[[], bool] = lambda: False
     running: int = 0
     waiting: int = 0
     semaphore: asyncio.Semaphore | None = None
@@ -151,7 +159,11 @@
     try:
         while (message := await http11.read_message(reader)) is not None:
             writer.write(extra_bytes)
-            writer.write(await _answer(upstream, message))
+            answer = await _answer(upstream, message)
+            if upstream.is_endless():
+                await _send_endless_head(writer)
+                return
+            writer.write(answer)
             extra_bytes = upstream.make_extra_bytes()
             await writer.drain()
     except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -162,6 +174,16 @@
         writer.close()
 
 
+async def _send_endless_head(writer: asyncio.StreamWriter) -> None:
+    """Send the head of a response that does not end, until its reader closes the connection."""
+    writer.write(b"HTTP/1.1 200 OK\r\n")
+    until = time.monotonic() + ENDLESS_SECONDS
+    while time.monotonic() < until:
+        writer.write(ENDLESS_LINE * ENDLESS_LINES)
+        await writer.drain()
+        await asyncio.sleep(ENDLESS_PAUSE_SECONDS)
+
+
 async def _answer(upstream: Upstream, message: http11.Message) -> bytes:
     method, path, _ = message.first_line.split(" ")
     headers = {"Keep-Alive": "timeout=10"}
@@ -199,6 +221,6 @@
     finally:
         upstream.running -= 1
         semaphore.release()
-    upstream.finished.append(request_id)
+    upstream.finished[request_id] = time.monotonic()
     headers[STAMP] = f"{upstream.instance_id}.{request_id}"
     return http11.format_message("HTTP/1.1 200 OK", headers, request_id.encode())
