Serve configurations with routes of kind download, and of kinds that are not known

Cause: the model of a route accepted two kinds only, so that one route of another kind refused the whole configuration, and the daemons answered every request as if there were none.

Change: `download` is idempotent. A route of any other kind is served at most once per request, since nothing says that its requests may be repeated; it is logged when the configuration comes into force and counted by a gauge. Weighed: leaving the route out answers 404 for what an operator has configured, and refusing the configuration stops all routes for one.

The check of invalid fields accepts a text as Kind now.

--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -143,3 +143,6 @@
         for version, share in shares.items():
             metrics.control.rollout_share.set({"service": service, "version": version}, share)
     metrics.control.vetoes.set({}, len(blackboard.vetoes_by_rollout))
+    table = blackboard.route_table
+    unknown = [] if table is None else table.list_routes_of_unknown_kind()
+    metrics.control.routes_of_unknown_kind.set({}, len(unknown))
--- a/comfreyhitch/documents/applying.py
+++ b/comfreyhitch/documents/applying.py
@@ -64,6 +64,11 @@
         return
     blackboard.route_table = table
     logger.info("configuration in force", extra={"version": table.version})
+    for route in table.list_routes_of_unknown_kind():
+        logger.warning(
+            "route has an unknown kind; its requests run at most once",
+            extra={"route": route.name, "kind": route.unknown_kind, "version": table.version},
+        )
 
 
 def _apply_rollout(blackboard: Blackboard, name: str, order: RolloutOrder) -> None:
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -1,6 +1,6 @@
 """Decode the operators' documents: configuration, rollouts and evacuations."""
 
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 from msgspec import Meta, Struct, field
@@ -41,6 +41,8 @@
     "succeeded": RolloutState.SUCCEEDED,
     "rolled_back": RolloutState.ROLLED_BACK,
 }
+# Whether a request of each kind of route may run more than once.
+IDEMPOTENCE_BY_KIND = {"idempotent": True, "download": True, "non_idempotent": False}
 NAMES_BY_STATE = {state: name for name, state in STATES_BY_NAME.items()}
 
 
@@ -57,7 +59,8 @@
     name: Text = field(name="Name")
     host: Text = field(name="Host")
     prefix: Annotated[str, Meta(pattern=r"^/(.*/)?$")] = field(name="Prefix")
-    kind: Literal["idempotent", "non_idempotent"] = field(name="Kind")
+    # A later release of the platform may add kinds; requests of an unknown kind run at most once.
+    kind: Text = field(name="Kind")
     timeout: Duration = field(name="Timeout")
     # Latency objective: a response is worth most within this time. It is not a guarantee.
     objective: Duration = field(name="Slo")
@@ -203,12 +206,13 @@
             name=model.name,
             host=model.host.lower(),
             prefix=model.prefix,
-            is_idempotent=model.kind == "idempotent",
+            is_idempotent=IDEMPOTENCE_BY_KIND.get(model.kind, False),
             max_attempts=model.attempts,
             timeout=model.timeout,
             latency_objective=model.objective,
             priority=model.priority,
             services=tuple(services),
+            unknown_kind="" if model.kind in IDEMPOTENCE_BY_KIND else model.kind,
         )
     )
 
--- a/comfreyhitch/routing/models.py
+++ b/comfreyhitch/routing/models.py
@@ -27,6 +27,8 @@
     latency_objective: timedelta
     priority: int
     services: tuple[WeightedService, ...]
+    # Kind in the configuration that this release does not know; empty for a known kind.
+    unknown_kind: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,3 +83,12 @@
         }
         services_by_name = {service.name: service for service in services}
         return cls(version, limits, routes_by_host, services_by_name)
+
+    def list_routes_of_unknown_kind(self) -> list[Route]:
+        """Return the routes whose kind this release does not know."""
+        return [
+            route
+            for routes in self.routes_by_host.values()
+            for route in routes
+            if route.unknown_kind
+        ]
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -63,6 +63,7 @@
     rollout_share: Gauge
     vetoes: Gauge
     probe_budget: Gauge
+    routes_of_unknown_kind: Gauge
 
 
 @dataclass(slots=True)
@@ -197,6 +198,11 @@
         probe_budget=_make_gauge(
             registry, "probe_budget_per_second", "Load probes a second that are allowed."
         ),
+        routes_of_unknown_kind=_make_gauge(
+            registry,
+            "routes_of_unknown_kind",
+            "Routes whose kind is unknown, so that their requests run at most once.",
+        ),
     )
 
 
--- a/features/platform_input.feature
+++ b/features/platform_input.feature
@@ -13,6 +13,11 @@
   Scenario: Configurations
     Then a configuration is decoded to a route table, and the error for an invalid one names the field or its route
 
+  # Guards against a configuration that is refused whole for the kind of one route, so that nothing
+  # is served (the kind `download` was not known).
+  Scenario: Kinds of routes
+    Then downloads may be repeated, and a route of an unknown kind is served at most once beside the others
+
   Scenario: Rollout orders
     Then an order keeps its state only for the version that it names
 
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from behave import then
-from hypothesis import assume, given, seed
+from hypothesis import assume, example, given, seed
 from hypothesis import strategies as st
 
 from comfreyhitch.conf.exceptions import SettingsError
@@ -194,7 +194,7 @@
         decoded = decode_configuration(RawDocument(DocumentKind.ROUTES, "main", spec))
         if decoded.is_ok():
             # Any text is a valid host or service name, and any positive number a valid rate.
-            is_text = path[-1] in ("Host", "Service") and value == "?"
+            is_text = path[-1] in ("Host", "Kind", "Service") and value == "?"
             is_rate = path[-1] == "ColdPerS" and value == 1.5
             assert is_text or is_rate, (path, value)
             return
@@ -204,6 +204,28 @@
     check_refusal()
 
 
+@then(
+    "downloads may be repeated, and a route of an unknown kind is served at most once beside the "
+    "others"
+)
+def check_kinds(context):
+    @seed(context.seed)
+    @given(st.text(min_size=1, max_size=256))
+    def check(kind):
+        spec = corrupt_field(CONFIGURATION, ("Routes", 1, "Kind"), kind)
+        table = decode_configuration(RawDocument(DocumentKind.ROUTES, "main", spec)).unwrap()
+        known = {"idempotent": True, "download": True, "non_idempotent": False}
+        changed = find_route(table, "shop.example", "/a/b/c")
+        assert changed.is_idempotent == known.get(kind, False)
+        unknown = [route.unknown_kind for route in table.list_routes_of_unknown_kind()]
+        assert unknown == ([] if kind in known else [kind])
+        assert find_route(table, "shop.example", "/a/c").is_idempotent
+
+    for kind in ("idempotent", "download", "non_idempotent"):
+        check = example(kind)(check)
+    check()
+
+
 @then("an order keeps its state only for the version that it names")
 def check_orders(context):
     # Operators may reuse an order for another version. The state in its status then belongs to
