Carry rank, objective and origin of requests between daemons

Cause: an ingress knows the traffic class and the deadline of a request, but not its priority, the end of its latency objective, or whether a running request needs it. What is refused under load can't depend on what its refusal costs the caller.

Change: optional fields of `CallRequest` and `LoadReport`, and the setting `overload_control`. The fields are sent only with the value `cost`, which the platform's settings select where targets are shared and no versions are rolled out. Nothing reads the fields yet.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -53,6 +53,13 @@
         Literal["adaptive", "slots"],
         Meta(description="whether the concurrency limit is learned or equals the slots"),
     ] = "adaptive"
+    overload_control: Annotated[
+        Literal["class", "cost"],
+        Meta(
+            description="whether requests wait and are refused by traffic class alone, or by what "
+            "the delay or refusal of each costs its caller"
+        ),
+    ] = "class"
     slots: Annotated[
         SlotCount, Meta(description="requests that the target can run concurrently")
     ] = 10
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -182,9 +182,26 @@
         route=call.route,
         attempt=call.attempt_number,
         patience_seconds=call.patience_seconds,
+        **_make_cost_fields(egress, call),
     )
 
 
+def _make_cost_fields(egress: Egress, call: OutgoingCall) -> dict[str, object]:
+    """Return the fields by which an ingress tells what a delay or refusal costs the caller."""
+    if egress.settings.overload_control != "cost":
+        return {}
+    objective_seconds = None
+    if call.latency_objective_seconds is not None:
+        elapsed_seconds = egress.blackboard.clock.monotonic() - call.arrived_at
+        objective_seconds = call.latency_objective_seconds - elapsed_seconds
+    return {
+        "rank": call.rank,
+        "objective_seconds": objective_seconds,
+        "is_nested": call.is_nested or None,
+        "has_returned": call.has_returned or None,
+    }
+
+
 def _record_answer(
     egress: Egress, attempt: Attempt, call: OutgoingCall, answer: CallAnswer, now: float
 ) -> Outcome:
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -91,6 +91,12 @@
     latency_objective_seconds: float | None = None
     # How long an ingress may delay the request while its instance is slow; None to run at once.
     patience_seconds: float | None = None
+    # Rank among all requests; 0 is the most urgent. None if the configuration ranks no requests.
+    rank: int | None = None
+    # Whether the target of this daemon makes the request while it runs another one.
+    is_nested: bool = False
+    # Whether the caller sends the request again at the time that an earlier refusal named.
+    has_returned: bool = False
     attempt_records: list[AttemptRecord] = field(default_factory=list)
     last_request_id: str = ""
     last_version: str = ""
--- a/comfreyhitch/egress/routed_calls.py
+++ b/comfreyhitch/egress/routed_calls.py
@@ -63,5 +63,6 @@
             table_version=table.version,
             arrived_at=request.arrived_at,
             latency_objective_seconds=route.latency_objective.total_seconds(),
+            rank=route.priority,
         )
     )
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -40,6 +40,14 @@
     attempt_number: int
     # Maximum wait for the usual pace of a slow instance, in seconds; None to run at any pace.
     patience_seconds: float | None = None
+    # Rank among all requests; 0 is the most urgent. None if the egress names none.
+    rank: int | None = None
+    # Monotonic seconds at which the latency objective ends; None if there is none.
+    objective_at: float | None = None
+    # Whether a target makes the request while it runs another one.
+    is_nested: bool = False
+    # Whether the caller sends the request again at the time that an earlier refusal named.
+    has_returned: bool = False
     cancel_socket: gevent.socket.socket | None = None
     # Monotonic seconds at which the request was sent to the target; 0 before that.
     sent_at: float = 0.0
@@ -68,6 +76,12 @@
             route=request.route,
             attempt_number=request.attempt,
             patience_seconds=request.patience_seconds,
+            rank=request.rank,
+            objective_at=(
+                None if request.objective_seconds is None else now + request.objective_seconds
+            ),
+            is_nested=bool(request.is_nested),
+            has_returned=bool(request.has_returned),
             cancel_socket=cancel_socket,
         )
 
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -25,6 +25,8 @@
 RETRY_EXTRA_SHARE = 0.5
 RETRY_RATIO_SHARE = 0.8
 TARGET_PROBES_PER_SECOND = 40.0
+CONTRACT_SHARED_TARGETS = "pool"
+CONTRACT_ROLLOUTS = "rollout"
 TARGET_PROBE_INTERVAL_SECONDS = 1.0
 
 
@@ -73,6 +75,7 @@
     first_port, _, _ = values["PortRange"].partition(",")
     grace_seconds = parse_duration(values["Bounds.Grace"]).total_seconds()
     linger_seconds = min(grace_seconds * STOP_LINGER_SHARE, MAX_STOP_LINGER_SECONDS)
+    has_overload_control = _has_overload_control(values)
     return {
         "host": outbound_host,
         "http_port": outbound_port,
@@ -86,6 +89,7 @@
         "platform_url": f"http://{values['Platform.Address']}",
         "registration": "all",
         "limit_rule": "slots",
+        "overload_control": "cost" if has_overload_control else "class",
         "drain_timeout": grace_seconds * SHUTDOWN_GRACE_SHARE - linger_seconds,
         "stop_linger": linger_seconds,
         "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
@@ -99,6 +103,15 @@
     }
 
 
+def _has_overload_control(values: Mapping[str, str]) -> bool:
+    """Return whether requests are scheduled by what their delay or refusal costs callers.
+
+    Rollouts exclude it: a version that is slow under load would be spared the load that shows it.
+    """
+    contracts = {name.strip() for name in values.get("Contracts", "").split(",")}
+    return CONTRACT_SHARED_TARGETS in contracts and CONTRACT_ROLLOUTS not in contracts
+
+
 def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     if not port.isdigit():
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -29,6 +29,8 @@
   5: required bool accepting,
   /** How many times as long as usual work takes on the instance at the moment. */
   6: optional double slowness,
+  /** Expected wait of a request of the least urgent rank that arrives now. */
+  7: optional double wait_seconds,
 }
 
 struct CallRequest {
@@ -48,6 +50,14 @@
   14: required i32 attempt,
   /** How long to wait for a slow instance before refusing; without it, run at any pace. */
   15: optional double patience_seconds,
+  /** Rank among all requests; 0 is the most urgent. */
+  16: optional i32 rank,
+  /** Time left until the latency objective ends; negative after that. */
+  17: optional double objective_seconds,
+  /** Whether a target makes this request while it runs another one. */
+  18: optional bool is_nested,
+  /** Whether the caller sends the request again at the time that an earlier refusal named. */
+  19: optional bool has_returned,
 }
 
 struct CallAnswer {
