Schedule requests at a target by what their delay costs callers

Cause: an ingress orders waiting requests by traffic class alone, in order of arrival, and bounds the queue by a count. Under more load than a target can take, it starts requests that have missed their objective, and refuses the nested calls of requests that already run.

Change: with `overload_control = cost`, the order depends on nesting, rank, account, objective and expected work. The work of each route is measured. Requests that can't be served in time are refused at once. The egress recognizes nested calls by their arrivals while its target runs something. With `overload_control = class`, queue and decisions are unchanged.

--- a/comfreyhitch/admission/queue.py
+++ b/comfreyhitch/admission/queue.py
@@ -1,50 +1,46 @@
-"""Short admission queue in front of a target, ordered by traffic class, with deadlines."""
+"""Short admission queue in front of a target, ordered by traffic class or by cost."""
 
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
 from comfreyhitch.admission.limiter import ConcurrencyLimit
+from comfreyhitch.admission.models import AdmissionDecision, QueueEntry
+from comfreyhitch.admission.ordering import choose_cheapest
+from comfreyhitch.admission.schedule import (
+    Schedule,
+    record_ended,
+    record_not_served,
+    record_started,
+)
+from comfreyhitch.admission.scheduling import (
+    Plan,
+    allow_wait,
+    plan_requests,
+    prepare_arrival,
+)
 from comfreyhitch.core.verdicts import Refusal
-from comfreyhitch.sections.models import TrafficClass
 
 MIN_QUEUE_LENGTH = 2
 SLOTS_PER_QUEUE_PLACE = 2
 DEFAULT_TENANT_SHARE = 0.75
-
-
-class AdmissionDecision(Enum):
-    """Name what happens to an arriving request."""
-
-    RUN = "run"
-    WAIT = "wait"
-    REFUSE = "refuse"
-
-
-@dataclass(slots=True, eq=False)
-class QueueEntry:
-    """Hold one request, waiting or running; `deadline` is in monotonic seconds.
-
-    If the request has to wait, `resolve` is called once: with None when it may run, or with the
-    refusal.
-    """
-
-    tenant: str
-    traffic_class: TrafficClass
-    deadline: float
-    resolve: Callable[[Refusal | None], None]
-    is_running: bool = False
+# The queue of a schedule is limited by time. These bounds only limit its memory.
+MIN_SCHEDULED_LENGTH = 32
+SCHEDULED_REQUESTS_PER_SLOT = 8
+LOAD_REFUSALS = frozenset({Refusal.OVERLOADED, Refusal.DEADLINE})
 
 
 @dataclass(slots=True)
 class AdmissionQueue:
-    """Hold the running and waiting requests of one target."""
+    """Hold the running and waiting requests of one target.
+
+    With a schedule, requests are ordered by cost, and all of them must have scheduling terms.
+    """
 
     limit: ConcurrencyLimit
     waiting: list[QueueEntry] = field(default_factory=list)
     running: int = 0
     requests_by_tenant: Counter[str] = field(default_factory=Counter)
+    schedule: Schedule | None = None
 
     @classmethod
     def from_slots(cls, slots: int) -> "AdmissionQueue":
@@ -76,25 +72,68 @@
     return AdmissionDecision.WAIT, None
 
 
+def request_scheduled_admission(
+    queue: AdmissionQueue, entry: QueueEntry, now: float
+) -> tuple[AdmissionDecision, Refusal | None]:
+    """Run, queue or refuse an arriving request by its cost; refuse waiting ones it displaces."""
+    schedule = queue.schedule
+    prepare_arrival(schedule, entry, now)
+    candidates = [*queue.waiting, entry]
+    shed = None
+    if len(candidates) > get_scheduled_capacity(queue):
+        shed = choose_cheapest(candidates, now)
+        candidates.remove(shed)
+    plan = plan_requests(schedule, candidates, queue.limit.limit, now)
+    if shed is not None:
+        plan.refused.append(shed)
+    _count_for_tenant(queue, entry)
+    if entry in plan.refused:
+        decision, refusal = AdmissionDecision.REFUSE, Refusal.OVERLOADED
+    elif entry in plan.started:
+        decision, refusal = AdmissionDecision.RUN, None
+    else:
+        decision, refusal = AdmissionDecision.WAIT, None
+        allow_wait(entry)
+    _apply_plan(queue, plan, now, arriving=entry)
+    return decision, refusal
+
+
+def get_scheduled_capacity(queue: AdmissionQueue) -> int:
+    """Return the maximum number of requests that wait by a schedule."""
+    return max(MIN_SCHEDULED_LENGTH, SCHEDULED_REQUESTS_PER_SLOT * queue.limit.slots)
+
+
 def release(queue: AdmissionQueue, entry: QueueEntry, now: float) -> None:
     """Free the slot of a request that ended, and start waiting requests."""
     if entry.is_running:
         entry.is_running = False
         queue.running -= 1
         _uncount_for_tenant(queue, entry)
+        if queue.schedule is not None:
+            record_ended(queue.schedule, entry, now)
     start_waiting(queue, now)
 
 
-def withdraw(queue: AdmissionQueue, entry: QueueEntry, refusal: Refusal) -> bool:
-    """Refuse a request if it still waits, and return whether it did."""
+def withdraw(queue: AdmissionQueue, entry: QueueEntry, refusal: Refusal, now: float = 0.0) -> bool:
+    """Refuse a request if it still waits, and return whether it did; a schedule needs `now`."""
     if entry not in queue.waiting:
         return False
+    if queue.schedule is not None and refusal in LOAD_REFUSALS:
+        record_not_served(queue.schedule, entry, now)
     _refuse_waiting(queue, entry, refusal)
     return True
 
 
 def start_waiting(queue: AdmissionQueue, now: float) -> None:
-    """Start waiting requests up to the limit, and refuse those past their deadline."""
+    """Start waiting requests up to the limit, and refuse those past their deadline.
+
+    With a schedule, also refuse those that can't be served in time.
+    """
+    if queue.schedule is not None:
+        if queue.waiting and queue.running < queue.limit.limit:
+            plan = plan_requests(queue.schedule, queue.waiting, queue.limit.limit, now)
+            _apply_plan(queue, plan, now)
+        return
     while queue.waiting:
         if queue.waiting[0].deadline <= now:
             _refuse_waiting(queue, queue.waiting[0], Refusal.DEADLINE)
@@ -112,6 +151,24 @@
         _refuse_waiting(queue, entry, refusal)
 
 
+def _apply_plan(
+    queue: AdmissionQueue, plan: Plan, now: float, arriving: QueueEntry | None = None
+) -> None:
+    """Start, keep and refuse requests as planned; the arriving one is not resolved here."""
+    queue.waiting[:] = plan.waiting
+    for entry in plan.refused:
+        record_not_served(queue.schedule, entry, now)
+        _uncount_for_tenant(queue, entry)
+    for entry in plan.started:
+        _mark_running(queue, entry)
+        record_started(queue.schedule, entry, now)
+    for entry in (*plan.refused, *plan.started):
+        if entry is not arriving:
+            is_past_deadline = not entry.is_running and entry.deadline <= now
+            refusal = Refusal.DEADLINE if is_past_deadline else Refusal.OVERLOADED
+            entry.resolve(None if entry.is_running else refusal)
+
+
 def _exceeds_tenant_share(queue: AdmissionQueue, tenant: str, share: float) -> bool:
     held = queue.requests_by_tenant[tenant]
     others = queue.requests_by_tenant.total() - held
--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -5,6 +5,7 @@
 from datetime import datetime
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.target_activity import TargetActivity
 from comfreyhitch.documents.models import DocumentKind, RolloutOrder, ServiceVersion
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.membership.models import Member
@@ -89,6 +90,8 @@
     is_stale: bool = False
     is_draining: bool = False
     is_target_healthy: bool = True
+    # Recorded only where requests are scheduled by cost.
+    target_activity: TargetActivity = field(default_factory=TargetActivity)
 
 
 QUARANTINE_MIN_CRASHED_TARGETS = 2
--- a/comfreyhitch/ingress/accounting.py
+++ b/comfreyhitch/ingress/accounting.py
@@ -39,6 +39,8 @@
     }
     if outcome.is_err():
         fields["detail"] = outcome.err_value.detail
+    if call.refusal_fields is not None:
+        fields.update(call.refusal_fields)
     log_decision(ingress.decisions, "call failed" if is_failure else "call", fields)
 
 
--- a/comfreyhitch/ingress/call_handler.py
+++ b/comfreyhitch/ingress/call_handler.py
@@ -11,6 +11,7 @@
     QueueEntry,
     release,
     request_admission,
+    request_scheduled_admission,
     withdraw,
 )
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
@@ -33,6 +34,13 @@
     settle_record,
 )
 from comfreyhitch.ingress.refusals import find_refusal, make_refusal
+from comfreyhitch.ingress.scheduling import (
+    get_wait_limit,
+    make_admission_failure,
+    make_entry,
+    record_admitted,
+    record_released,
+)
 from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
 
@@ -98,14 +106,16 @@
 
 def _admit_and_run(ingress: Ingress, call: IncomingCall, record: RequestRecord | None) -> Outcome:
     admission_result: AsyncResult = AsyncResult()
-    entry = QueueEntry(call.tenant, call.traffic_class, call.deadline, admission_result.set)
+    entry = make_entry(ingress, call, admission_result.set)
     refusal = _await_admission(ingress, call, entry, admission_result, record)
     if refusal is not None:
-        return Err(make_refusal(refusal, "refused by admission control"))
+        return Err(make_admission_failure(ingress, call, entry, refusal))
     try:
+        record_admitted(ingress, call, entry)
         return _run_admitted(ingress, call, record)
     finally:
         release(ingress.queue, entry, ingress.blackboard.clock.monotonic())
+        record_released(ingress)
 
 
 def _await_admission(
@@ -115,18 +125,20 @@
     admission_result: AsyncResult,
     record: RequestRecord | None,
 ) -> Refusal | None:
-    shares = ingress.blackboard.tenant_shares_by_name
-    share = shares.get(call.tenant, DEFAULT_TENANT_SHARE)
-    decision, refusal = request_admission(ingress.queue, entry, share)
+    decision, refusal = _request_admission(ingress, entry)
     if decision is not AdmissionDecision.WAIT:
         return refusal
     if record is not None:
         record.withdraw = lambda: _withdraw_for_fence(ingress, entry, record)
     stop_watching = _withdraw_on_disconnect(ingress, call, entry)
     try:
-        remaining_seconds = call.deadline - ingress.blackboard.clock.monotonic()
+        clock = ingress.blackboard.clock
+        remaining_seconds = get_wait_limit(call, entry) - clock.monotonic()
         if not admission_result.wait(max(0.0, remaining_seconds)) and not admission_result.ready():
-            withdraw(ingress.queue, entry, Refusal.DEADLINE)
+            now = clock.monotonic()
+            is_past_deadline = entry.terms is None or now >= call.deadline
+            refusal = Refusal.DEADLINE if is_past_deadline else Refusal.OVERLOADED
+            withdraw(ingress.queue, entry, refusal, now)
         return admission_result.get()
     finally:
         if record is not None:
@@ -134,6 +146,16 @@
         stop_watching()
 
 
+def _request_admission(
+    ingress: Ingress, entry: QueueEntry
+) -> tuple[AdmissionDecision, Refusal | None]:
+    if entry.terms is not None:
+        now = ingress.blackboard.clock.monotonic()
+        return request_scheduled_admission(ingress.queue, entry, now)
+    shares = ingress.blackboard.tenant_shares_by_name
+    return request_admission(ingress.queue, entry, shares.get(entry.tenant, DEFAULT_TENANT_SHARE))
+
+
 def _withdraw_for_fence(ingress: Ingress, entry: QueueEntry, record: RequestRecord) -> bool:
     if not withdraw(ingress.queue, entry, Refusal.FENCED):
         return False
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -20,6 +20,7 @@
     make_limit_refusal,
     make_refusal,
 )
+from comfreyhitch.ingress.scheduling import record_call_work
 from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
@@ -152,6 +153,8 @@
             is_failure = response.status >= MIN_SERVER_ERROR_STATUS
             record_response(limit, started_at, now, is_failure=is_failure)
             record_latency(ingress, seconds)
+            if not is_failure:
+                record_call_work(ingress, call, seconds, now)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=is_failure)
             add_recent(ingress.completed_fingerprints, call.fingerprint, now)
         case Err(Failure(refusal=Refusal.CANCELLED)):
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -52,6 +52,8 @@
     # Monotonic seconds at which the request was sent to the target; 0 before that.
     sent_at: float = 0.0
     pace_at_send: PaceReading | None = None
+    # Why admission control refused the request, as it is logged.
+    refusal_fields: dict[str, object] | None = None
 
     @classmethod
     def from_wire(
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -15,6 +15,8 @@
     parse_rate_limit,
     set_rate_limit,
 )
+from comfreyhitch.admission.schedule import Schedule, reset_measurements
+from comfreyhitch.admission.scheduling import estimate_wait
 from comfreyhitch.admission.warm_up import WarmUpLimiter, set_warm_up_rate
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
@@ -99,7 +101,7 @@
         return cls(
             settings=settings,
             blackboard=blackboard,
-            queue=AdmissionQueue.from_slots(settings.slots),
+            queue=_make_queue(settings),
             records=RecordStore.from_retention(
                 REQUEST_RECORD_RETENTION_SECONDS, MAX_REQUEST_RECORDS, MAX_RECORD_BYTES
             ),
@@ -117,6 +119,13 @@
         )
 
 
+def _make_queue(settings: Settings) -> AdmissionQueue:
+    queue = AdmissionQueue.from_slots(settings.slots)
+    if settings.overload_control == "cost":
+        queue.schedule = Schedule()
+    return queue
+
+
 def reports_pace(ingress: Ingress) -> bool:
     """Return whether the target has reported its pace."""
     return ingress.pace is not None
@@ -134,6 +143,8 @@
     ingress.is_probed = False
     set_slots(ingress, slots)
     reset_learned_limit(ingress)
+    if ingress.queue.schedule is not None:
+        reset_measurements(ingress.queue.schedule)
 
 
 def apply_target_notices(ingress: Ingress, response: Response) -> None:
@@ -194,9 +205,17 @@
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
         slowness=None if ingress.pace is None else ingress.pace.slowness,
+        wait_seconds=_estimate_wait(queue, ingress.blackboard.clock.monotonic()),
     )
 
 
+def _estimate_wait(queue: AdmissionQueue, now: float) -> float | None:
+    """Return the expected wait of a least urgent call, or None without a schedule."""
+    if queue.schedule is None:
+        return None
+    return estimate_wait(queue.schedule, queue.waiting, queue.limit.limit, now)
+
+
 def is_accepting(ingress: Ingress) -> bool:
     """Return whether new calls may be admitted."""
     blackboard = ingress.blackboard
--- a/comfreyhitch/platform/callers.py
+++ b/comfreyhitch/platform/callers.py
@@ -11,6 +11,7 @@
     drop_headers,
     get_retry_after,
 )
+from comfreyhitch.egress.nested_calls import NestedCallDetector, observe_arrival
 from comfreyhitch.egress.routed_calls import RoutedRequest, classify_routed
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.platform.names import (
@@ -38,6 +39,9 @@
     """Return the interface in which the host and path of a request select the service."""
     splitter = Splitter(egress.random)
     blackboard = egress.blackboard
+    detector = None
+    if egress.settings.overload_control == "cost":
+        detector = NestedCallDetector(blackboard.target_activity, blackboard.clock.monotonic())
 
     def classify_request(request: CallerRequest) -> Result[OutgoingCall, Failure]:
         values = {name.lower(): value for name, value in request.headers}
@@ -50,7 +54,7 @@
             timeout_seconds = min(int(deadline_text), MAX_DEADLINE_MS) / 1000
         headers = drop_headers(request.headers, NOT_FORWARDED_HEADERS | RESERVED_HEADERS)
         headers.append((HEADER_CALLER_SERVICE, egress.settings.service or ""))
-        return classify_routed(
+        result = classify_routed(
             blackboard,
             splitter,
             RoutedRequest(
@@ -64,6 +68,9 @@
                 arrived_at=request.arrived_at,
             ),
         )
+        if detector is not None and result.is_ok():
+            _mark_if_nested(egress, detector, result.ok_value)
+        return result
 
     return CallerInterface(
         classify=classify_request,
@@ -76,6 +83,13 @@
     )
 
 
+def _mark_if_nested(egress: Egress, detector: NestedCallDetector, call: OutgoingCall) -> None:
+    now = egress.blackboard.clock.monotonic()
+    call.is_nested = observe_arrival(detector, call.service, call.route, now)
+    if call.is_nested:
+        egress.metrics.egress.nested_calls.inc({"service": call.service, "route": call.route})
+
+
 def _make_failure_headers(failure: Failure) -> Headers:
     if failure.status != 503:
         return []
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -36,6 +36,7 @@
     fences: Counter
     probes: Counter
     connections_ended: Counter
+    nested_calls: Counter
 
 
 @dataclass(slots=True)
@@ -49,6 +50,8 @@
     queued: Gauge
     target_probes: Counter
     target_probe_seconds: Counter
+    scheduling_refusals: Counter
+    wait_seconds: Histogram
 
 
 @dataclass(slots=True)
@@ -154,6 +157,11 @@
             "caller_connections_ended_total",
             "Connections of callers that ended, by reason and whether bytes were unread.",
         ),
+        nested_calls=_make_counter(
+            registry,
+            "nested_calls_total",
+            "Requests that the target made while it ran another one, by service and route.",
+        ),
     )
 
 
@@ -175,6 +183,17 @@
         target_probe_seconds=_make_counter(
             registry, "target_probe_seconds_total", "Time spent on reading the health endpoint."
         ),
+        scheduling_refusals=_make_counter(
+            registry,
+            "scheduling_refusals_total",
+            "Calls that the scheduler refused, by cause, rank and whether they were nested.",
+        ),
+        wait_seconds=Histogram(
+            "comfreyhitch_wait_seconds",
+            "Time that started calls waited in the queue of the scheduler, by rank.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        ),
     )
 
 
