Replay overload at a target, and test its schedule without a network

Cause: the new order had no tests. One of them showed that a full queue dropped the request that had waited longest among equals.

Change: replays of the kinds of two customers at one simulated target, at 1.5 times its capacity and in bursts, compared with the order by class; properties of the queue; a target that hangs; nested calls. Among equals, the newest request is dropped. The state machine of the call handler takes the setting `overload_control`, and also runs with `cost`.

With the order by class, the bounds for submit-build and internal calls are missed, as the steps check.

--- a/comfreyhitch/admission/ordering.py
+++ b/comfreyhitch/admission/ordering.py
@@ -47,7 +47,8 @@
             terms.objective_at,
         )
 
-    return max(waiting, key=get_cheapness)
+    # Among equals, the one that has waited least.
+    return max(reversed(waiting), key=get_cheapness)
 
 
 def is_late(terms: SchedulingTerms, now: float) -> bool:
--- a/features/steps/request_life_steps.py
+++ b/features/steps/request_life_steps.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 
+from comfreyhitch.admission.work_estimates import record_work
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.verdicts import Failure, Refusal, Response, Verdict
@@ -18,10 +19,10 @@
 from comfreyhitch.ingress.fence import handle_fence_query
 from comfreyhitch.ingress.lifecycle import TargetState
 from comfreyhitch.ingress.models import MAX_TIMEOUT_SECONDS, IncomingCall
-from comfreyhitch.ingress.state import Ingress, attach_target
+from comfreyhitch.ingress.state import Ingress, attach_target, make_load_report
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.sections.models import TrafficClass
-from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.telemetry.metrics import Metrics, render_metrics
 from comfreyhitch.wire.generated.ttypes import FenceQuery, FenceState
 from features.fakes import FakeClock, make_member, run_state_machine
 
@@ -45,12 +46,14 @@
     or ended.
     """
 
+    overload_control = "class"
+
     def __init__(self):
         super().__init__()
         self.clock = FakeClock()
         blackboard = Blackboard(clock=self.clock.make_clock(), own_member=make_member())
         self.ingress = Ingress.from_settings(
-            Settings(limit_rule="slots"),
+            Settings(limit_rule="slots", overload_control=self.overload_control),
             blackboard,
             None,
             EvidenceLog.from_clock(blackboard.clock),
@@ -176,12 +179,15 @@
 
 
 @contextmanager
-def patched_call_target():
+def patched_call_target(overload_control="class"):
     """Replace `call_target`, so that the handler sends to the state machine, not to a socket."""
+    selected = overload_control
     original = execution.call_target
     machine = None
 
     class Machine(CallHandlerMachine):
+        overload_control = selected
+
         def __init__(self):
             nonlocal machine
             super().__init__()
@@ -204,6 +210,49 @@
         run_state_machine(context, machine)
 
 
+@then("arrivals, resends, fences and ends in any order run no scheduled request twice")
+def check_scheduled_call_handler(context):
+    with patched_call_target("cost") as machine:
+        run_state_machine(context, machine)
+
+
+@then("a call that can't be served in time is refused by the call handler as not run")
+def check_refused_calls(context):
+    # Guards against a call that is refused although it runs, that waits until its deadline only to
+    # be refused, or whose refusal does not say why.
+    with patched_call_target("cost") as make_machine:
+        machine = make_machine()
+        ingress = machine.ingress
+        for _ in range(10):
+            record_work(ingress.queue.schedule.estimates, "/", 0.1, 1.0, 0.0)
+        for number in range(SLOTS):
+            machine.calls.append(gevent.spawn(machine.call, f"running-{number}"))
+        gevent.idle()
+        # It is expected to start after 100 ms, and its objective ends 90 ms after that.
+        refused = replace(make_call("refused", 0.0), rank=1, objective_at=0.19)
+        outcome = handle_call(ingress, refused)
+        assert outcome.err_value.verdict is Verdict.NOT_RUN, outcome
+        assert outcome.err_value.refusal is Refusal.OVERLOADED, outcome
+        assert refused.refusal_fields["expected_wait_ms"] == 100, refused.refusal_fields
+        assert refused.refusal_fields["expected_work_ms"] == 100, refused.refusal_fields
+        # This one may wait, and is refused when it would miss its objective and half its deadline.
+        late = replace(make_call("late", 0.0), rank=1, objective_at=0.21, deadline=0.4)
+        handling = gevent.spawn(handle_call, ingress, late)
+        gevent.idle()
+        assert not handling.ready()
+        assert abs(make_load_report(ingress).wait_seconds - 0.1) < 1e-6
+        outcome = handling.get(timeout=5.0)
+        assert outcome.err_value.refusal is Refusal.OVERLOADED, outcome
+        assert set(machine.running) == {"running-0", "running-1"}
+        text = render_metrics(ingress.metrics)[0].decode()
+        assert (
+            'comfreyhitch_scheduling_refusals_total{cause="overloaded",nested="no",rank="1"} 2'
+            in text
+        )
+        assert ingress.blackboard.target_activity.running == SLOTS
+        machine.teardown()
+
+
 @then("the request is refused as fenced, and never reaches the target")
 def check_fence_during_pace_wait(context):
     machine = CallHandlerMachine()
