Estimate the idle share of a target between two arrivals of a route

Cause: with two real daemons that had been idle, a sudden load of 120 requests a second made all requests look nested. The idle share was averaged over 5 s, so that the first requests of a burst were expected at an idle target that was busy by then. Taken for nested calls, they waited for up to 1.5 s and were refused then.

A scenario with real daemons and targets under overload.

Measured: nested call steps fail on the code before ("no route looks nested after a sudden rise of the load") and pass now.

--- a/comfreyhitch/egress/nested_calls.py
+++ b/comfreyhitch/egress/nested_calls.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field
 from math import exp
 
-from comfreyhitch.core.target_activity import TargetActivity, get_idle_share
+from comfreyhitch.core.target_activity import (
+    IDLE_SHARE_SECONDS,
+    TargetActivity,
+    get_idle_seconds,
+    get_idle_share,
+)
 
 # Expected arrivals while the target runs nothing, before the absence of such arrivals counts.
 MIN_EXPECTED_ARRIVALS = 5.0
@@ -25,11 +30,15 @@
 
 @dataclass(slots=True)
 class RouteEvidence:
-    """Hold the arrivals of one route while the target ran nothing, as expected and as seen."""
+    """Hold the arrivals of one route while the target ran nothing, as expected and as seen.
+
+    `idle_seconds` is how long the target had run nothing at the latest arrival.
+    """
 
     expected: float = 0.0
     seen: float = 0.0
     updated_at: float = 0.0
+    idle_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -54,7 +63,8 @@
         del detector.evidence_by_route[next(iter(detector.evidence_by_route))]
     detector.evidence_by_route[key] = evidence
     is_idle = detector.activity.running == 0
-    _add_evidence(evidence, get_idle_share(detector.activity, now), is_idle, now)
+    _add_evidence(evidence, _estimate_idle_share(detector.activity, evidence, now), is_idle, now)
+    evidence.idle_seconds = get_idle_seconds(detector.activity, now)
     return not is_idle and is_nested_route(evidence)
 
 
@@ -66,6 +76,20 @@
     )
 
 
+def _estimate_idle_share(activity: TargetActivity, evidence: RouteEvidence, now: float) -> float:
+    """Return how likely a request of another caller is to arrive while the target runs nothing.
+
+    This is the idle share since the latest arrival. An average over a longer time would be too
+    high after a sudden rise of the load, and any route would look nested.
+    """
+    gap_seconds = now - evidence.updated_at
+    if gap_seconds <= 0.0:
+        return 0.0
+    if gap_seconds > IDLE_SHARE_SECONDS:
+        return get_idle_share(activity, now)
+    return (get_idle_seconds(activity, now) - evidence.idle_seconds) / gap_seconds
+
+
 def _add_evidence(evidence: RouteEvidence, idle_share: float, is_idle: bool, now: float) -> None:
     weight = exp(-max(0.0, now - evidence.updated_at) / EVIDENCE_SECONDS)
     evidence.expected = evidence.expected * weight + idle_share
--- a/comfreyhitch/testing/platform_fleet.py
+++ b/comfreyhitch/testing/platform_fleet.py
@@ -43,12 +43,16 @@
     *,
     has_relays: bool = False,
     grace_seconds: float = DEFAULT_GRACE_SECONDS,
+    settings: dict[str, str] | None = None,
 ) -> PlatformFleet:
     """Start a daemon and a target for each tuple of service, zone and target arguments.
 
+    `settings` are added to the platform's settings of each daemon.
     Wait until all instances serve all services; raise `TimeoutError` if they do not.
     """
-    fleet = PlatformFleet(Fleet.from_folder(folder), grace_seconds=grace_seconds)
+    fleet = PlatformFleet(
+        Fleet.from_folder(folder), grace_seconds=grace_seconds, settings=settings or {}
+    )
     try:
         _start_all(fleet, targets, has_relays=has_relays)
     except TimeoutError:
@@ -233,4 +237,5 @@
         "Bounds.BudgetExtra": "60",
         "Bounds.BudgetWindow": "10s",
         "Bounds.ProbesPerS": "60",
+        **fleet.settings,
     }
--- a/comfreyhitch/testing/platform_models.py
+++ b/comfreyhitch/testing/platform_models.py
@@ -63,6 +63,8 @@
     configuration: dict = field(default_factory=dict)
     # The time from SIGTERM to the forced end of a process, which daemons read as `Bounds.Grace`.
     grace_seconds: float = DEFAULT_GRACE_SECONDS
+    # Added to the platform's settings of each daemon.
+    settings: dict[str, str] = field(default_factory=dict)
 
     @property
     def client(self) -> PlatformClient:
--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -25,4 +25,12 @@
 
   Scenario: Nested calls
     Then routes that a target calls while it runs requests are recognized, and no others
+    And no route looks nested after a sudden rise of the load
     And evidence of the first seconds does not count, and a changed route is learned again
+
+  Scenario: Daemons and targets under overload
+    Given a fleet on the platform with overload control, whose targets can take 80 requests a second
+    When requests of two priorities arrive 120 times a second for 4 seconds
+    Then no refused request has run, and each was refused before most of its time had passed
+    And the more urgent kind was served at least as often as the other
+    And the metrics count refusals and waits by rank
--- a/features/steps/nested_call_steps.py
+++ b/features/steps/nested_call_steps.py
@@ -29,7 +29,13 @@
         self.running = 0
         self.answers = {"nested": [], "external": []}
 
-    def run(self, until, external_route="external", requests_per_second=REQUESTS_PER_SECOND):
+    def run(
+        self,
+        until,
+        external_route="external",
+        requests_per_second=REQUESTS_PER_SECOND,
+        external_per_second=EXTERNAL_PER_SECOND,
+    ):
         """Generate traffic up to a time; nested calls are made while their request runs."""
         events = []
         at = self.now
@@ -40,7 +46,7 @@
             for _ in range(CALLS_PER_REQUEST):
                 heapq.heappush(events, (at + duration * self.random.uniform(0.05, 0.95), "nested"))
         at = self.now
-        while (at := at + self.random.expovariate(EXTERNAL_PER_SECOND)) < until:
+        while (at := at + self.random.expovariate(external_per_second)) < until:
             heapq.heappush(events, (at, external_route))
         while events:
             self.now, kind = heapq.heappop(events)
@@ -67,6 +73,18 @@
         assert sum(external) <= 0.05 * len(external), (number, sum(external))
 
 
+@then("no route looks nested after a sudden rise of the load")
+def check_sudden_load(context):
+    # Guards against an idle share that lags behind the load. Daemons that had been idle took all
+    # requests for nested calls when a burst began, and nothing was refused in time.
+    for number in range(20):
+        traffic = SimulatedTraffic(context.seed * 1000 + number)
+        traffic.run(20.0, external_route="other", requests_per_second=1e-9)
+        traffic.run(30.0, external_per_second=50.0, requests_per_second=60.0)
+        external = [answer for _, answer in traffic.answers["external"]]
+        assert not any(external), number
+
+
 @then("evidence of the first seconds does not count, and a changed route is learned again")
 def check_changed_route(context):
     # Guards against a route that counts as nested for ever, and against evidence of a daemon that
