--- a/comfreyhitch/ingress/scheduling.py
+++ b/comfreyhitch/ingress/scheduling.py
@@ -4,6 +4,7 @@
 
 from comfreyhitch.admission.models import QueueEntry, SchedulingTerms
 from comfreyhitch.admission.schedule import MAX_RANK
+from comfreyhitch.admission.scheduling import MAX_HOLD_SHARE
 from comfreyhitch.admission.work_estimates import record_work
 from comfreyhitch.core.target_activity import record_running
 from comfreyhitch.core.verdicts import Failure, Refusal
@@ -23,11 +24,13 @@
     if ingress.queue.schedule is not None:
         # The egress of an earlier release names no rank.
         rank = _RANK_BY_CLASS[call.traffic_class] if call.rank is None else call.rank
+        # Without an objective, a call waits no longer than one that has missed its objective.
+        half_time_at = call.arrived_at + MAX_HOLD_SHARE * (call.deadline - call.arrived_at)
         entry.terms = SchedulingTerms(
             route=call.route,
             rank=min(max(rank, 0), MAX_RANK),
             arrived_at=call.arrived_at,
-            objective_at=call.deadline if call.objective_at is None else call.objective_at,
+            objective_at=half_time_at if call.objective_at is None else call.objective_at,
             is_nested=call.is_nested,
             has_returned=call.has_returned,
         )
