Base expected waits on known work of calls that were sent

Cause: the expected wait counted requests that run or go before with the mean of their route or target, also if the route was unknown or the estimate was old, so that a full target refused requests on stale information. Calls that were refused after admission (cold rate, rate limit) ended at once and lowered the measured stretch, which made waits look up to four times shorter.

Change: slot times use the known work, which is 0 if unknown or old. Calls that were not sent do not change the stretch. Refused entries of a plan are removed by a set instead of a list search. The test of nested calls checks that no evidence of the first seconds is kept, not only its answers.

--- a/comfreyhitch/admission/models.py
+++ b/comfreyhitch/admission/models.py
@@ -21,8 +21,8 @@
     """Hold what the scheduler by cost knows of one request.
 
     Times are in monotonic seconds. `expected_work_seconds` orders requests; it is the mean of the
-    target if the work of the route is unknown. `known_work_seconds` decides about refusals; it is
-    0 if the work of the route is unknown.
+    target if the work of the route is unknown. `known_work_seconds` decides about refusals, of this
+    request and of those that wait for it; it is 0 if the work of the route is unknown.
     """
 
     route: str
@@ -39,6 +39,8 @@
     # Latest estimate of the start.
     expected_start_at: float = 0.0
     started_at: float = 0.0
+    # False if the request took a slot and was then refused before it was sent to the target.
+    was_sent: bool = True
 
 
 @dataclass(slots=True, eq=False)
--- a/comfreyhitch/admission/schedule.py
+++ b/comfreyhitch/admission/schedule.py
@@ -26,7 +26,7 @@
 class Schedule:
     """Hold what is measured at one target: work, running requests, served shares.
 
-    `stretch` is how long requests hold their slots, divided by their expected work.
+    `stretch` is how long requests hold their slots, divided by their known work.
     """
 
     estimates: WorkEstimates = field(default_factory=WorkEstimates)
@@ -44,7 +44,7 @@
     schedule.running.append(entry)
     key = get_rank_key(terms)
     work = schedule.started_work_by_rank.setdefault(key, DecayingSum(WORK_RATE_SECONDS))
-    add_to_sum(work, terms.expected_work_seconds * schedule.stretch, now)
+    add_to_sum(work, get_slot_seconds(schedule, entry), now)
     # Starts move to the end, so that the account without a start for longest is dropped first.
     starts = schedule.starts_by_tenant.pop(entry.tenant, None)
     if len(schedule.starts_by_tenant) >= MAX_TENANTS:
@@ -64,8 +64,9 @@
     """Record that a request frees its slot."""
     schedule.running.remove(entry)
     terms = entry.terms
-    if terms.expected_work_seconds > 0.0:
-        stretch = (now - terms.started_at) / terms.expected_work_seconds
+    # Calls that are refused after admission end at once, and would make waits look short.
+    if terms.was_sent and terms.known_work_seconds > 0.0:
+        stretch = (now - terms.started_at) / terms.known_work_seconds
         # One request of the long tail must not change what is expected of all others.
         stretch = min(stretch, 2 * MAX_STRETCH)
         schedule.stretch += STRETCH_EWMA_WEIGHT * (stretch - schedule.stretch)
@@ -86,8 +87,11 @@
 
 
 def get_slot_seconds(schedule: Schedule, entry: QueueEntry) -> float:
-    """Return for how long a request is expected to hold a slot, from its start."""
-    return entry.terms.expected_work_seconds * schedule.stretch
+    """Return for how long a request is expected to hold a slot, from its start.
+
+    It is 0 if the work is unknown or its estimate is old, since the wait for it refuses others.
+    """
+    return entry.terms.known_work_seconds * schedule.stretch
 
 
 def get_overtaking_share(schedule: Schedule, key: int, limit: int, now: float) -> float:
--- a/comfreyhitch/admission/scheduling.py
+++ b/comfreyhitch/admission/scheduling.py
@@ -77,9 +77,10 @@
             remaining.append(entry)
     if remaining:
         free_at = _get_free_times(schedule, started, limit, now)
-        hopeless = _estimate_starts(schedule, remaining, order.advanced, free_at, limit, now)
-        refused.extend(hopeless)
-        remaining = [entry for entry in remaining if entry not in hopeless]
+        too_late = _estimate_starts(schedule, remaining, order.advanced, free_at, limit, now)
+        refused.extend(too_late)
+        too_late_entries = set(too_late)
+        remaining = [entry for entry in remaining if entry not in too_late_entries]
     return Plan(started, remaining, refused)
 
 
@@ -108,7 +109,7 @@
     What runs and what goes before a request delays its start, and so do the more urgent requests
     that arrive while it waits. These are expected to take the same share of the slots as lately.
     """
-    hopeless = []
+    too_late = []
     share_by_key: dict[int, float] = {}
     for entry in ordered:
         terms = entry.terms
@@ -119,10 +120,10 @@
             share_by_key[key] = get_overtaking_share(schedule, key, limit, now)
         terms.expected_start_at = now + (free_at[0] - now) / (1.0 - share_by_key[key])
         if terms.expected_start_at > terms.give_up_at:
-            hopeless.append(entry)
+            too_late.append(entry)
         else:
             heapreplace(free_at, free_at[0] + get_slot_seconds(schedule, entry))
-    return hopeless
+    return too_late
 
 
 def _get_free_times(
--- a/comfreyhitch/ingress/call_handler.py
+++ b/comfreyhitch/ingress/call_handler.py
@@ -40,6 +40,7 @@
     make_entry,
     record_admitted,
     record_released,
+    record_sending,
 )
 from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
@@ -114,6 +115,7 @@
         record_admitted(ingress, call, entry)
         return _run_admitted(ingress, call, record)
     finally:
+        record_sending(call, entry)
         release(ingress.queue, entry, ingress.blackboard.clock.monotonic())
         record_released(ingress)
 
--- a/comfreyhitch/ingress/scheduling.py
+++ b/comfreyhitch/ingress/scheduling.py
@@ -84,6 +84,12 @@
     record_running(ingress.blackboard.target_activity, ingress.queue.running, now)
 
 
+def record_sending(call: IncomingCall, entry: QueueEntry) -> None:
+    """Record whether a scheduled call that ends was sent to the target."""
+    if entry.terms is not None:
+        entry.terms.was_sent = call.sent_at > 0.0
+
+
 def record_released(ingress: Ingress) -> None:
     """Record that a scheduled call has freed its slot."""
     if ingress.queue.schedule is not None:
--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -20,6 +20,7 @@
     And waiting requests are refused in time while a target hangs, and others run when it is back
     And a displaced request is refused when the arrival that displaces it comes
     And no request is refused because its work is unknown or an estimate is old
+    And calls that end without being sent to the target do not make the expected wait shorter
     And a call that can't be served in time is refused by the call handler as not run
     And arrivals, resends, fences and ends in any order run no scheduled request twice
 
--- a/features/steps/nested_call_steps.py
+++ b/features/steps/nested_call_steps.py
@@ -97,6 +97,11 @@
     early = [answer for at, answer in traffic.answers["nested"] if at < WARM_UP_SECONDS]
     assert early
     assert not any(early)
+    # Calls of requests that an earlier process of the daemon started: the target looks idle.
+    detector = NestedCallDetector(TargetActivity(), started_at=0.0)
+    for number in range(20):
+        observe_arrival(detector, SERVICE, "nested", number * WARM_UP_SECONDS / 20)
+    assert not detector.evidence_by_route
     # From now on, other callers use the route of the nested calls.
     traffic.answers.clear()
     traffic.run(120.0, external_route="nested", requests_per_second=1e-9)
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -267,6 +267,23 @@
     assert requests.refusals == {displaced: Refusal.OVERLOADED}
 
 
+@then("calls that end without being sent to the target do not make the expected wait shorter")
+def check_unsent_calls(context):
+    # Guards against waits that look short after a cold target has refused calls by its rate, so
+    # that requests wait that can't be served in time.
+    requests = Requests()
+    requests.learn()
+    for _ in range(40):
+        entry, decision = requests.arrive()
+        assert decision is AdmissionDecision.RUN
+        entry.terms.was_sent = False
+        requests.now += 0.001
+        requests.finish_one()
+    requests.fill()
+    wait_seconds = estimate_wait(requests.queue.schedule, [], LIMIT, requests.now)
+    assert wait_seconds >= WORK_SECONDS, wait_seconds
+
+
 @then("no request is refused because its work is unknown or an estimate is old")
 def check_unknown_work(context):
     # Guards against a target that refuses all requests of a route by an estimate that can't be
@@ -282,6 +299,14 @@
     assert entry.terms.expected_work_seconds > 1.0
     requests.now += ESTIMATE_LIFETIME_SECONDS + 0.1
     assert requests.arrive()[1] is AdmissionDecision.RUN
+    # Nor is one refused that waits for others whose work is unknown or whose estimate is old.
+    requests.fill()
+    assert requests.arrive()[1] is AdmissionDecision.WAIT
+    requests = Requests()
+    requests.learn(seconds=3.0)
+    for _ in range(LIMIT):
+        assert requests.arrive(route="other")[1] is AdmissionDecision.RUN
+    assert requests.arrive(route="other")[1] is AdmissionDecision.WAIT
     estimates = WorkEstimates()
     for number in range(2 * MAX_ROUTES):
         record_work(estimates, f"r{number}", 1.0, 2.0, float(number))
