Authenticate callers by the keys of client accounts

Cause: every caller was served alike, since the configuration could not say who may send requests.

Change: `Tenants` in the configuration lists accounts with their keys. Where it is present, a request on a route that is not `Public` is refused with 401, as not run, unless its one Authorization header carries the key of an account. The same route table routes a request and checks its key, so a removed key is refused on open connections too, and no older version brings it back. The key and the caller's own X-Comfreyhitch-Tenant-Id are dropped, in any spelling that a target may read alike, and the target gets the account's name. An account's priority goes before that of its route. The route table holds digests of keys only; errors, log lines and metrics contain none.

The library for metrics writes label values unescaped, so a quote in a caller's Comfreyhitch-Tenant made all metrics unreadable. Labels are escaped now.

The checks in `routing` pass the two new arguments of `classify_routed`; what they check is unchanged.

On the code before, the scenario with daemons fails, as requests without a key are served.

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -307,6 +307,41 @@
         "Odd entries among those of the platform",
         (("platform/client.py", "if parsed.is_ok():", "if True:"),),
     ),
+    Removal(
+        "check of client account keys",
+        "A shop's accounts whose keys change under load",
+        (("accounts/authentication.py", "if account is None else", "if False else"),),
+    ),
+    Removal(
+        "client account keys that are dropped before a target",
+        "Keys on running daemons",
+        (("egress/routed_calls.py", "if table.accounts is not None:", "if False:"),),
+    ),
+    Removal(
+        "client account header in any spelling",
+        "Forms of the headers",
+        (("accounts/authentication.py", '.lower().replace("_", "-")', ".lower()"),),
+    ),
+    Removal(
+        "refusal of an older version with a removed client account key",
+        "Older versions of the configuration",
+        (("documents/applying.py", "current_table.version >= table.version", "False"),),
+    ),
+    Removal(
+        "client account's priority before that of the route",
+        "A shop's accounts whose keys change under load",
+        (("egress/routed_calls.py", "    return account.priority", "    return route.priority"),),
+    ),
+    Removal(
+        "client account names quoted in metrics",
+        "Forms of the headers",
+        (("telemetry/metrics.py", """.replace('"', r"\\"")""", ""),),
+    ),
+    Removal(
+        "errors about client accounts without keys",
+        "Entries of a configuration",
+        (("platform/accounts.py", 'f"is a key of', 'f"{key} is a key of'),),
+    ),
     Removal(
         "writer's mark",
         "Two operators edit the same section",
--- /dev/null
+++ b/comfreyhitch/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: who may send requests, and by which keys they are known."""
--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -52,6 +52,7 @@
     STALE_VIEW = "stale-view"
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
+    UNAUTHENTICATED = "unauthenticated"
     HEADER_TOO_LARGE = "header-too-large"
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_FAILED = "target-failed"
@@ -97,6 +98,7 @@
 
 _STATUS_BY_REFUSAL = {
     Refusal.BAD_REQUEST: 400,
+    Refusal.UNAUTHENTICATED: 401,
     Refusal.UNKNOWN_SERVICE: 404,
     Refusal.NO_ROUTE: 404,
     Refusal.HEADER_TOO_LARGE: 431,
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -113,6 +113,7 @@
             name: section.generation for name, section in blackboard.sections_by_name.items()
         },
         "zones_out": sorted(blackboard.zones_out),
+        "accounts": _describe_accounts(blackboard),
         "rollouts": [asdict(status) for status in blackboard.rollout_statuses_by_id.values()],
         "vetoes": [asdict(veto) for veto in blackboard.vetoes_by_rollout.values()],
         "quarantined": sorted(blackboard.crash_reports_by_fingerprint),
@@ -127,6 +128,14 @@
     }
 
 
+def _describe_accounts(blackboard: Blackboard) -> dict[str, int] | None:
+    """Return how many client accounts and keys are in force, or None without accounts."""
+    table = blackboard.route_table
+    if table is None or table.accounts is None:
+        return None
+    return {"count": len(table.accounts.by_name), "keys": len(table.accounts.digests)}
+
+
 def _update_gauges(blackboard: Blackboard, ingress: Ingress, metrics: Metrics) -> None:
     load = make_load_report(ingress)
     metrics.ingress.limit.set({}, load.limit)
@@ -146,3 +155,7 @@
     table = blackboard.route_table
     unknown = [] if table is None else table.list_routes_of_unknown_kind()
     metrics.control.routes_of_unknown_kind.set({}, len(unknown))
+    accounts = None if table is None else table.accounts
+    metrics.control.accounts_in_force.set({}, int(accounts is not None))
+    metrics.control.accounts.set({}, 0 if accounts is None else len(accounts.by_name))
+    metrics.control.account_keys.set({}, 0 if accounts is None else len(accounts.digests))
--- a/comfreyhitch/documents/applying.py
+++ b/comfreyhitch/documents/applying.py
@@ -64,6 +64,7 @@
         return
     blackboard.route_table = table
     logger.info("configuration in force", extra={"version": table.version})
+    _log_accounts(current_table, table)
     for route in table.list_routes_of_unknown_kind():
         logger.warning(
             "route has an unknown kind; its requests run at most once",
@@ -71,6 +72,32 @@
         )
 
 
+def _log_accounts(previous: RouteTable | None, table: RouteTable) -> None:
+    """Log how the client accounts change; the lines contain neither keys nor digests."""
+    before = None if previous is None else previous.accounts
+    accounts = table.accounts
+    if accounts is None:
+        if before is not None:
+            logger.warning(
+                "client accounts are no longer in force; no request needs a key",
+                extra={"version": table.version},
+            )
+        return
+    if accounts == before:
+        return
+    known = frozenset() if before is None else before.digests
+    logger.info(
+        "client accounts in force",
+        extra={
+            "version": table.version,
+            "accounts": len(accounts.by_name),
+            "keys": len(accounts.digests),
+            "keys_added": len(accounts.digests - known),
+            "keys_removed": len(known - accounts.digests),
+        },
+    )
+
+
 def _apply_rollout(blackboard: Blackboard, name: str, order: RolloutOrder) -> None:
     blackboard.rollout_orders_by_service[name] = order
     logger.info(
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from comfreyhitch.accounts.models import DEFAULT_TENANT
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.headers import (
     HEADER_ATTEMPT,
@@ -22,7 +23,6 @@
 )
 from comfreyhitch.utils.hashing import compute_fingerprint
 
-DEFAULT_TENANT = "default"
 DEFAULT_ROUTE = "/"
 MAX_NAME_LENGTH = 64
 MAX_ATTEMPTS = 4
@@ -73,6 +73,7 @@
     path: str
     headers: Headers
     body: bytes
+    # Name of the client account, or `NO_ACCOUNT` on a public route where accounts are in force.
     tenant: str
     traffic_class: TrafficClass
     is_idempotent: bool
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -274,6 +274,7 @@
 
 _REASON_BY_STATUS = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
     422: "Unprocessable Content",
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -31,6 +31,7 @@
     body: bytes
     arrived_at: float
     deadline: float
+    # `accounts.models.is_account_name` tells whether this is a client account.
     tenant: str
     traffic_class: TrafficClass
     is_idempotent: bool
--- a/comfreyhitch/platform/callers.py
+++ b/comfreyhitch/platform/callers.py
@@ -2,6 +2,7 @@
 
 from result import Err, Result
 
+from comfreyhitch.accounts.authentication import KeyFault
 from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Verdict
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.interface import (
@@ -14,6 +15,7 @@
 from comfreyhitch.egress.routed_calls import RoutedRequest, classify_routed
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.platform.names import (
+    HEADER_ACCOUNT,
     HEADER_CALLER_SERVICE,
     HEADER_DEADLINE_MS,
     HEADER_REQUEST_ID,
@@ -23,6 +25,7 @@
 from comfreyhitch.routing.splitting import Splitter
 
 MAX_DEADLINE_MS = 600_000
+KEY_CHALLENGE = ("WWW-Authenticate", "Bearer")
 # Headers that this daemon sets itself; values from a caller are dropped.
 RESERVED_HEADERS = frozenset(
     name.lower()
@@ -62,9 +65,14 @@
                 request_id=values.get(HEADER_REQUEST_ID.lower(), ""),
                 timeout_seconds=timeout_seconds,
                 arrived_at=request.arrived_at,
+                account_header=HEADER_ACCOUNT,
             ),
+            count_key_fault,
         )
 
+    def count_key_fault(fault: KeyFault) -> None:
+        egress.metrics.egress.key_faults.inc({"cause": fault.value})
+
     return CallerInterface(
         classify=classify_request,
         make_response_headers=lambda response: [],
@@ -77,6 +85,8 @@
 
 
 def _make_failure_headers(failure: Failure) -> Headers:
+    if failure.refusal is Refusal.UNAUTHENTICATED:
+        return [KEY_CHALLENGE]
     if failure.status != 503:
         return []
     return [(HEADER_RETRY_AFTER, f"{get_retry_after(failure).total_seconds():g}")]
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -3,7 +3,7 @@
 from typing import Annotated, TypeVar
 
 import msgspec
-from msgspec import Meta, Struct, field
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 from result import Err, Ok, Result
 
 from comfreyhitch.documents.models import (
@@ -16,6 +16,7 @@
     ZoneOutOrder,
     make_rollout_id,
 )
+from comfreyhitch.platform.accounts import TenantModel, make_accounts
 from comfreyhitch.platform.durations import Duration, decode_duration
 from comfreyhitch.platform.names import (
     KIND_CONFIGURATION,
@@ -70,6 +71,8 @@
     attempts: Count = field(default=1, name="Attempts")
     service: Text | None = field(default=None, name="Service")
     split: list[SplitModel] = field(default_factory=list, name="Split")
+    # Where accounts are configured, requests on other routes need a key.
+    is_public: bool = field(default=False, name="Public")
 
 
 class ServiceModel(Struct, frozen=True):
@@ -98,6 +101,9 @@
     routes: list[RouteModel] = field(name="Routes")
     services: list[ServiceModel] = field(name="Services")
     limits: LimitsModel = field(name="Limits")
+    # An empty list is in force: no request has a valid key then. Null is refused, since it would
+    # open all routes to callers without a key.
+    tenants: list[TenantModel] | UnsetType = field(default=UNSET, name="Tenants")
 
 
 class RolloutModel(Struct, frozen=True):
@@ -122,6 +128,12 @@
         if converted.is_err():
             return Err(f"{document.key}: {converted.err_value}")
         routes.append(converted.ok_value)
+    accounts = None
+    if model.tenants is not UNSET:
+        made = make_accounts(model.tenants)
+        if made.is_err():
+            return Err(f"{document.key}: {made.err_value}")
+        accounts = made.ok_value
     services = [
         ServiceProfile(
             name=service.name,
@@ -138,7 +150,7 @@
         header_timeout=model.limits.header_timeout,
         idle_timeout=model.limits.idle_timeout,
     )
-    return Ok(RouteTable.from_routes(model.version, limits, routes, services))
+    return Ok(RouteTable.from_routes(model.version, limits, routes, services, accounts))
 
 
 def decode_rollout(document: RawDocument) -> Result[Document, str]:
@@ -212,6 +224,7 @@
             latency_objective=model.objective,
             priority=model.priority,
             services=tuple(services),
+            is_public=model.is_public,
             unknown_kind="" if model.kind in IDEMPOTENCE_BY_KIND else model.kind,
         )
     )
--- a/comfreyhitch/platform/names.py
+++ b/comfreyhitch/platform/names.py
@@ -5,6 +5,7 @@
 HEADER_REQUEST_ID = "X-Comfreyhitch-Request-Id"
 HEADER_DEADLINE_MS = "X-Comfreyhitch-Deadline-Ms"
 HEADER_CALLER_SERVICE = "X-Comfreyhitch-Caller-Service"
+HEADER_ACCOUNT = "X-Comfreyhitch-Tenant-Id"
 HEADER_RETRY_AFTER = "Retry-After"
 HEADER_STORE_ERA = "Store-Era"
 
--- a/comfreyhitch/routing/models.py
+++ b/comfreyhitch/routing/models.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from comfreyhitch.accounts.models import Accounts
+
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -29,6 +31,8 @@
     services: tuple[WeightedService, ...]
     # Kind in the configuration that this release does not know; empty for a known kind.
     unknown_kind: str = ""
+    # Whether requests need no key where client accounts are in force.
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +68,8 @@
     limits: CallerLimits
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services_by_name: dict[str, ServiceProfile] = field(default_factory=dict)
+    # None if the configuration names no accounts, so that no request needs a key.
+    accounts: Accounts | None = None
 
     @classmethod
     def from_routes(
@@ -72,6 +78,7 @@
         limits: CallerLimits,
         routes: list[Route],
         services: list[ServiceProfile],
+        accounts: Accounts | None = None,
     ) -> "RouteTable":
         """Return a table in which each host's routes are sorted by prefix, longest first."""
         grouped: dict[str, list[Route]] = {}
@@ -82,7 +89,7 @@
             for host, host_routes in grouped.items()
         }
         services_by_name = {service.name: service for service in services}
-        return cls(version, limits, routes_by_host, services_by_name)
+        return cls(version, limits, routes_by_host, services_by_name, accounts)
 
     def list_routes_of_unknown_kind(self) -> list[Route]:
         """Return the routes whose kind this release does not know."""
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -36,6 +36,7 @@
     fences: Counter
     probes: Counter
     connections_ended: Counter
+    key_faults: Counter
 
 
 @dataclass(slots=True)
@@ -64,6 +65,9 @@
     vetoes: Gauge
     probe_budget: Gauge
     routes_of_unknown_kind: Gauge
+    accounts_in_force: Gauge
+    accounts: Gauge
+    account_keys: Gauge
 
 
 @dataclass(slots=True)
@@ -128,6 +132,8 @@
 
 
 def _limit_tenant_label(metrics: Metrics, tenant: str) -> str:
+    # The library writes label values unescaped, and a quote would make all metrics unreadable.
+    tenant = tenant.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
     if tenant in metrics.known_tenants:
         return tenant
     # Callers choose the names of tenants, so the number of label values has to be limited.
@@ -154,6 +160,9 @@
             "caller_connections_ended_total",
             "Connections of callers that ended, by reason and whether bytes were unread.",
         ),
+        key_faults=_make_counter(
+            registry, "key_faults_total", "Requests refused for their account key, by cause."
+        ),
     )
 
 
@@ -203,6 +212,11 @@
             "routes_of_unknown_kind",
             "Routes whose kind is unknown, so that their requests run at most once.",
         ),
+        accounts_in_force=_make_gauge(
+            registry, "accounts_in_force", "Whether requests need the key of a client account."
+        ),
+        accounts=_make_gauge(registry, "accounts", "Client accounts in force."),
+        account_keys=_make_gauge(registry, "account_keys", "Keys of client accounts in force."),
     )
 
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -80,13 +80,13 @@
 def check_unknown_route(context):
     blackboard = Blackboard(clock=FakeClock().make_clock(), own_member=make_member())
     splitter = Splitter(Random(1))
-    request = RoutedRequest("GET", "a.example", "/x/", [], b"", "id", 5.0, 0.0)
-    failure = classify_routed(blackboard, splitter, request).err_value
+    request = RoutedRequest("GET", "a.example", "/x/", [], b"", "id", 5.0, 0.0, "Account")
+    failure = classify_routed(blackboard, splitter, request, lambda fault: None).err_value
     assert (failure.refusal, failure.status) == (Refusal.NO_CONFIGURATION, 503)
     blackboard.route_table = RouteTable.from_routes(1, LIMITS, [make_route(prefix="/y/")], [])
-    failure = classify_routed(blackboard, splitter, request).err_value
+    failure = classify_routed(blackboard, splitter, request, lambda fault: None).err_value
     assert (failure.refusal, failure.status) == (Refusal.NO_ROUTE, 404)
     assert failure.verdict is Verdict.NOT_RUN
     blackboard.route_table = RouteTable.from_routes(2, LIMITS, [make_route(prefix="/x/")], [])
-    call = classify_routed(blackboard, splitter, request).ok_value
+    call = classify_routed(blackboard, splitter, request, lambda fault: None).ok_value
     assert call.deadline == 1.0, "the route's timeout is shorter than the caller's"
