--- a/comfreyhitch/egress/routed_calls.py
+++ b/comfreyhitch/egress/routed_calls.py
@@ -64,7 +64,7 @@
     if authenticated.is_err():
         fault = authenticated.err_value
         count_key_fault(fault)
-        detail = f"{_DETAIL_BY_KEY_FAULT[fault]}, by version {table.version}"
+        detail = f"{_DETAIL_BY_KEY_FAULT[fault]} (version {table.version})"
         return Err(Failure(Verdict.NOT_RUN, Refusal.UNAUTHENTICATED, detail))
     account = authenticated.ok_value
     headers = request.headers
