--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -1,5 +1,6 @@
 """Probe the target's health path within the probe budget."""
 
+import logging
 from datetime import timedelta
 
 from result import Err, Ok
@@ -17,11 +18,15 @@
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.utils.token_bucket import take_tokens
 
+logger = logging.getLogger(__name__)
+
 DEFAULT_HEALTH_PATH = "/healthz"
 HEALTH_TIMEOUT_SECONDS = 1.0
 HEALTH_BODY_LIMIT_BYTES = 4096
 OK_STATUS = 200
 MAX_COLD_MS = 600_000
+# Cold time of a target that names one which can't be read; each health response renews it.
+UNREADABLE_COLD_MS = 3_000
 
 
 def probe_target_if_due(ingress: Ingress) -> None:
@@ -105,8 +110,11 @@
 
 
 def _apply_response(ingress: Ingress, response: Response, now: float) -> None:
-    is_healthy = response.status == OK_STATUS
     instance_id = _get_instance_id(ingress, response)
+    if ingress.header_names.instance and not instance_id:
+        logger.warning("health response names no instance", extra={"status": response.status})
+        return
+    is_healthy = response.status == OK_STATUS
     cold_duration = _parse_cold_duration(ingress, response)
     update_pace(ingress, response, now)
     apply_health_response(ingress.lifecycle, instance_id, is_healthy, cold_duration, now)
@@ -126,6 +134,9 @@
 
 def _parse_cold_duration(ingress: Ingress, response: Response) -> timedelta | None:
     text = find_header(response.headers, ingress.header_names.cold_ms)
-    if not text.isascii() or not text.isdigit() or int(text) > MAX_COLD_MS:
+    if not text:
         return None
-    return timedelta(milliseconds=int(text))
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_COLD_MS)):
+        # A target that names a cold time which can't be read is not taken for a warm one.
+        return timedelta(milliseconds=UNREADABLE_COLD_MS)
+    return timedelta(milliseconds=min(int(text), MAX_COLD_MS))
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -114,9 +114,15 @@
             )
 
 
-def parse_answer(answer: CallAnswer) -> Outcome:
-    """Return the outcome that a message carries."""
-    if answer.refusal is None:
+def parse_answer(answer: CallAnswer | None) -> Outcome:
+    """Return the outcome that a message carries; one that can't be read may have run."""
+    if answer is None:
+        return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, "answer is missing"))
+    try:
+        verdict = Verdict(answer.verdict)
+    except ValueError:
+        verdict = Verdict.MAY_HAVE_RUN
+    if answer.refusal is None and verdict is Verdict.RAN:
         return Ok(
             Response(
                 status=answer.status,
@@ -126,8 +132,11 @@
                 version=answer.version,
             )
         )
+    if answer.refusal is None:
+        detail = f"answer has verdict {answer.verdict} and no refusal"
+        return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, detail))
     try:
         refusal = Refusal(answer.refusal)
     except ValueError:
         refusal = Refusal.PEER_FAILED
-    return Err(Failure(Verdict(answer.verdict), refusal, answer.reason))
+    return Err(Failure(verdict, refusal, answer.reason))
--- a/features/steps/response_steps.py
+++ b/features/steps/response_steps.py
@@ -14,10 +14,12 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.verdicts import Refusal, Response, Verdict
+from comfreyhitch.ingress.models import parse_answer
 from comfreyhitch.ingress.response_checks import validate_response
 from comfreyhitch.ingress.responses import ResponseReader
 from comfreyhitch.ingress.target import TargetConnectionPool, TargetRequest, call_target
 from comfreyhitch.platform.names import PLATFORM_TARGET_HEADERS
+from comfreyhitch.wire.generated.ttypes import CallAnswer, LoadReport
 
 SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: 1\r\n\r\nhello"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
@@ -158,16 +160,77 @@
 
 @then("the target's header or the id of an unexpected instance proves that a request did not run")
 def check_not_run(context):
-    refused = Response(503, "Busy", [("X-Comfreyhitch-Not-Executed", "1")])
+    request_id = ("X-Comfreyhitch-Request-Id", "r1")
+    refused = Response(503, "Busy", [request_id, ("X-Comfreyhitch-Not-Executed", "1")])
     failure = validate_response(PLATFORM_TARGET_HEADERS, refused, "r1", "i-1").err_value
     assert (failure.verdict, failure.refusal) == (Verdict.NOT_RUN, Refusal.TARGET_REFUSED)
-    other = Response(421, "Misdirected", [("X-Comfreyhitch-Instance-Id", "i-2")])
+    other = Response(421, "Misdirected", [request_id, ("X-Comfreyhitch-Instance-Id", "i-2")])
     failure = validate_response(PLATFORM_TARGET_HEADERS, other, "r1", "i-1").err_value
     assert (failure.verdict, failure.refusal) == (Verdict.NOT_RUN, Refusal.WRONG_INSTANCE)
     unexpected = validate_response(PLATFORM_TARGET_HEADERS, other, "r1", "").err_value
     assert unexpected.verdict is Verdict.MAY_HAVE_RUN
 
 
+@then("a response proves that a request did not run only if it names this request and says so")
+def check_proofs(context):
+    id_values = st.lists(st.sampled_from(["r1", "r2", ""]), max_size=2)
+    not_run_values = st.sampled_from([None, "1", "0", "", "no"])
+    instances = st.sampled_from([None, "", "i-1", "i-2"])
+    statuses = st.sampled_from([200, 400, 421, 429, 503])
+
+    @seed(context.seed)
+    @given(id_values, not_run_values, instances, statuses)
+    def check(ids, not_run, instance, status):
+        headers = [("X-Comfreyhitch-Request-Id", value) for value in ids]
+        headers += [("X-Comfreyhitch-Not-Executed", not_run)] if not_run is not None else []
+        headers += [("X-Comfreyhitch-Instance-Id", instance)] if instance is not None else []
+        response = Response(status, "", headers)
+        outcome = validate_response(PLATFORM_TARGET_HEADERS, response, "r1", "i-1")
+        is_not_run = outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN
+        is_misdirected = status == 421 and instance == "i-2"
+        is_proved = set(ids) == {"r1"} and (not_run == "1" or is_misdirected)
+        assert is_not_run == is_proved, (response, outcome)
+
+    check()
+
+
+@then("an answer between daemons proves that a request did not run only if it says so whole")
+def check_answers(context):
+    verdicts = st.sampled_from([0, 1, 2, 3, -1])
+    refusals = st.sampled_from([None, "overloaded", "unknown-cause", ""])
+
+    @seed(context.seed)
+    @given(verdicts, refusals)
+    def check(verdict, refusal):
+        answer = CallAnswer("r", verdict, 200, "", [], b"", LoadReport(), refusal, "v1")
+        outcome = parse_answer(answer)
+        assert outcome.is_ok() == (verdict == 2 and refusal is None)
+        if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
+            assert verdict == 0 and refusal is not None
+
+    check()
+    assert parse_answer(None).err_value.verdict is Verdict.MAY_HAVE_RUN
+
+
+@then(
+    "a refusal without an id that follows an earlier response proves nothing about the next request"
+)
+def check_stray_refusal(context):
+    stray = b"HTTP/1.1 400 Bad\r\nX-Comfreyhitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+    def respond(sock):
+        stray_bytes = b""
+        while read_request_head(sock):
+            sock.sendall(stray_bytes + STAMPED)
+            stray_bytes = stray
+
+    with running_target(respond) as connections:
+        assert send(connections).is_ok()
+        failure = send(connections).err_value
+        assert failure.verdict is Verdict.MAY_HAVE_RUN, failure
+        assert not connections.idle_connections
+
+
 @then("its response is returned, the rest of the body is not sent, and the connection is closed")
 def check_early_response(context):
     received = []
--- a/features/steps/target_life_steps.py
+++ b/features/steps/target_life_steps.py
@@ -1,15 +1,19 @@
 """Test the lifecycle of a target, and the limit on requests to a cold one."""
 
+from contextlib import contextmanager
 from datetime import timedelta
 
 from behave import then
+from gevent.pywsgi import WSGIServer
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from comfreyhitch.admission.warm_up import BURST_REQUESTS, WarmUpLimiter, admit_during_warm_up
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.clock import Clock
 from comfreyhitch.ingress.execution import admit_within_cold_rate
+from comfreyhitch.ingress.health import probe_target
 from comfreyhitch.ingress.lifecycle import (
     Heartbeat,
     HeartbeatResult,
@@ -21,7 +25,7 @@
     mark_suspected,
     record_departure,
 )
-from comfreyhitch.ingress.state import Ingress, apply_service_profile
+from comfreyhitch.ingress.state import Ingress, apply_service_profile, attach_target
 from comfreyhitch.platform.names import PLATFORM_TARGET_HEADERS
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.routing.models import CallerLimits, RouteTable, ServiceProfile
@@ -160,6 +164,47 @@
     check()
 
 
+@then(
+    "a health response without an instance id, or with a cold time that can't be read, does not "
+    "give a target its usual rate"
+)
+def check_lacking_health_fields(context):
+    instance = ("X-Comfreyhitch-Instance-Id", "i-1")
+    cold_headers = [("X-Comfreyhitch-Cold-Ms", text) for text in ("x", "-1", "9" * 30, "600001")]
+    for headers in (
+        [],
+        [("X-Comfreyhitch-Cold-Ms", "0")],
+        *([instance, item] for item in cold_headers),
+    ):
+        with serve_health(headers) as (ingress, clock):
+            probe_target(ingress)
+            assert is_cold(ingress.lifecycle, clock.monotonic()), headers
+    for headers in ([instance], [instance, ("X-Comfreyhitch-Cold-Ms", "0")]):
+        with serve_health(headers) as (ingress, clock):
+            probe_target(ingress)
+            assert not is_cold(ingress.lifecycle, clock.monotonic()), headers
+
+
+@contextmanager
+def serve_health(headers):
+    """Serve a health path with some headers; yield the ingress of a suspected target, its clock."""
+
+    def application(environ, start_response):
+        start_response("200 OK", headers)
+        return [b""]
+
+    server = WSGIServer(("127.0.0.1", 0), application, log=None, error_log=None)
+    server.start()
+    try:
+        clock = Clock.from_system()
+        ingress = make_ingress(clock)
+        attach_target(ingress, "127.0.0.1", server.server_port, 9)
+        apply_heartbeat(ingress.lifecycle, make_heartbeat(), clock.monotonic())
+        yield ingress, clock
+    finally:
+        server.stop()
+
+
 @then(
     "a cold target is limited to its rate whether its service or the configuration is known first"
 )
@@ -178,16 +223,8 @@
 
 def make_cold_ingress(clock, is_service_first):
     """Return an ingress that has learned its service and the configuration, in either order."""
-    blackboard = Blackboard(clock=clock.make_clock(), own_member=make_member(service=""))
-    ingress = Ingress.from_settings(
-        Settings(),
-        blackboard,
-        None,
-        EvidenceLog.from_clock(clock.make_clock()),
-        Metrics.create(),
-        lambda fingerprint: None,
-        PLATFORM_TARGET_HEADERS,
-    )
+    ingress = make_ingress(clock.make_clock())
+    blackboard = ingress.blackboard
     if not is_service_first:
         apply_route_table(ingress)
     blackboard.own_member = make_member(service="payments")
@@ -196,6 +233,19 @@
     return ingress
 
 
+def make_ingress(clock):
+    """Return an ingress that knows neither its service nor a configuration."""
+    return Ingress.from_settings(
+        Settings(),
+        Blackboard(clock=clock, own_member=make_member(service="")),
+        None,
+        EvidenceLog.from_clock(clock),
+        Metrics.create(),
+        lambda fingerprint: None,
+        PLATFORM_TARGET_HEADERS,
+    )
+
+
 def apply_route_table(ingress):
     """Apply a configuration that sets the rate of requests to a cold target."""
     profile = ServiceProfile("payments", "/health", 100, timedelta(seconds=3), COLD_RATE)
--- a/features/target_life.feature
+++ b/features/target_life.feature
@@ -12,6 +12,11 @@
   Scenario: Cold targets
     Then a cold target gets no more requests in any second than its rate and a burst of two
 
+  # Guards against a missing or unreadable field that ends suspicion and gives a target its usual
+  # rate.
+  Scenario: Health responses that lack a field
+    Then a health response without an instance id, or with a cold time that can't be read, does not give a target its usual rate
+
   Scenario: The configuration is known before the service of the target
     Then a cold target is limited to its rate whether its service or the configuration is known first
 
--- a/features/target_responses.feature
+++ b/features/target_responses.feature
@@ -24,3 +24,10 @@
 
   Scenario: A target that stops in the middle of the head of its response
     Then a target that ends in the middle of its head, by a close or a reset, gave no response
+
+  # Guards against a running request that is reported as not run, and sent again, because a field
+  # is missing or unreadable in bytes that belong to no request (review, case 1).
+  Scenario: Responses that lack what a proof needs
+    Then a response proves that a request did not run only if it names this request and says so
+    And a refusal without an id that follows an earlier response proves nothing about the next request
+    And an answer between daemons proves that a request did not run only if it says so whole
