Hold the first heartbeat of a target until its health path confirms it

Cause: departures are known only to the process that was told of them.

Change: a first heartbeat is held until the health path answers 200 with its instance id. The path is asked at once, within the probe budget. If another instance answers, the heartbeat is dropped. Heartbeats that go on for 10 s are applied without a confirmation, so that a target with a wrong health path is not kept out. A start time that was confirmed by this process decides as before.

On the code before, the new scenarios find the target READY after one late heartbeat while its health path answers 503, or 200 as another instance. They pass now.

--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -5,6 +5,11 @@
 from comfreyhitch.admission.queue import refuse_all_waiting
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.ingress.confirmation import (
+    hold_heartbeat,
+    is_persistent,
+    needs_confirmation,
+)
 from comfreyhitch.ingress.lifecycle import (
     Heartbeat,
     HeartbeatResult,
@@ -40,8 +45,35 @@
     return result
 
 
+def handle_heartbeat(daemon: Daemon, heartbeat: Heartbeat, host: str, port: int) -> HeartbeatResult:
+    """Apply a heartbeat, or hold it until the health path shows that its sender has not left."""
+    ingress = daemon.ingress
+    now = daemon.clock.monotonic()
+    if not needs_confirmation(ingress.lifecycle, heartbeat, now):
+        return handle_announcement(daemon, heartbeat, host, port)
+    is_first = ingress.held_heartbeat is None
+    ingress.held_heartbeat = held = hold_heartbeat(ingress.held_heartbeat, heartbeat, now)
+    fields = {"instance_id": heartbeat.instance_id, "sequence": heartbeat.sequence}
+    if is_persistent(held):
+        logger.warning("heartbeats go on; applying one that is not confirmed", extra=fields)
+        ingress.held_heartbeat = None
+        return handle_announcement(daemon, heartbeat, host, port)
+    if is_first:
+        logger.info("heartbeat waits until the health path confirms it", extra=fields)
+    return HeartbeatResult.HELD
+
+
+def handle_confirmed_heartbeat(daemon: Daemon, heartbeat: Heartbeat) -> None:
+    """Apply a held heartbeat that the health path has confirmed."""
+    settings = daemon.settings
+    handle_announcement(daemon, heartbeat, settings.target_address_host, settings.target_port)
+
+
 def handle_departure(daemon: Daemon, instance_id: str) -> bool:
     """Stop new requests to a departing target, and return whether it is this daemon's target."""
+    held = daemon.ingress.held_heartbeat
+    if held is not None and held.heartbeat.instance_id == instance_id:
+        daemon.ingress.held_heartbeat = None
     if not record_departure(daemon.ingress.lifecycle, instance_id, daemon.clock.monotonic()):
         return False
     _publish_target_state(daemon, daemon.blackboard.own_member.service)
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -5,7 +5,11 @@
 import gevent
 
 from comfreyhitch.daemon.admin import Announcement, make_admin_server
-from comfreyhitch.daemon.announcements import handle_announcement, handle_leaving
+from comfreyhitch.daemon.announcements import (
+    handle_announcement,
+    handle_confirmed_heartbeat,
+    handle_leaving,
+)
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.controllers import start_controllers
 from comfreyhitch.daemon.peer_handler import PeerServices, make_handler_factory
@@ -39,6 +43,7 @@
         server.start()
     publish_own_record(daemon.detector)
     daemon.ingress.on_leaving = lambda: handle_leaving(daemon)
+    daemon.ingress.on_confirmed = lambda heartbeat: handle_confirmed_heartbeat(daemon, heartbeat)
     _attach_configured_target(daemon)
     daemon.greenlets.append(gevent.spawn(receive_datagrams, daemon.detector))
     daemon.metrics.control.probe_budget.set({}, daemon.egress.probe_budget.rate)
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -8,6 +8,12 @@
 from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Outcome, Refusal, Response
+from comfreyhitch.ingress.confirmation import (
+    Confirmation,
+    HeldHeartbeat,
+    confirm,
+    has_expired,
+)
 from comfreyhitch.ingress.lifecycle import (
     TargetState,
     apply_health_response,
@@ -93,6 +99,8 @@
         return True
     if ingress.warm_up_limiter is None:
         return False
+    if ingress.held_heartbeat is not None:
+        return True
     return ingress.lifecycle.is_suspected or ingress.lifecycle.state is TargetState.STARTING
 
 
@@ -118,6 +126,29 @@
     cold_duration = _parse_cold_duration(ingress, response)
     update_pace(ingress, response, now)
     apply_health_response(ingress.lifecycle, instance_id, is_healthy, cold_duration, now)
+    if ingress.held_heartbeat is not None:
+        _check_held_heartbeat(ingress, ingress.held_heartbeat, instance_id, is_healthy, now)
+
+
+def _check_held_heartbeat(
+    ingress: Ingress, held: HeldHeartbeat, instance_id: str, is_healthy: bool, now: float
+) -> None:
+    """Apply a held heartbeat that a health response confirms, or drop one that it contradicts."""
+    confirmation = confirm(held, instance_id, is_healthy)
+    if confirmation is Confirmation.CONFIRMED:
+        ingress.held_heartbeat = None
+        ingress.on_confirmed(held.heartbeat)
+    elif confirmation is Confirmation.CONTRADICTED or has_expired(held, now):
+        ingress.held_heartbeat = None
+        logger.warning(
+            "unconfirmed heartbeat is dropped",
+            extra={
+                "instance_id": held.heartbeat.instance_id,
+                "sequence": held.heartbeat.sequence,
+                "responding_instance_id": instance_id,
+                "is_healthy": is_healthy,
+            },
+        )
 
 
 def update_pace(ingress: Ingress, response: Response, now: float) -> None:
--- a/comfreyhitch/ingress/lifecycle.py
+++ b/comfreyhitch/ingress/lifecycle.py
@@ -25,6 +25,8 @@
     UNCHANGED = "unchanged"
     CHANGED = "changed"
     REPLACED = "replaced"
+    # Not applied yet, since nothing shows that its sender has not left.
+    HELD = "held"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +83,7 @@
     lifecycle: TargetLifecycle, heartbeat: Heartbeat, now: float
 ) -> HeartbeatResult:
     """Apply a heartbeat, unless it is older than the known state."""
-    if _is_departed(lifecycle, heartbeat, now):
+    if is_departed(lifecycle, heartbeat, now):
         return HeartbeatResult.STALE
     if _is_same_incarnation(lifecycle, heartbeat):
         return _apply_later_heartbeat(lifecycle, heartbeat, now)
@@ -126,6 +128,9 @@
         lifecycle.is_suspected = False
     elif is_healthy:
         lifecycle.is_suspected = False
+    departure = lifecycle.departures_by_id.get(instance_id)
+    if departure is not None and (departure.expires_at is None or now < departure.expires_at):
+        return False
     if lifecycle.state is TargetState.STARTING and is_healthy and instance_id:
         # This daemon has restarted while its target kept serving requests.
         lifecycle.instance_id = instance_id
@@ -156,7 +161,8 @@
     return lifecycle.is_suspected or now < lifecycle.cold_until
 
 
-def _is_departed(lifecycle: TargetLifecycle, heartbeat: Heartbeat, now: float) -> bool:
+def is_departed(lifecycle: TargetLifecycle, heartbeat: Heartbeat, now: float) -> bool:
+    """Return whether the sender of a heartbeat is known to have left."""
     departure = lifecycle.departures_by_id.get(heartbeat.instance_id)
     if departure is None:
         return False
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -22,7 +22,9 @@
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
 from comfreyhitch.core.verdicts import Response
 from comfreyhitch.idempotency.claims import ClaimClient
+from comfreyhitch.ingress.confirmation import HeldHeartbeat
 from comfreyhitch.ingress.lifecycle import (
+    Heartbeat,
     TargetLifecycle,
     TargetState,
     mark_leaving,
@@ -77,6 +79,10 @@
     on_leaving: Callable[[], None] = lambda: None
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
+    # The first heartbeat of an incarnation, until the health path confirms that it has not left.
+    held_heartbeat: HeldHeartbeat | None = None
+    # Called with a held heartbeat that was confirmed.
+    on_confirmed: Callable[[Heartbeat], None] = lambda heartbeat: None
     # Whether the target's health path was probed since the target was attached.
     is_probed: bool = False
     pace: PaceReading | None = None
--- a/comfreyhitch/platform/servers.py
+++ b/comfreyhitch/platform/servers.py
@@ -8,7 +8,7 @@
 from gevent.pywsgi import WSGIServer
 from result import Err, Ok
 
-from comfreyhitch.daemon.announcements import handle_announcement, handle_departure
+from comfreyhitch.daemon.announcements import handle_departure, handle_heartbeat
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.readiness import is_ready
 from comfreyhitch.ingress.lifecycle import HeartbeatResult
@@ -74,7 +74,7 @@
         logger.warning("heartbeat refused", extra={"instance_id": instance_id, "reason": reason})
         return BAD_REQUEST, {"Error": reason}
     if (
-        handle_announcement(daemon, decoded.heartbeat, decoded.host, decoded.port)
+        handle_heartbeat(daemon, decoded.heartbeat, decoded.host, decoded.port)
         is HeartbeatResult.STALE
     ):
         return CONFLICT, {"Error": "a later heartbeat is known"}
--- a/features/target_life.feature
+++ b/features/target_life.feature
@@ -25,3 +25,37 @@
     Given a daemon that knows its target from the health path alone
     When the target's departure arrives
     Then the daemon's record is valid, says that it drains, and can be published again
+
+  # Guards against requests to a target that has left, because a process that has started since takes
+  # a late heartbeat for the first one of a new target (review, case 2).
+  Scenario: A late heartbeat of a target that has left while its daemon restarted
+    Given a daemon that has restarted beside a target whose health path answers 503 as i-1
+    When a heartbeat of i-1, born at 1000, arrives
+    Then the target gets no requests
+
+  Scenario: A late heartbeat of a target whose address another one has
+    Given a daemon that has restarted beside a target whose health path answers 200 as i-2
+    When a heartbeat of i-1, born at 1000, arrives
+    Then i-2 gets requests
+    When a heartbeat of i-2, born at 2000, arrives
+    Then i-2 gets requests
+    And its version is known to other daemons
+    When a heartbeat of i-1, born at 1000, arrives
+    Then i-2 gets requests
+
+  # Guards against a target that is kept out because its daemon has restarted.
+  Scenario: Heartbeats of a target that has not left
+    Given a daemon that has restarted beside a target whose health path answers 200 as i-1
+    When a heartbeat of i-1, born at 1000, arrives
+    Then i-1 gets requests
+    And its version is known to other daemons
+    When i-2's health path answers 200
+    And a heartbeat of i-2, born at 2000, arrives
+    Then i-2 gets requests
+
+  Scenario: A target in service whose health path says that it is not
+    Given a daemon that has restarted beside a target whose health path answers 503 as i-1
+    When heartbeats of i-1, born at 1000, go on for 9 seconds
+    Then the target gets no requests
+    When heartbeats of i-1, born at 1000, go on for 3 seconds
+    Then i-1 gets requests
