Leave out entries of the store that can't be read, and use the others

A list as State of a rollout order raised TypeError, and the rest of its list was stored and never applied.

Change: such bytes are read as lone surrogates, and an entry that holds any is left out and named in a log line. A rollout order with an unknown state in its status is left out too. A document whose decoder raises is refused and does not stop the others. The handling of entries moves from platform/client.py into platform/entries.py.

A property over random JSON covers documents of each kind in lists and watches, registrations, sections and heartbeats. On the code before it fails with "TypeError: unhashable type: 'list'" and with a refused answer for the bytes ff fe b1. It also found that msgspec raises UnicodeEncodeError for a lone surrogate in the name of a field; that is caught.

--- a/comfreyhitch/documents/applying.py
+++ b/comfreyhitch/documents/applying.py
@@ -55,7 +55,12 @@
     decode = decoders.get(document.kind)
     if decode is None:
         return Err(f"{document.key}: this daemon does not support documents of this kind")
-    return decode(document)
+    try:
+        return decode(document)
+    except Exception as error:
+        # The other documents of a list or a message are applied all the same.
+        logger.exception("document could not be decoded", extra={"document": document.key})
+        return Err(f"{document.key}: {error!r}")
 
 
 def _apply_route_table(blackboard: Blackboard, table: RouteTable) -> None:
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -1,7 +1,6 @@
 """Client of the platform's store, which makes one attempt on a new connection for each call."""
 
 import json
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -13,12 +12,16 @@
 from geventhttpclient.url import URL
 from result import Err, Ok, Result
 
-from comfreyhitch.platform.decoding import decode_json
+from comfreyhitch.platform.decoding import (
+    decode_json,
+    has_unreadable_text,
+    may_have_unreadable_text,
+)
+from comfreyhitch.platform.entries import parse_entry, parse_page
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
 from comfreyhitch.platform.models import (
     FRESH,
     ChangeBatch,
-    ObjectChange,
     ObjectList,
     PlatformObject,
     ReadMode,
@@ -26,8 +29,6 @@
 )
 from comfreyhitch.platform.names import HEADER_STORE_ERA
 
-logger = logging.getLogger(__name__)
-
 API_PREFIX = "/v1/objects"
 SECTIONS = "sections"
 DAEMONS = "daemons"
@@ -45,9 +46,6 @@
 
 Model = TypeVar("Model", bound=msgspec.Struct)
 
-# The field that holds the entries of a list or a batch, and their model.
-_ENTRIES_BY_MODEL = {ObjectList: ("items", PlatformObject), ChangeBatch: ("events", ObjectChange)}
-
 
 @dataclass(frozen=True, slots=True)
 class PlatformClient:
@@ -72,6 +70,7 @@
 
     content: Any
     era: int | None
+    has_unreadable_text: bool = False
 
 
 def list_objects(
@@ -93,7 +92,10 @@
             return Err(PlatformError(PlatformFailure.UNAVAILABLE, detail))
         items.extend(found.items)
         odd_names |= found.odd_names
-        names = {item.metadata.name for item in found.items} | found.odd_names
+        # A name that can't be read can't be asked for either, so it starts no page.
+        names = {item.metadata.name for item in found.items} | {
+            name for name in found.odd_names if not has_unreadable_text(name)
+        }
         if not found.has_more or not any(names):
             return Ok(
                 msgspec.structs.replace(first, items=items, odd_names=odd_names, has_more=False)
@@ -115,7 +117,7 @@
 ) -> Result[PlatformObject, PlatformError]:
     """Create an object; a conflict means that an object with its name exists."""
     return _call(client, "create", "POST", kind, dump_object(item)).and_then(
-        lambda answer: _parse(PlatformObject, answer.content)
+        lambda answer: parse_entry(PlatformObject, answer.content)
     )
 
 
@@ -155,7 +157,7 @@
     client: PlatformClient, path: str, item: PlatformObject
 ) -> Result[PlatformObject, PlatformError]:
     return _call(client, "update", "PUT", path, dump_object(item)).and_then(
-        lambda answer: _parse(PlatformObject, answer.content)
+        lambda answer: parse_entry(PlatformObject, answer.content)
     )
 
 
@@ -167,7 +169,7 @@
     timeout_seconds: float = CALL_TIMEOUT_SECONDS,
 ) -> Result[Model, PlatformError]:
     return _call(client, verb, "GET", path, None, timeout_seconds).and_then(
-        lambda answer: _parse_read(model, answer)
+        lambda answer: parse_page(model, answer.content, answer.era, answer.has_unreadable_text)
     )
 
 
@@ -201,7 +203,12 @@
     if response.status_code >= 300:
         return Err(_make_status_error(response.status_code, response_body))
     era = _read_era(response.get(HEADER_STORE_ERA))
-    return _decode(response_body).map(lambda content: StoreAnswer(content, era))
+    may_be_unreadable = may_have_unreadable_text(response_body)
+    return _decode(response_body).map(
+        lambda content: StoreAnswer(
+            content, era, may_be_unreadable and has_unreadable_text(content)
+        )
+    )
 
 
 def _read_era(text: object) -> int | None:
@@ -232,56 +239,3 @@
     default = PlatformFailure.UNAVAILABLE if status >= 500 else PlatformFailure.REFUSED
     failure = _FAILURES_BY_STATUS.get(status, default)
     return PlatformError(failure, f"HTTP {status}: {response_body[:200].decode(errors='replace')}")
-
-
-def _parse_read(model: type[Model], answer: StoreAnswer) -> Result[Model, PlatformError]:
-    if model is PlatformObject:
-        return _parse(model, answer.content)
-    parsed = _parse(model, answer.content)
-    odd_names: list[str] = []
-    if parsed.is_err():
-        content, odd_names = _separate_odd_entries(model, answer.content)
-        parsed = _parse(model, content)
-    return parsed.map(
-        lambda page: msgspec.structs.replace(page, era=answer.era, odd_names=frozenset(odd_names))
-    )
-
-
-def _separate_odd_entries(model: type[Model], content: Any) -> tuple[Any, list[str]]:
-    """Return a list or batch without the entries that are no objects, and the names of those.
-
-    Another writer may have left them, and the others hold.
-    """
-    field, entry_model = _ENTRIES_BY_MODEL[model]
-    entries = content.get(field) if isinstance(content, dict) else None
-    if not isinstance(entries, list):
-        return content, []
-    good = []
-    odd_names = []
-    for entry in entries:
-        parsed = _parse(entry_model, entry)
-        if parsed.is_ok():
-            good.append(entry)
-            continue
-        name = _find_name(entry)
-        odd_names.append(name)
-        logger.warning(
-            "entry of the store is ignored",
-            extra={"entry": name, "reason": str(parsed.err_value)[:200]},
-        )
-    return {**content, field: good}, odd_names
-
-
-def _find_name(entry: Any) -> str:
-    """Return the name of an entry that may lack any field, or an empty string."""
-    for field in ("Object", "Metadata", "Name"):
-        if isinstance(entry, dict):
-            entry = entry.get(field, entry)
-    return entry if isinstance(entry, str) else ""
-
-
-def _parse(model: type[Model], content: Any) -> Result[Model, PlatformError]:
-    try:
-        return Ok(msgspec.convert(content, model))
-    except (msgspec.ValidationError, RecursionError) as error:
-        return Err(PlatformError(PlatformFailure.REFUSED, f"not a {model.__name__}: {error}"))
--- a/comfreyhitch/platform/documents.py
+++ b/comfreyhitch/platform/documents.py
@@ -147,13 +147,16 @@
         model = _convert(document, RolloutModel)
     except msgspec.ValidationError as error:
         return Err(_format_error(document, error))
+    state = _read_state(document, model.to_version)
+    if state.is_err():
+        return state
     return Ok(
         RolloutOrder(
             rollout_id=make_rollout_id(model.service, model.to_version, document.identity_revision),
             service=model.service,
             to_version=model.to_version,
             duration=model.duration,
-            state=_read_state(document, model.to_version),
+            state=state.ok_value,
             created_revision=document.created_revision,
         )
     )
@@ -217,12 +220,19 @@
     )
 
 
-def _read_state(document: RawDocument, to_version: str) -> RolloutState:
+def _read_state(document: RawDocument, to_version: str) -> Result[RolloutState, str]:
+    """Return the state in the status of an order; one that can't be read may be an outcome."""
     status = document.status if isinstance(document.status, dict) else {}
     # A status with another version belongs to an earlier order for this service.
     if status.get("ToVersion") != to_version:
-        return RolloutState.NEW
-    return STATES_BY_NAME.get(status.get("State"), RolloutState.NEW)
+        return Ok(RolloutState.NEW)
+    name = status.get("State")
+    if name is None:
+        return Ok(RolloutState.NEW)
+    state = STATES_BY_NAME.get(name) if isinstance(name, str) else None
+    if state is None:
+        return Err(f"{document.key}: unknown state {str(name)[:40]!r} - at `$.State` of its status")
+    return Ok(state)
 
 
 def _convert(document: RawDocument, model: type[Model]) -> Model:
--- a/features/platform_input.feature
+++ b/features/platform_input.feature
@@ -34,3 +34,11 @@
     And a heartbeat with nested, too large or out of range values is refused
     And a connection to a port out of range fails as any other that can't be made
     And what is nested too deeply is read as null, and any other content unchanged
+
+  # Guards against one invalid entry that keeps a fleet from joining, or the rest of a list from
+  # being applied (review, case 3).
+  Scenario: Random entries among those of the platform
+    Then documents of each kind take effect beside any entries of another writer
+    And a daemon joins through the registrations beside them
+    And sections and heartbeats of any content are refused or read, without another effect
+    And the log names each entry that is left out
