Give up responses without end, and let other requests run meanwhile

Cause: read_response received and parsed as long as bytes were there, without letting another greenlet run, and the limit on bytes counted the body alone.

Change: before the final head a response may have 64 KiB, 256 headers and 16 interim responses; beside its body, chunk extensions and trailers included, 64 KiB and 8 bytes for each byte of the body. Beyond that the connection is closed and the request may have run, with one log line and the metric comfreyhitch_unbounded_responses_total. Reading pauses after each 256 KiB, and so does discarding what a caller sends while its connection is closed.

--- a/comfreyhitch/ingress/responses.py
+++ b/comfreyhitch/ingress/responses.py
@@ -2,21 +2,40 @@
 
 from datetime import timedelta
 
+import gevent
 import gevent.socket
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
 from comfreyhitch.core.verdicts import Response
+from comfreyhitch.wire.sockets import SHORTEST_PAUSE_SECONDS
 
 READ_BLOCK_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
+# Parsing one block takes up to 8 ms, if it holds chunks of one byte.
+BLOCKS_BETWEEN_PAUSES = 4
+# Bounds on what belongs to no body. Responses of targets have heads of less than 2 KiB.
+MAX_HEAD_BYTES = 65_536
+MAX_HEADERS = 256
+MAX_INTERIM_RESPONSES = 16
+# A chunk of one byte comes with five bytes around it, so more than this are chunk extensions or
+# trailers.
+MAX_FRAMING_PER_BODY_BYTE = 8
 
 
 class ResponseTooLargeError(Exception):
     """Signal that a response body exceeds the size limit."""
 
 
+class UnboundedResponseError(HTTPParseError):
+    """Signal that a response holds too much beside its body; `part` names what."""
+
+    def __init__(self, part: str) -> None:
+        super().__init__(f"response has too many {part}")
+        self.part = part
+
+
 class ResponseReader(HTTPResponse):
     """Parse one response, and flag bytes after its end instead of parsing them."""
 
@@ -24,7 +43,8 @@
         super().__init__(method=method)
         self.has_extra_bytes = False
         self.is_final = False
-        self.framing = ""
+        self.received_bytes = 0
+        self.interim_responses = 0
 
     def _on_message_begin(self) -> None:
         if self.is_final:
@@ -35,6 +55,7 @@
     def _on_message_complete(self) -> None:
         super()._on_message_complete()
         self.is_final = self.get_code() >= FIRST_FINAL_STATUS
+        self.interim_responses += not self.is_final
 
     def feed(self, data: bytes) -> None:
         """Parse more bytes; raise `HTTPParseError` if they are not a valid response."""
@@ -50,6 +71,19 @@
         """Return the body read so far."""
         return bytes(self._body_buffer)
 
+    def find_excess(self) -> str:
+        """Return what a response that has not ended holds too much of, or an empty string."""
+        if self.interim_responses > MAX_INTERIM_RESPONSES:
+            return "interim responses"
+        if len(self._headers_index) > MAX_HEADERS:
+            return "headers"
+        body_bytes = len(self._body_buffer)
+        if self.received_bytes - body_bytes <= MAX_HEAD_BYTES + body_bytes * (
+            MAX_FRAMING_PER_BODY_BYTE
+        ):
+            return ""
+        return "bytes around its chunks" if self.headers_complete else "bytes in its head"
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request."""
@@ -75,15 +109,25 @@
     """Read a complete response.
 
     Raise `TimeoutError` at the deadline, `HTTPParseError` for an invalid or incomplete
-    response, `OSError` for a connection reset, and `ResponseTooLargeError` beyond the limit.
+    response, `OSError` for a connection reset, `ResponseTooLargeError` beyond the limit, and
+    `UnboundedResponseError` for too much beside the body.
     """
+    blocks = 0
     while not reader.is_final:
+        blocks += 1
+        if blocks % BLOCKS_BETWEEN_PAUSES == 0:
+            # While bytes are there, receiving them does not let other greenlets run.
+            gevent.sleep(SHORTEST_PAUSE_SECONDS)
         remaining_seconds = deadline - clock.monotonic()
         if remaining_seconds <= 0:
             raise TimeoutError
         sock.settimeout(remaining_seconds)
         data = sock.recv(READ_BLOCK_BYTES)
+        reader.received_bytes += len(data)
         reader.feed(data)
+        excess = "" if reader.is_final else reader.find_excess()
+        if excess:
+            raise UnboundedResponseError(excess)
         if len(reader._body_buffer) > limit_bytes:
             raise ResponseTooLargeError(f"response body exceeds {limit_bytes} bytes")
         if not data and not reader.is_final:
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -136,6 +136,7 @@
     ingress.connections = TargetConnectionPool.from_address(host, port, clock, ingress.header_names)
     ingress.connections.on_unexpected_close = lambda: mark_suspected(ingress.lifecycle)
     ingress.connections.on_response = lambda response: apply_target_notices(ingress, response)
+    ingress.connections.on_unbounded = lambda part: _record_unbounded(ingress, part)
     ingress.rate_limit = NamedRateLimit()
     ingress.is_probed = False
     set_slots(ingress, slots)
@@ -160,6 +161,11 @@
             ingress.on_leaving()
 
 
+def _record_unbounded(ingress: Ingress, part: str) -> None:
+    ingress.metrics.ingress.unbounded_responses.inc({"part": part})
+    logger.warning("response of the target was given up", extra={"too_many": part})
+
+
 def set_slots(ingress: Ingress, slots: int) -> None:
     """Set how many requests the target can run at a time."""
     if ingress.settings.limit_rule == "slots":
--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -18,6 +18,7 @@
 from comfreyhitch.ingress.responses import (
     ResponseReader,
     ResponseTooLargeError,
+    UnboundedResponseError,
     get_idle_timeout_seconds,
     read_response,
 )
@@ -52,6 +53,8 @@
     on_response: Callable[[Response], None] = lambda response: None
     # Called when the target has closed an idle connection before it expired.
     on_unexpected_close: Callable[[], None] = lambda: None
+    # Called with what a response that was given up holds too much of.
+    on_unbounded: Callable[[str], None] = lambda part: None
 
     @classmethod
     def from_address(
@@ -112,6 +115,9 @@
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "target did not answer in time"))
     except ResponseTooLargeError as error:
         return Err(Failure(Verdict.RAN, Refusal.RESPONSE_TOO_LARGE, str(error)))
+    except UnboundedResponseError as error:
+        connections.on_unbounded(error.part)
+        return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, str(error)))
     except (OSError, HTTPParseError) as error:
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, repr(error)))
     finally:
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -49,6 +49,7 @@
     queued: Gauge
     target_probes: Counter
     target_probe_seconds: Counter
+    unbounded_responses: Counter
 
 
 @dataclass(slots=True)
@@ -175,6 +176,11 @@
         target_probe_seconds=_make_counter(
             registry, "target_probe_seconds_total", "Time spent on reading the health endpoint."
         ),
+        unbounded_responses=_make_counter(
+            registry,
+            "unbounded_responses_total",
+            "Responses of the target given up for their headers, interim responses or chunks.",
+        ),
     )
 
 
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from ipaddress import IPv4Address
 
+import gevent
 import gevent.socket
 from gevent import Timeout
 from gevent.hub import get_hub
@@ -18,6 +19,9 @@
 _IP_BIND_ADDRESS_NO_PORT = 24
 _READ_EVENT = 1
 DISCARD_BYTES = 64 * 1024
+# A pause of 0 lets neither timers nor sockets run if the greenlet is busy between its pauses; this
+# one does, and takes about 1 ms.
+SHORTEST_PAUSE_SECONDS = 0.00001
 
 
 def configure_socket(sock: gevent.socket.socket) -> None:
@@ -101,7 +105,8 @@
     with suppress(OSError), Timeout(timeout_seconds, False):
         sock.shutdown(socket.SHUT_WR)
         while sock.recv(DISCARD_BYTES):
-            pass
+            # While bytes are there, the timeout could not end this loop otherwise.
+            gevent.sleep(SHORTEST_PAUSE_SECONDS)
 
 
 def watch_disconnect(
--- a/features/target_responses.feature
+++ b/features/target_responses.feature
@@ -31,3 +31,10 @@
     Then a response proves that a request did not run only if it names this request and says so
     And a refusal without an id that follows an earlier response proves nothing about the next request
     And an answer between daemons proves that a request did not run only if it says so whole
+
+  # Guards against a daemon that serves nothing else until a request's deadline, because it reads
+  # bytes that do not end (review, case 4).
+  Scenario: Responses without end
+    Then each is given up long before the deadline, as one that may have run, and is counted
+    And other greenlets run while such bytes arrive faster than they are read
+    And the end of a connection whose other end goes on sending is not awaited for longer than told
