Read the health path after each four requests to a target that may be cold

Cause: that a target in service has become cold is said by its health path, which was read once a second, and by heartbeats. Where targets tell their pace the path is read before most requests, which hid the fault.

Change: after 4 requests since the last reading the path is read in the background, within the probe budget (half of the platform's bound of 60 a second). So the number of requests until the cold time shows does not depend on their rate. The warm-up limiter starts empty at that moment.

--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -10,6 +10,7 @@
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.ingress.accounting import MIN_SERVER_ERROR_STATUS
+from comfreyhitch.ingress.cold_checks import count_request
 from comfreyhitch.ingress.health import report_if_crashed, update_pace
 from comfreyhitch.ingress.lifecycle import is_cold, mark_suspected
 from comfreyhitch.ingress.models import IncomingCall
@@ -54,6 +55,7 @@
     failure = _find_rate_refusal(ingress, call, started_at)
     if failure is not None:
         return Err(failure)
+    count_request(ingress, started_at)
     call.sent_at = started_at
     call.pace_at_send = ingress.pace
     if record is not None:
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -17,6 +17,7 @@
 from comfreyhitch.ingress.lifecycle import (
     TargetState,
     apply_health_response,
+    is_cold,
     mark_suspected,
 )
 from comfreyhitch.ingress.load import parse_load
@@ -51,6 +52,7 @@
     clock = ingress.blackboard.clock
     started_at = clock.monotonic()
     ingress.last_probed_at = started_at
+    ingress.requests_since_reading = 0
     request = TargetRequest(
         method="GET",
         path=_get_health_path(ingress),
@@ -125,7 +127,12 @@
     is_healthy = response.status == OK_STATUS
     cold_duration = _parse_cold_duration(ingress, response)
     update_pace(ingress, response, now)
+    was_cold = is_cold(ingress.lifecycle, now)
     apply_health_response(ingress.lifecycle, instance_id, is_healthy, cold_duration, now)
+    if not was_cold and is_cold(ingress.lifecycle, now) and ingress.warm_up_limiter is not None:
+        # The requests that it has just got at its usual rate count as those of its first moment.
+        ingress.warm_up_limiter.bucket.tokens = 0.0
+        ingress.warm_up_limiter.bucket.updated_at = now
     if ingress.held_heartbeat is not None:
         _check_held_heartbeat(ingress, ingress.held_heartbeat, instance_id, is_healthy, now)
 
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -85,6 +85,10 @@
     on_confirmed: Callable[[Heartbeat], None] = lambda heartbeat: None
     # Whether the target's health path was probed since the target was attached.
     is_probed: bool = False
+    # Requests sent to the target since its health path was last asked, and the reading that they
+    # caused.
+    requests_since_reading: int = 0
+    cold_check: gevent.Greenlet | None = None
     pace: PaceReading | None = None
     pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
--- a/features/target_life.feature
+++ b/features/target_life.feature
@@ -59,3 +59,8 @@
     Then the target gets no requests
     When heartbeats of i-1, born at 1000, go on for 3 seconds
     Then i-1 gets requests
+
+  # Guards against a target without pace in its load header that becomes cold again and gets its
+  # usual rate until the next reading of its health path (review, case 5).
+  Scenario: A target in service that becomes cold
+    Then a target that becomes cold under 20, 37, 90 requests a second gets no more than it tolerates
