Quarantine a request after three crashes of one target

Cause: a request was refused only after it had crashed targets at two addresses.

Change: each daemon reports later crashes of its target by the same request beside the first, and three of them quarantine it as well. The reports keep their format; a daemon of an earlier version counts the second as that of another target.

--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -92,12 +92,26 @@
 
 
 QUARANTINE_MIN_CRASHED_TARGETS = 2
+# Crashes after which a request is quarantined although it crashed the same target each time, which
+# may be the only one of its service. The platform allows 3.
+QUARANTINE_MIN_CRASHES = 3
+_CRASH_NUMBER_SEPARATOR = "#"
+
+
+def make_crash_target(address: str, number: int) -> str:
+    """Return the name of a target in the report of its first or of a later crash."""
+    return address if number == 1 else f"{address}{_CRASH_NUMBER_SEPARATOR}{number}"
 
 
 def is_quarantined(blackboard: Blackboard, request_fingerprint: str) -> bool:
     """Return whether a request crashed enough targets to be refused by every daemon."""
     reports = blackboard.crash_reports_by_fingerprint.get(request_fingerprint)
-    return reports is not None and len(reports) >= QUARANTINE_MIN_CRASHED_TARGETS
+    if reports is None:
+        return False
+    addresses = {name.partition(_CRASH_NUMBER_SEPARATOR)[0] for name in reports}
+    return (
+        len(addresses) >= QUARANTINE_MIN_CRASHED_TARGETS or len(reports) >= QUARANTINE_MIN_CRASHES
+    )
 
 
 def get_version_refusal_reason(blackboard: Blackboard, service: str, version: str) -> str | None:
