--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -122,8 +122,11 @@
 def _apply_response(ingress: Ingress, response: Response, now: float) -> None:
     instance_id = _get_instance_id(ingress, response)
     if ingress.header_names.instance and not instance_id:
-        logger.warning("health response names no instance", extra={"status": response.status})
+        if ingress.names_instance:
+            logger.warning("health path names no instance", extra={"status": response.status})
+        ingress.names_instance = False
         return
+    ingress.names_instance = True
     is_healthy = response.status == OK_STATUS
     cold_duration = _parse_cold_duration(ingress, response)
     update_pace(ingress, response, now)
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -79,6 +79,8 @@
     on_leaving: Callable[[], None] = lambda: None
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
+    # Whether the last health response named its instance.
+    names_instance: bool = True
     # The first heartbeat of an incarnation, until the health path confirms that it has not left.
     held_heartbeat: HeldHeartbeat | None = None
     # Called with a held heartbeat that was confirmed.
