--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -7,6 +7,7 @@
 
 import gevent
 import gevent.socket
+from gevent import pywsgi
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from comfreyhitch.core.clock import Clock
@@ -20,6 +21,7 @@
     add_connection,
     enter_phase,
 )
+from comfreyhitch.egress.request_framing import RequestHeadError, check_framing, read_headers
 from comfreyhitch.routing.models import CallerLimits
 from comfreyhitch.wire.sockets import (
     configure_socket,
@@ -27,6 +29,10 @@
     is_open_and_empty,
 )
 
+# The library refuses longer request lines with 414. Its default is 8 KiB, and the configuration may
+# allow heads of more bytes.
+pywsgi.MAX_REQUEST_LINE = 65_536
+
 # How long a caller may take to close its side of a connection after the last response.
 END_OF_STREAM_SECONDS = 0.5
 REASONS_AFTER_RESPONSE = frozenset({EndReason.RESPONSE_SENT, EndReason.REQUEST_INVALID})
@@ -36,12 +42,6 @@
 PATH_ENVIRON_KEY = "comfreyhitch.path"
 
 
-class RequestHeadError(ValueError):
-    """Signal that a request's head (request line and headers) was rejected."""
-
-    status = "400 Bad Request"
-
-
 class HeadTooLargeError(RequestHeadError):
     """Signal that a request's head exceeds its size limit."""
 
@@ -194,6 +194,11 @@
 
     def MessageClass(self, file: object, *arguments: object) -> object:  # noqa: N802
         """Read and return the headers of a request; the WSGI library defines this name."""
+        headers = self._read_headers(file, *arguments)
+        check_framing(headers)
+        return headers
+
+    def _read_headers(self, file: object, *arguments: object) -> object:
         limits = self.server.get_limits()
         if limits is None:
             return super().MessageClass(file, *arguments)
@@ -202,7 +207,7 @@
         reader = BoundedHeadReader(file, limits.header_bytes - used_bytes)
         error = HeadTooSlowError("request head did not arrive within the header timeout")
         with gevent.Timeout(max(0.001, self.head_deadline - time.monotonic()), error):
-            return super().MessageClass(reader, *arguments)
+            return read_headers(reader)
 
     def get_environ(self) -> dict[str, object]:
         """Return the WSGI environ, with the request's raw headers, connection and path added."""
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -1,5 +1,6 @@
 """Probe the target's health path within the probe budget."""
 
+import logging
 from datetime import timedelta
 
 from result import Err, Ok
@@ -7,9 +8,16 @@
 from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Outcome, Refusal, Response
+from comfreyhitch.ingress.confirmation import (
+    Confirmation,
+    HeldHeartbeat,
+    confirm,
+    has_expired,
+)
 from comfreyhitch.ingress.lifecycle import (
     TargetState,
     apply_health_response,
+    is_cold,
     mark_suspected,
 )
 from comfreyhitch.ingress.load import parse_load
@@ -17,11 +25,15 @@
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.utils.token_bucket import take_tokens
 
+logger = logging.getLogger(__name__)
+
 DEFAULT_HEALTH_PATH = "/healthz"
 HEALTH_TIMEOUT_SECONDS = 1.0
 HEALTH_BODY_LIMIT_BYTES = 4096
 OK_STATUS = 200
 MAX_COLD_MS = 600_000
+# Cold time of a target that names one which can't be read; each health response renews it.
+UNREADABLE_COLD_MS = 3_000
 
 
 def probe_target_if_due(ingress: Ingress) -> None:
@@ -40,6 +52,7 @@
     clock = ingress.blackboard.clock
     started_at = clock.monotonic()
     ingress.last_probed_at = started_at
+    ingress.requests_since_reading = 0
     request = TargetRequest(
         method="GET",
         path=_get_health_path(ingress),
@@ -88,6 +101,8 @@
         return True
     if ingress.warm_up_limiter is None:
         return False
+    if ingress.held_heartbeat is not None:
+        return True
     return ingress.lifecycle.is_suspected or ingress.lifecycle.state is TargetState.STARTING
 
 
@@ -105,11 +120,45 @@
 
 
 def _apply_response(ingress: Ingress, response: Response, now: float) -> None:
-    is_healthy = response.status == OK_STATUS
     instance_id = _get_instance_id(ingress, response)
+    if ingress.header_names.instance and not instance_id:
+        if ingress.names_instance:
+            logger.warning("health path names no instance", extra={"status": response.status})
+        ingress.names_instance = False
+        return
+    ingress.names_instance = True
+    is_healthy = response.status == OK_STATUS
     cold_duration = _parse_cold_duration(ingress, response)
     update_pace(ingress, response, now)
+    was_cold = is_cold(ingress.lifecycle, now)
     apply_health_response(ingress.lifecycle, instance_id, is_healthy, cold_duration, now)
+    if not was_cold and is_cold(ingress.lifecycle, now) and ingress.warm_up_limiter is not None:
+        # The requests that it has just got at its usual rate count as those of its first moment.
+        ingress.warm_up_limiter.bucket.tokens = 0.0
+        ingress.warm_up_limiter.bucket.updated_at = now
+    if ingress.held_heartbeat is not None:
+        _check_held_heartbeat(ingress, ingress.held_heartbeat, instance_id, is_healthy, now)
+
+
+def _check_held_heartbeat(
+    ingress: Ingress, held: HeldHeartbeat, instance_id: str, is_healthy: bool, now: float
+) -> None:
+    """Apply a held heartbeat that a health response confirms, or drop one that it contradicts."""
+    confirmation = confirm(held, instance_id, is_healthy)
+    if confirmation is Confirmation.CONFIRMED:
+        ingress.held_heartbeat = None
+        ingress.on_confirmed(held.heartbeat)
+    elif confirmation is Confirmation.CONTRADICTED or has_expired(held, now):
+        ingress.held_heartbeat = None
+        logger.warning(
+            "unconfirmed heartbeat is dropped",
+            extra={
+                "instance_id": held.heartbeat.instance_id,
+                "sequence": held.heartbeat.sequence,
+                "responding_instance_id": instance_id,
+                "is_healthy": is_healthy,
+            },
+        )
 
 
 def update_pace(ingress: Ingress, response: Response, now: float) -> None:
@@ -126,6 +175,9 @@
 
 def _parse_cold_duration(ingress: Ingress, response: Response) -> timedelta | None:
     text = find_header(response.headers, ingress.header_names.cold_ms)
-    if not text.isascii() or not text.isdigit() or int(text) > MAX_COLD_MS:
+    if not text:
         return None
-    return timedelta(milliseconds=int(text))
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_COLD_MS)):
+        # A target that names a cold time which can't be read is not taken for a warm one.
+        return timedelta(milliseconds=UNREADABLE_COLD_MS)
+    return timedelta(milliseconds=min(int(text), MAX_COLD_MS))
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -22,7 +22,9 @@
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
 from comfreyhitch.core.verdicts import Response
 from comfreyhitch.idempotency.claims import ClaimClient
+from comfreyhitch.ingress.confirmation import HeldHeartbeat
 from comfreyhitch.ingress.lifecycle import (
+    Heartbeat,
     TargetLifecycle,
     TargetState,
     mark_leaving,
@@ -77,8 +79,18 @@
     on_leaving: Callable[[], None] = lambda: None
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
+    # Whether the last health response named its instance.
+    names_instance: bool = True
+    # The first heartbeat of an incarnation, until the health path confirms that it has not left.
+    held_heartbeat: HeldHeartbeat | None = None
+    # Called with a held heartbeat that was confirmed.
+    on_confirmed: Callable[[Heartbeat], None] = lambda heartbeat: None
     # Whether the target's health path was probed since the target was attached.
     is_probed: bool = False
+    # Requests sent to the target since its health path was last asked, and the reading that they
+    # caused.
+    requests_since_reading: int = 0
+    cold_check: gevent.Greenlet | None = None
     pace: PaceReading | None = None
     pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
@@ -130,6 +142,7 @@
     ingress.connections = TargetConnectionPool.from_address(host, port, clock, ingress.header_names)
     ingress.connections.on_unexpected_close = lambda: mark_suspected(ingress.lifecycle)
     ingress.connections.on_response = lambda response: apply_target_notices(ingress, response)
+    ingress.connections.on_unbounded = lambda part: _record_unbounded(ingress, part)
     ingress.rate_limit = NamedRateLimit()
     ingress.is_probed = False
     set_slots(ingress, slots)
@@ -154,6 +167,11 @@
             ingress.on_leaving()
 
 
+def _record_unbounded(ingress: Ingress, part: str) -> None:
+    ingress.metrics.ingress.unbounded_responses.inc({"part": part})
+    logger.warning("response of the target was given up", extra={"too_many": part})
+
+
 def set_slots(ingress: Ingress, slots: int) -> None:
     """Set how many requests the target can run at a time."""
     if ingress.settings.limit_rule == "slots":
