Add counts of requests by account, and the duty of reporting them

Cause: the platform of two users asks for the number of requests of each account in each window, reported by one daemon at a time (docs/internals/overload-and-accounts.md, part 2). Without the settings nothing starts.

--- a/comfreyhitch/conf/checks.py
+++ b/comfreyhitch/conf/checks.py
@@ -82,6 +82,22 @@
     return [CheckError("COMFREYHITCH_PLATFORM_URL", f"{url!r} is not an http:// URL", "correct it")]
 
 
+@register
+def check_usage_reports(settings: Settings) -> list[CheckError]:
+    """Check that usage reports name their sender and have a store to agree on it."""
+    if settings.usage_address is None:
+        return []
+    missing = {
+        "COMFREYHITCH_NODE_NAME": not settings.node_name.isascii() or not settings.node_name,
+        "COMFREYHITCH_PLATFORM_URL": settings.platform_url is None,
+    }
+    return [
+        CheckError(name, "missing although COMFREYHITCH_USAGE_ADDRESS is given", "set it")
+        for name, is_missing in missing.items()
+        if is_missing
+    ]
+
+
 @register
 def check_ports_free(settings: Settings) -> list[CheckError]:
     """Check that the daemon's ports are free."""
--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -16,6 +16,7 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 SlotCount = Annotated[int, Meta(ge=1, le=10_000)]
+CallRate = Annotated[float, Meta(ge=0.1, le=10_000)]
 NonNegative = Annotated[float, Meta(ge=0)]
 ProbeRate = Annotated[float, Meta(ge=0, le=1000)]
 TargetProbeRate = Annotated[float, Meta(ge=0, le=100)]
@@ -129,6 +130,24 @@
     key_retention: Annotated[
         timedelta, Meta(description="time for which outcomes by Idempotency-Key are kept")
     ] = timedelta(minutes=10)
+    usage_address: Annotated[
+        Address | None, Meta(description="address that usage reports are sent to, if any")
+    ] = None
+    node_name: Annotated[
+        str, Meta(description="name of this instance in usage reports", max_length=256)
+    ] = ""
+    usage_window: Annotated[timedelta, Meta(description="time that one usage report is about")] = (
+        timedelta(seconds=5)
+    )
+    usage_lease: Annotated[
+        timedelta, Meta(description="time for which a daemon may report usage after each write")
+    ] = timedelta(seconds=3)
+    usage_report_limit: Annotated[
+        timedelta, Meta(description="time after a usage window by which its report is sent")
+    ] = timedelta(seconds=10)
+    usage_call_rate: Annotated[
+        CallRate, Meta(description="usage reports a second that the platform accepts")
+    ] = 50.0
     log_level: Annotated[
         Literal["DEBUG", "INFO", "WARNING", "ERROR"],
         Meta(description="least severe level that is logged"),
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -43,11 +43,13 @@
     store: FactStore,
     metrics: Metrics,
     announce: Callable[[Announcement], None],
+    get_usage_status: Callable[[], dict[str, object] | None] = lambda: None,
 ) -> WSGIServer:
-    """Return the server on the admin port."""
+    """Return the server on the admin port; `get_usage_status` gives None without reports."""
 
     def get_metrics() -> AdminResponse:
         _update_gauges(blackboard, ingress, metrics)
+        _update_usage_gauges(get_usage_status(), metrics)
         content, content_type = render_metrics(metrics)
         return "200 OK", content_type, content
 
@@ -58,12 +60,17 @@
         status = "200 OK" if is_ready else "503 Service Unavailable"
         return _make_json(status, {"ready": is_ready, "accepting": is_accepting(ingress)})
 
+    def get_status() -> dict[str, object]:
+        usage = get_usage_status()
+        status = _make_status(blackboard, ingress, store)
+        return status if usage is None else {**status, "usage": usage}
+
     handlers_by_path: dict[str, Callable[[], AdminResponse]] = {
         "/metrics": get_metrics,
         "/healthz": lambda: _make_json("200 OK", {"healthy": True}),
         "/readyz": get_readiness,
         "/v1/members": lambda: _make_json("200 OK", _list_members(blackboard)),
-        "/v1/status": lambda: _make_json("200 OK", _make_status(blackboard, ingress, store)),
+        "/v1/status": lambda: _make_json("200 OK", get_status()),
     }
 
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
@@ -146,3 +153,12 @@
     table = blackboard.route_table
     unknown = [] if table is None else table.list_routes_of_unknown_kind()
     metrics.control.routes_of_unknown_kind.set({}, len(unknown))
+
+
+def _update_usage_gauges(status: dict[str, object] | None, metrics: Metrics) -> None:
+    if status is None:
+        return
+    metrics.usage.is_holder.set({}, int(status["is_holder"]))
+    if "token" in status:
+        metrics.usage.token.set({}, status["token"])
+        metrics.usage.last_window_age_seconds.set({}, status["last_window_age_seconds"])
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -35,6 +35,7 @@
 from comfreyhitch.replication.sync import fetch_facts
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.usage.exchange import UsageService
 from comfreyhitch.watching.follower import Follower
 from comfreyhitch.wire.connections import PeerPool
 
@@ -62,6 +63,7 @@
     read_settings: Callable[[], Settings] | None = None
     platform: PlatformClient | None = None
     registration: Registration | None = None
+    usage: UsageService | None = None
     followers_by_document_kind: dict[DocumentKind, Follower] = field(default_factory=dict)
     stop_requested: Event = field(default_factory=Event)
     servers: list[StreamServer | WSGIServer] = field(default_factory=list)
--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -24,6 +24,12 @@
     parse_fact_messages,
 )
 from comfreyhitch.replication.sync import answer_exchange
+from comfreyhitch.usage.exchange import (
+    NEVER_COMPLETE,
+    UsageService,
+    answer_usage_query,
+    receive_counts,
+)
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.generated.ttypes import (
     BucketDigest,
@@ -38,7 +44,10 @@
     FenceAnswer,
     FenceQuery,
     Greeting,
+    SourceUsage,
     SyncAnswer,
+    UsageAnswer,
+    UsageDigest,
 )
 
 
@@ -50,6 +59,7 @@
     ingress: Ingress
     claims: ClaimClient
     store: FactStore
+    usage: UsageService | None = None
 
 
 class PeerHandler(Peer.Iface):
@@ -117,6 +127,20 @@
         store = self._services.store
         merge_facts(store, parse_fact_messages(store, facts), is_from_peer=True)
 
+    def push_usage(self, source: SourceUsage) -> str:
+        """Merge the counts of a process, and return the boot id of this daemon."""
+        usage = self._services.usage
+        if usage is not None:
+            receive_counts(usage, source)
+        return self._services.blackboard.own_member.boot_id
+
+    def get_usage(self, window: int, known: list[UsageDigest]) -> UsageAnswer:
+        """Return the counts of a window that differ from the known ones."""
+        usage = self._services.usage
+        if usage is None:
+            return UsageAnswer(NEVER_COMPLETE, [])
+        return answer_usage_query(usage, window, known)
+
 
 def make_handler_factory(
     services: PeerServices,
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -25,6 +25,12 @@
         "target_port",
         "platform_url",
         "registration",
+        "usage_address",
+        "node_name",
+        "usage_window",
+        "usage_lease",
+        "usage_report_limit",
+        "usage_call_rate",
         "log_level",
     }
 )
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -10,6 +10,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.daemon.usage import send_last_counts
 from comfreyhitch.egress.caller_connections import (
     CallerConnection,
     ConnectionPhase,
@@ -152,6 +153,8 @@
 def _leave_cluster(daemon: Daemon) -> int:
     """Hand over claims and tell peers that this daemon leaves; return the number of claims."""
     handed_over = _try_step("handing over claims", lambda: hand_over_claims(daemon.claims))
+    if daemon.usage is not None:
+        _try_step("sending usage counts", lambda: send_last_counts(daemon.usage))
     _try_step("announcing the departure", lambda: _announce_departure(daemon))
     return handed_over or 0
 
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -9,6 +9,7 @@
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.controllers import start_controllers
 from comfreyhitch.daemon.peer_handler import PeerServices, make_handler_factory
+from comfreyhitch.daemon.usage import make_usage_service, make_usage_status, start_usage
 from comfreyhitch.egress.frontend import make_caller_server
 from comfreyhitch.ingress.lifecycle import Heartbeat
 from comfreyhitch.ingress.state import apply_service_profile, attach_target
@@ -21,7 +22,10 @@
 def start(daemon: Daemon) -> None:
     """Start the servers, publish the daemon's member record, and start its controllers."""
     settings = daemon.settings
-    services = PeerServices(daemon.blackboard, daemon.ingress, daemon.claims, daemon.store)
+    daemon.usage = make_usage_service(daemon)
+    services = PeerServices(
+        daemon.blackboard, daemon.ingress, daemon.claims, daemon.store, daemon.usage
+    )
     daemon.servers = [
         make_peer_server(str(settings.host), settings.peer_port, make_handler_factory(services)),
         make_caller_server(daemon.egress, daemon.adapter.make_caller_interface(daemon.egress)),
@@ -32,6 +36,7 @@
             daemon.store,
             daemon.metrics,
             lambda announcement: _handle_own_announcement(daemon, announcement),
+            lambda: None if daemon.usage is None else make_usage_status(daemon.usage),
         ),
         *daemon.adapter.make_servers(daemon),
     ]
@@ -43,6 +48,8 @@
     daemon.greenlets.append(gevent.spawn(receive_datagrams, daemon.detector))
     daemon.metrics.control.probe_budget.set({}, daemon.egress.probe_budget.rate)
     start_controllers(daemon)
+    if daemon.usage is not None:
+        start_usage(daemon, daemon.usage)
     logger.info("daemon started", extra={"address": daemon.blackboard.own_member.address})
 
 
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -59,14 +59,20 @@
     if record is not None:
         mark_running(record, started_at)
 
+    usage_window: int | None = None
+
     def before_send() -> None:
+        nonlocal usage_window
         record_start(limit, ingress.queue.running)
+        usage_window = ingress.usage.start(call.tenant)
 
     # A non-idempotent request is not cancelled when its caller disconnects, so that
     # a fence query or a resend can still get its outcome.
     cancel_socket = call.cancel_socket if call.is_idempotent else None
     request = _make_target_request(ingress, call, started_at)
     outcome = call_target(connections, request, cancel_socket, before_send)
+    if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
+        ingress.usage.withdraw(call.tenant, usage_window)
     _record_target_outcome(ingress, call, outcome, started_at)
     return outcome
 
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -35,6 +35,7 @@
 from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.usage.recorder import NO_USAGE_RECORDER, UsageRecorder
 from comfreyhitch.utils.recent_set import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.generated.ttypes import LoadReport
@@ -75,6 +76,7 @@
     rate_limit: NamedRateLimit = field(default_factory=NamedRateLimit)
     # Called when the target says in a response, for the first time, that it is leaving.
     on_leaving: Callable[[], None] = lambda: None
+    usage: UsageRecorder = NO_USAGE_RECORDER
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
     # Whether the target's health path was probed since the target was attached.
--- a/comfreyhitch/membership/queries.py
+++ b/comfreyhitch/membership/queries.py
@@ -43,11 +43,28 @@
     return blackboard.own_member.address in _rank_readers(blackboard)[:1]
 
 
+def list_first_readers(blackboard: Blackboard) -> list[str]:
+    """Return the address of the first reader of each availability zone.
+
+    Readers that stop soon come after the others of their zone.
+    """
+    members = blackboard.members_by_address
+    zones = sorted({member.zone for member in members.values()})
+    first_readers = []
+    for zone in zones:
+        ranked = _rank_zone(blackboard, zone)
+        first_readers += sorted(ranked, key=lambda address: members[address].draining)[:1]
+    return first_readers
+
+
 def _rank_readers(blackboard: Blackboard) -> list[str]:
-    own = blackboard.own_member
+    return _rank_zone(blackboard, blackboard.own_member.zone)
+
+
+def _rank_zone(blackboard: Blackboard, zone: str) -> list[str]:
     addresses = [
         member.address
         for member in blackboard.members_by_address.values()
-        if member.zone == own.zone and member.is_reachable
+        if member.zone == zone and member.is_reachable
     ]
-    return rank_by_rendezvous(f"reader {own.zone}", addresses)
+    return rank_by_rendezvous(f"reader {zone}", addresses)
--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -114,8 +114,20 @@
     client: PlatformClient, kind: str, item: PlatformObject
 ) -> Result[PlatformObject, PlatformError]:
     """Create an object; a conflict means that an object with its name exists."""
-    return _call(client, "create", "POST", kind, dump_object(item)).and_then(
-        lambda answer: _parse(PlatformObject, answer.content)
+    return write_object(client, kind, item, is_new=True).map(lambda written: written[0])
+
+
+def write_object(
+    client: PlatformClient, kind: str, item: PlatformObject, *, is_new: bool
+) -> Result[tuple[PlatformObject, int | None], PlatformError]:
+    """Create an object, or replace it as `update_object` does; return it, and the store's era."""
+    verb, method, path = (
+        ("create", "POST", kind)
+        if is_new
+        else ("update", "PUT", _make_path(kind, item.metadata.name))
+    )
+    return _call(client, verb, method, path, dump_object(item)).and_then(
+        lambda answer: _parse(PlatformObject, answer.content).map(lambda obj: (obj, answer.era))
     )
 
 
--- a/comfreyhitch/platform/names.py
+++ b/comfreyhitch/platform/names.py
@@ -7,6 +7,8 @@
 HEADER_CALLER_SERVICE = "X-Comfreyhitch-Caller-Service"
 HEADER_RETRY_AFTER = "Retry-After"
 HEADER_STORE_ERA = "Store-Era"
+HEADER_DUTY_HOLDER = "X-Comfreyhitch-Duty-Holder"
+HEADER_FENCING_TOKEN = "X-Comfreyhitch-Fencing-Token"
 
 PLATFORM_TARGET_HEADERS = TargetHeaderNames(
     timeout=HEADER_DEADLINE_MS,
@@ -22,6 +24,7 @@
 )
 
 PATH_READY = "/v1/ready"
+PATH_USAGE = "/usage"
 PATH_INSTANCES = "/v1/instances/"
 
 KIND_CONFIGURATION = "config"
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -28,6 +28,7 @@
 CONTRACT_SHARED_TARGETS = "pool"
 CONTRACT_ROLLOUTS = "rollout"
 TARGET_PROBE_INTERVAL_SECONDS = 1.0
+DUTY_USAGE_REPORT = "usage_report"
 
 
 def read_file(path: Path) -> dict[str, str]:
@@ -100,9 +101,31 @@
         "probe_rate": 0.0,
         "target_probe_rate": min(TARGET_PROBES_PER_SECOND, float(values["Bounds.ProbesPerS"]) / 2),
         "target_probe_interval": TARGET_PROBE_INTERVAL_SECONDS,
+        **_translate_usage_duty(values),
     }
 
 
+def _translate_usage_duty(values: Mapping[str, str]) -> dict[str, object]:
+    """Return the settings of usage reports, or none if the platform does not ask for them."""
+    duties = {name.strip() for name in values.get("Cloud.Duties", "").split(",")}
+    address = values.get("Cloud.Address", "")
+    if not address or DUTY_USAGE_REPORT not in duties:
+        return {}
+    durations_by_setting = {
+        "usage_window": "Bounds.UsageWindow",
+        "usage_lease": "Bounds.Lease_time",
+        "usage_report_limit": "Bounds.UsageLate",
+    }
+    settings: dict[str, object] = {
+        setting: parse_duration(values[name]).total_seconds()
+        for setting, name in durations_by_setting.items()
+        if name in values
+    }
+    if "Cloud.DutyPerS" in values:
+        settings["usage_call_rate"] = float(values["Cloud.DutyPerS"])
+    return {**settings, "usage_address": address, "node_name": values["Node"]}
+
+
 def _has_overload_control(values: Mapping[str, str]) -> bool:
     """Return whether requests are scheduled by what their delay or refusal costs callers.
 
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -66,6 +66,16 @@
     routes_of_unknown_kind: Gauge
 
 
+@dataclass(slots=True)
+class UsageMetrics:
+    """Hold the metrics of usage reports."""
+
+    events: Counter
+    is_holder: Gauge
+    token: Gauge
+    last_window_age_seconds: Gauge
+
+
 @dataclass(slots=True)
 class Metrics:
     """Hold all metrics of a daemon and the registry that renders them."""
@@ -74,6 +84,7 @@
     egress: EgressMetrics
     ingress: IngressMetrics
     control: ControlMetrics
+    usage: UsageMetrics
     label_sets_by_key: dict[tuple[str, ...], dict[str, str]]
     known_tenants: set[str]
 
@@ -86,6 +97,7 @@
             egress=_make_egress_metrics(registry),
             ingress=_make_ingress_metrics(registry),
             control=_make_control_metrics(registry),
+            usage=_make_usage_metrics(registry),
             label_sets_by_key={},
             known_tenants=set(),
         )
@@ -206,6 +218,21 @@
     )
 
 
+def _make_usage_metrics(registry: Registry) -> UsageMetrics:
+    return UsageMetrics(
+        events=_make_counter(
+            registry, "usage_duty_events_total", "Writes, reports and changes of the usage duty."
+        ),
+        is_holder=_make_gauge(
+            registry, "usage_duty_is_held", "Whether this daemon holds the usage duty."
+        ),
+        token=_make_gauge(registry, "usage_duty_token", "Latest known token of the usage duty."),
+        last_window_age_seconds=_make_gauge(
+            registry, "usage_last_window_age_seconds", "Time since the last window that is decided."
+        ),
+    )
+
+
 def _make_counter(registry: Registry, name: str, doc: str) -> Counter:
     return Counter(f"comfreyhitch_{name}", doc, registry=registry)
 
--- /dev/null
+++ b/comfreyhitch/usage/recorder.py
@@ -0,0 +1,35 @@
+"""Count the requests that the ingress sends to its target."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from comfreyhitch.usage.counts import UsageTable, count_start, count_withdrawal
+
+
+@dataclass(frozen=True, slots=True)
+class UsageRecorder:
+    """Count requests by account and window; without a table, count nothing.
+
+    `unnamed_account` stands for requests that belong to no account, which are not counted.
+    """
+
+    table: UsageTable | None = None
+    get_window: Callable[[], int] = lambda: 0
+    unnamed_account: str = ""
+
+    def start(self, account: str) -> int | None:
+        """Count a request that is being sent, and return its window, or None if not counted."""
+        if self.table is None or account == self.unnamed_account:
+            return None
+        window = self.get_window()
+        count_start(self.table, window, account)
+        return window
+
+    def withdraw(self, account: str, window: int | None) -> None:
+        """Take back the request of a window, since the target has proved that it did not run."""
+        if self.table is not None and window is not None:
+            count_withdrawal(self.table, window, account)
+
+
+# For daemons without usage reports.
+NO_USAGE_RECORDER = UsageRecorder()
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -177,6 +177,58 @@
   6: required list<FactHead> heads,
 }
 
+/** Requests of one account in one window; both numbers only grow. */
+struct AccountUsage {
+  1: required string account,
+  2: required i64 started,
+  /** Started requests that the target has proved not to have run. */
+  3: required i64 withdrawn,
+}
+
+struct WindowUsage {
+  1: required i64 window,
+  2: required list<AccountUsage> accounts,
+}
+
+/** Counts of one process of one daemon; accounts may be left out that the receiver knows. */
+struct SourceUsage {
+  1: required string address,
+  2: required string boot_id,
+  /** The last window in which no further request of this process begins. */
+  3: required i64 closed_through,
+  4: required list<WindowUsage> windows,
+}
+
+struct UsageDigest {
+  1: required string address,
+  2: required string boot_id,
+  3: required i64 checksum,
+}
+
+struct StoredReport {
+  1: required i64 window,
+  2: required string body,
+}
+
+/** What the store holds about the duty of reporting usage. */
+struct DutyRecord {
+  1: required string holder,
+  2: required string writer,
+  3: required i64 write_number,
+  4: required i64 token,
+  5: required i64 window,
+  6: required i64 era,
+  7: required list<StoredReport> reports,
+}
+
+struct UsageAnswer {
+  /** The first window since whose begin the daemon receives counts. */
+  1: required i64 complete_since,
+  2: required list<SourceUsage> sources,
+  /** The latest record that the daemon has seen. */
+  3: optional DutyRecord record,
+}
+
 service Peer {
   Greeting greet(1: string caller),
   CallAnswer call(1: CallRequest request),
@@ -189,6 +241,10 @@
   ExchangeAnswer exchange(1: list<i32> buckets, 2: list<FactHead> heads),
   list<Fact> fetch(1: list<FactHead> heads),
   void push(1: list<Fact> facts),
+  /** Return the boot id of the daemon that has merged the counts. */
+  string push_usage(1: SourceUsage source),
+  /** Return the counts of a window that differ from the known ones. */
+  UsageAnswer get_usage(1: i64 window, 2: list<UsageDigest> known),
 }
 
 /** Announced state of one target and its daemon. */
