--- a/comfreyhitch/daemon/usage.py
+++ b/comfreyhitch/daemon/usage.py
@@ -20,8 +20,8 @@
     read_record,
     write_record,
 )
-from comfreyhitch.usage.counts import UsageTable
 from comfreyhitch.usage.calls import DutyCalls
+from comfreyhitch.usage.counts import UsageTable
 from comfreyhitch.usage.duty import (
     Duty,
     give_up_duty,
--- a/comfreyhitch/usage/exchange.py
+++ b/comfreyhitch/usage/exchange.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from comfreyhitch.usage.calls import CandidateAnswer
 from comfreyhitch.usage.counts import (
     CLOSED_FOR_EVER,
     CountsByAccount,
@@ -18,7 +19,6 @@
     merge_source,
     remove_old_windows,
 )
-from comfreyhitch.usage.calls import CandidateAnswer
 from comfreyhitch.usage.duty import Duty
 from comfreyhitch.usage.messages import (
     make_record_message,
--- /dev/null
+++ b/features/usage.feature
@@ -0,0 +1,19 @@
+Feature: One daemon at a time reports how many requests of each account ran
+
+  Scenario: Counts of many daemons
+    Then counts that arrive in any order, in part, repeatedly or late give the same sums
+    And a receiver that acknowledges differences ends with the counts of the sender
+    And counts of old windows, of windows far ahead and of too many accounts are not kept
+
+  Scenario: A wall clock that jumps
+    Then the estimated time of day follows no jump of the wall clock that is shorter than half a minute
+
+  Scenario: Candidates without faults
+    Then every window is reported once and in time, by one holder, with one write for each window
+    And the reports contain all requests that the candidates counted
+
+  Scenario: Candidates under pauses, kills, cuts, lost responses, clock steps and a restored store
+    Then no window has two counts, no token two holders, no token falls and no holder alternates
+
+  Scenario: A holder that is killed at any moment
+    Then each window from before and after is reported in time with the same counts
