Decide a takeover again after other candidates were asked, and doubt records from a copy

Cause: a candidate that asked the others before its takeover took a record over that was written meanwhile; and after a store came back from a copy, a holder that had been paused went on under its old token, or a record from the copy was taken as the latest one. Change: the step is chosen again before the write; a record of an earlier era is certain only while nobody can have written a later one, and otherwise the token jumps and windows that have ended are left out.

--- a/comfreyhitch/usage/duty.py
+++ b/comfreyhitch/usage/duty.py
@@ -69,13 +69,11 @@
     lease = duty.lease
     now = duty.true_time.read_boot()
     was_holder = lease.is_holder
-    step = choose_step(
-        lease, duty.table, duty.delivery, duty.terms, rank, now, duty.true_time.now()
-    )
+    step = _choose(duty, rank)
     if step is DutyStep.POST:
         _post(duty)
     elif step is not DutyStep.WAIT and now >= duty.next_call_at:
-        _call_store(duty, step)
+        _call_store(duty, step, rank)
     if was_holder and not lease.is_holder:
         _note_loss(duty)
     if lease.is_holder:
@@ -86,7 +84,8 @@
 def observe_record(duty: Duty, found: FoundRecord) -> None:
     """Take in what a watch or a list of the store showed."""
     was_holder = duty.lease.is_holder
-    observe(duty.lease, found, duty.terms, duty.true_time.read_boot())
+    true_time = duty.true_time
+    observe(duty.lease, found, duty.terms, true_time.read_boot(), true_time.now())
     if was_holder and not duty.lease.is_holder:
         _note_loss(duty)
 
@@ -98,8 +97,21 @@
         _note_loss(duty)
 
 
-def _call_store(duty: Duty, step: DutyStep) -> None:
-    is_done = _read(duty) if step is DutyStep.READ else _write(duty, is_takeover=_is_takeover(step))
+def _choose(duty: Duty, rank: int) -> DutyStep:
+    true_time = duty.true_time
+    return choose_step(
+        duty.lease,
+        duty.table,
+        duty.delivery,
+        duty.terms,
+        rank,
+        true_time.read_boot(),
+        true_time.now(),
+    )
+
+
+def _call_store(duty: Duty, step: DutyStep, rank: int) -> None:
+    is_done = _read(duty) if step is DutyStep.READ else _write(duty, step, rank)
     if is_done:
         duty.call_failures = 0
         return
@@ -109,10 +121,6 @@
     )
 
 
-def _is_takeover(step: DutyStep) -> bool:
-    return step is DutyStep.TAKE_OVER
-
-
 def _read(duty: Duty) -> bool:
     match duty.calls.read_record():
         case Err(detail):
@@ -123,12 +131,13 @@
     return True
 
 
-def _write(duty: Duty, *, is_takeover: bool) -> bool:
+def _write(duty: Duty, step: DutyStep, rank: int) -> bool:
     """Make counts final by writing them, which renews or begins the lease."""
     lease = duty.lease
+    is_takeover = step is DutyStep.TAKE_OVER
     windows = _choose_windows(duty, is_takeover=is_takeover)
     complete_since = _learn_from_candidates(duty, windows)
-    if lease.is_holder is is_takeover or lease.must_read:
+    if _choose(duty, rank) is not step:
         # Another candidate knows a later record, or a watch has shown one meanwhile.
         return True
     windows = _choose_windows(duty, is_takeover=is_takeover)
@@ -177,7 +186,9 @@
     duty: Duty, windows: range, complete_since: int, *, is_takeover: bool
 ) -> DutyRecord:
     lease = duty.lease
-    known = () if lease.record is None else lease.record.reports
+    # Reports of a record that a copy of the store holds may not be the ones that were sent.
+    is_known = lease.record is not None and not lease.is_from_copy
+    known = lease.record.reports if is_known else ()
     if not is_takeover:
         true_now = duty.true_time.now()
         known = list_undelivered(lease.record, duty.delivery, duty.terms, true_now)
--- a/comfreyhitch/usage/lease.py
+++ b/comfreyhitch/usage/lease.py
@@ -35,14 +35,16 @@
     lost_at: float | None = None
     # Whether a write had no usable answer, so that the store has to be read.
     must_read: bool = False
-    # Whether the record comes from a copy of the store, and no later one is known.
+    # Whether the store has come back from a copy, and may have lost a later record.
     is_from_copy: bool = False
     write_number: int = 0
     # Own writes without an answer, which may take effect late, with the time before each was sent.
     sent_at_by_write: dict[int, float] = field(default_factory=dict)
 
 
-def observe(lease: Lease, found: FoundRecord, terms: DutyTerms, now: float) -> None:
+def observe(
+    lease: Lease, found: FoundRecord, terms: DutyTerms, now: float, true_now: float
+) -> None:
     """Take in what a read or a watch of the store showed, unless it is older than what is known."""
     is_new_era = found.era > lease.era
     is_older = not is_new_era and found.revision < lease.revision
@@ -58,19 +60,24 @@
     lease.era, lease.revision, lease.exists = found.era, found.revision, found.exists
     if found.is_fresh:
         lease.must_read = False
+    known = lease.record
+    # A record of an earlier era that appears within an era is from a writer that did not know of
+    # it. The same record again says nothing about later ones that the store has lost.
+    is_current = found.record is not None and (is_new_era or found.record.era == found.era)
+    if is_current and (known is None or found.record.order > known.order):
+        learn_record(lease, found.record, now)
+    if is_new_era and lease.record is not None:
+        _doubt_record(lease, lease.record is known, terms, now, true_now)
     if found.record is not None:
-        learn_record(lease, found.record, now, is_from_copy=found.record.era < found.era)
         _settle_own_write(lease, found.record, terms)
 
 
-def learn_record(
-    lease: Lease, record: DutyRecord, now: float, *, is_from_copy: bool = False
-) -> None:
-    """Take in a record that the store or another candidate holds, if it is a later one."""
-    if lease.record is not None and record.order <= lease.record.order:
+def learn_record(lease: Lease, record: DutyRecord, now: float) -> None:
+    """Take in a record that the store holds, or another candidate is sure of, if it is later."""
+    if lease.record is not None and record.order < lease.record.order:
         return
     lease.record = record
-    lease.is_from_copy = is_from_copy
+    lease.is_from_copy = False
     if record.writer != lease.writer:
         _lose(lease, now)
 
@@ -176,6 +183,23 @@
         _lose(lease, now)
 
 
+def _doubt_record(
+    lease: Lease, is_remembered: bool, terms: DutyTerms, now: float, true_now: float
+) -> None:
+    """Doubt the latest known record if the store may have lost a later one with its last era.
+
+    Nobody writes before the next report or takeover is due, so a remembered record is certain
+    until then.
+    """
+    record = lease.record
+    next_write_at = get_window_end(record.window + 1, terms.window_seconds)
+    is_certain = is_remembered and true_now < next_write_at + terms.report_after_seconds
+    if record.era == lease.era or is_certain:
+        return
+    lease.is_from_copy = True
+    _lose(lease, now)
+
+
 def _settle_own_write(lease: Lease, record: DutyRecord, terms: DutyTerms) -> None:
     """Hold the duty if the store shows a write of this process that was sent and not lost."""
     if record.writer != lease.writer or record.order != lease.record.order:
--- a/features/steps/usage_property_steps.py
+++ b/features/steps/usage_property_steps.py
@@ -19,6 +19,15 @@
     remove_old_windows,
     sum_window,
 )
+from comfreyhitch.usage.lease import (
+    Lease,
+    begin_write,
+    confirm_write,
+    make_next_record,
+    may_post,
+    observe,
+)
+from comfreyhitch.usage.models import FoundRecord
 from comfreyhitch.usage.true_time import TrueTime, get_window, get_window_end, take_reading
 from features.usage_emulation import EPOCH, TERMS, make_world, pause
 
@@ -136,6 +145,7 @@
     "kill",
     "store cut",
     "peer cut",
+    "platform cut",
     "store down",
     "store slow",
     "store answers lost",
@@ -156,6 +166,81 @@
     @given(number=st.integers(0, 2**32), faults=st.lists(FAULT, max_size=8))
     def check(number, faults):
         world, store, platform, nodes = make_world(number)
+        platform.has_late_withdrawals = True
+        for fault in faults:
+            schedule_fault(world, store, platform, nodes, fault)
+        world.run(RUN_SECONDS)
+        assert_nothing_forbidden(platform.calls)
+
+    check()
+
+
+@then("a report is sent only within the lease, which counts from before the write was sent")
+def check_lease(context):
+    @seed(context.seed)
+    @given(answered=st.floats(0, 4), at=st.floats(0, 5), is_seen_first=st.booleans())
+    def check(answered, at, is_seen_first):
+        lease = Lease("node", "process")
+        observe(lease, FoundRecord(None, 5, 1, exists=False, is_fresh=True), TERMS, 90.0, 0.0)
+        record = make_next_record(lease, 7, (), is_takeover=True)
+        begin_write(lease, record, 100.0)
+        assert not may_post(lease, record.token, 100.0)
+        if is_seen_first:
+            found = FoundRecord(record, 6, 1, exists=True, is_fresh=True)
+            observe(lease, found, TERMS, 100.0 + answered, 0.0)
+        else:
+            assert confirm_write(lease, record, 6, 1, TERMS, 100.0 + answered)
+        assert may_post(lease, record.token, 100.0 + at) == (at < TERMS.lease_seconds)
+
+    check()
+
+
+@then("another one takes over, and nothing forbidden is sent when it is back")
+def check_lost_holder(context):
+    kinds = st.sampled_from(("isolated", "pause", "store cut", "peer cut", "store slow"))
+
+    @seed(context.seed)
+    @settings(max_examples=EMULATED_EXAMPLES)
+    @given(number=st.integers(0, 2**32), at=st.floats(20, 25), kind=kinds, seconds=st.floats(2, 14))
+    def check(number, at, kind, seconds):
+        world, store, platform, nodes = make_world(number)
+        platform.has_late_withdrawals = True
+        world.run(at)
+        holder = next(node for node in nodes.values() if node.duty.lease.is_holder)
+        faults = ("store cut", "peer cut", "platform cut") if kind == "isolated" else (kind,)
+        for fault in faults:
+            schedule_fault(
+                world, store, platform, nodes, (fault, 0.0, int(holder.name[-1]), seconds)
+            )
+        world.run(RUN_SECONDS)
+        assert_nothing_forbidden(platform.calls)
+        assert_reported_in_time(platform, first_end=45.0, until=RUN_SECONDS)
+
+    check()
+
+
+@then("tokens still rise, and no window has two counts")
+def check_restored(context):
+    restarts = st.lists(st.tuples(st.integers(0, 2), st.floats(-2, 15)), max_size=4)
+
+    @seed(context.seed)
+    @settings(max_examples=EMULATED_EXAMPLES)
+    @given(
+        number=st.integers(0, 2**32),
+        copied_at=st.floats(10, 20),
+        lost_seconds=st.floats(1, 15),
+        restarts=restarts,
+        has_takeover=st.booleans(),
+    )
+    def check(number, copied_at, lost_seconds, restarts, has_takeover):
+        world, store, platform, nodes = make_world(number)
+        platform.has_late_withdrawals = True
+        restored_at = copied_at + lost_seconds
+        faults = [("copy", copied_at, 0, 0.0), ("restore", restored_at, 0, 0.0)]
+        faults += [("kill", restored_at + at, index, 0.0) for index, at in restarts]
+        if has_takeover:
+            # The first of the candidates usually holds the duty.
+            faults.append(("pause", copied_at + 0.1, 0, 12.0))
         for fault in faults:
             schedule_fault(world, store, platform, nodes, fault)
         world.run(RUN_SECONDS)
@@ -171,6 +256,7 @@
     @given(number=st.integers(0, 2**32), at=st.floats(25, 30))
     def check(number, at):
         world, _, platform, nodes = make_world(number)
+        platform.has_late_withdrawals = True
         world.run(at)
         holder = next(node for node in nodes.values() if node.duty.lease.is_holder)
         holder.life += 1
@@ -217,6 +303,7 @@
         "pause": lambda: pause(node, seconds),
         "kill": node.start,
         "store cut": switch(node, "is_cut_from_store", True, False),
+        "platform cut": switch(node, "is_cut_from_platform", True, False),
         "peer cut": switch(node, "is_cut_from_peers", True, False),
         "store down": switch(store, "is_down", True, False),
         "store slow": switch(store, "delay_seconds", seconds, 0.01),
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -15,5 +15,14 @@
   Scenario: Candidates under pauses, kills, cuts, lost responses, clock steps and a restored store
     Then no window has two counts, no token two holders, no token falls and no holder alternates
 
+  Scenario: A lease
+    Then a report is sent only within the lease, which counts from before the write was sent
+
+  Scenario: A holder that is cut off, suspended or slow at any moment
+    Then another one takes over, and nothing forbidden is sent when it is back
+
+  Scenario: A store that comes back from a copy while candidates restart
+    Then tokens still rise, and no window has two counts
+
   Scenario: A holder that is killed at any moment
     Then each window from before and after is reported in time with the same counts
--- a/features/usage_emulation.py
+++ b/features/usage_emulation.py
@@ -20,6 +20,7 @@
     SourceCounts,
     UsageTable,
     count_start,
+    count_withdrawal,
     merge_source,
     remove_old_windows,
 )
@@ -120,6 +121,8 @@
     is_down: bool = False
     delay_seconds: float = 0.02
     lost_answers: int = 0
+    # Whether targets prove long after a window that requests of it have not run.
+    has_late_withdrawals: bool = False
 
 
 class Node:
@@ -130,7 +133,7 @@
         self.store, self.platform, self.random = store, platform, random
         self.clock_error = 0.0
         self.paused_until = self.resumed_at = -10.0
-        self.is_cut_from_store = self.is_cut_from_peers = False
+        self.is_cut_from_store = self.is_cut_from_peers = self.is_cut_from_platform = False
         self.life = 0
         self.start()
 
@@ -177,6 +180,8 @@
             table, current = self.duty.table, self.current_window
             for _ in range(self.random.randrange(4)):
                 count_start(table, current, self.random.choice(ACCOUNTS))
+            if self.platform.has_late_withdrawals and current - 1 in table.own.counts_by_window:
+                count_withdrawal(table, current - 1, self.random.choice(ACCOUNTS))
             table.own.closed_through = current - 1
             remove_old_windows(table, current)
             for node in self._list_reachable():
@@ -250,7 +255,8 @@
         life = self.life
 
         def arrive():
-            if state["is_reset"] or self.platform.is_down or self.life != life:
+            is_cut = self.platform.is_down or self.is_cut_from_platform
+            if state["is_reset"] or is_cut or self.life != life:
                 return
             # Only a suspended sender could not reset the call in time.
             thawed_for = self.world.now - self.resumed_at
