--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -111,6 +111,10 @@
     address = values.get("Cloud.Address", "")
     if not address or DUTY_USAGE_REPORT not in duties:
         return {}
+    try:
+        _parse_address(address)
+    except ValueError as error:
+        raise ValueError(f"Cloud.Address: {error}") from error
     durations_by_setting = {
         "usage_window": "Bounds.UsageWindow",
         "usage_lease": "Bounds.Lease_time",
--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -11,7 +11,9 @@
 from gevent.pywsgi import WSGIServer
 
 from comfreyhitch.platform.client import API_PREFIX
+from comfreyhitch.platform.names import PATH_USAGE
 from comfreyhitch.testing.platform_copies import restore_copy, take_copy
+from comfreyhitch.testing.platform_duty import DutyState, handle_usage_call
 from comfreyhitch.testing.platform_objects import (
     ApiError,
     ObjectId,
@@ -37,10 +39,15 @@
 def make_application(
     state: StoreState,
 ) -> Callable[[dict[str, object], StartResponse], Iterable[bytes]]:
-    """Return the WSGI application of the store."""
+    """Return the WSGI application of the store, with the address of the usage duty."""
+    duty = DutyState()
 
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
+        if path == PATH_USAGE:
+            return handle_usage_call(duty, environ, start_response)
+        if path == "/_standin/usage":
+            return _serve_usage(duty, environ, start_response)
         if path.startswith("/_standin/") or path == "/healthz":
             return _serve_standin(state, environ, start_response)
         try:
@@ -51,6 +58,16 @@
     return application
 
 
+def _serve_usage(
+    duty: DutyState, environ: dict[str, object], start_response: StartResponse
+) -> Iterable[bytes]:
+    """Change the faults of the duty if the request says so, and return its calls."""
+    for name, value in json.loads(environ["wsgi.input"].read() or b"{}").items():
+        setattr(duty.faults, name, value)
+    start_response("200 OK", [("Content-Type", "application/json")])
+    return [json.dumps(duty.calls).encode()]
+
+
 def _serve_standin(
     state: StoreState, environ: dict[str, object], start_response: StartResponse
 ) -> Iterable[bytes]:
--- a/features/steps/usage_property_steps.py
+++ b/features/steps/usage_property_steps.py
@@ -318,7 +318,7 @@
     world.spawn(actions[kind], at)
 
 
-def assert_nothing_forbidden(calls):
+def assert_nothing_forbidden(calls, terms=TERMS):
     """Check the calls that the platform received for the four forbidden cases."""
     counted = [call for call in calls if not call.is_excused]
     body_by_window, holder_by_token, highest = {}, {}, 0
@@ -332,7 +332,7 @@
     for call in counted:
         if previous is not None and previous != call.holder:
             since = call.at - last_at_by_holder.get(call.holder, -100.0)
-            assert since >= TERMS.lease_seconds, call
+            assert since >= terms.lease_seconds, call
         last_at_by_holder[call.holder] = call.at
         previous = call.holder
 
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -26,3 +26,21 @@
 
   Scenario: A holder that is killed at any moment
     Then each window from before and after is reported in time with the same counts
+
+  Scenario: The platform's settings
+    Then usage reports are on only if the settings of the platform name an address and the duty
+
+  Scenario: Daemons whose holder is killed, suspended and cut off from the platform
+    Given a running fleet that reports usage
+      | service | zone |
+      | shop    | za   |
+      | shop    | zb   |
+      | shop    | zc   |
+    When two accounts send requests through all daemons
+    Then each window is reported in time
+    When the platform loses responses, refuses and is down, and the store loses a response
+    And the holder is suspended for 6 seconds and resumed
+    And the holder is killed
+    Then each window is reported in time
+    And the platform saw nothing forbidden, and the counts of the requests
+    And a status names the holder, the token and the last window
