--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -3,16 +3,21 @@
 import json
 import time
 from collections import Counter
+from unittest.mock import patch
 
 import gevent
 from behave import given, then, when
+from result import Err, Ok
 
 from comfreyhitch.conf.exceptions import SettingsError
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.conf.validation import make_settings
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.verdicts import Failure, Refusal, Response, Verdict
 from comfreyhitch.daemon.assembly import Daemon
 from comfreyhitch.daemon.usage import make_usage_service
+from comfreyhitch.ingress.execution import send_to_target
+from comfreyhitch.ingress.models import IncomingCall
 from comfreyhitch.platform import settings as platform_settings
 from comfreyhitch.testing.fleet import (
     PLATFORM_PORT,
@@ -23,8 +28,12 @@
 )
 from comfreyhitch.testing.http_requests import request
 from comfreyhitch.testing.processes import is_running, kill, resume, suspend, wait_until
+from comfreyhitch.usage.counts import UsageTable
 from comfreyhitch.usage.models import DutyTerms
+from comfreyhitch.usage.recorder import UsageRecorder
+from comfreyhitch.wire.generated.ttypes import CallRequest
 from features.steps.fleet_steps import make_fleet
+from features.steps.request_life_steps import CallHandlerMachine
 from features.steps.usage_property_steps import assert_nothing_forbidden
 from features.usage_emulation import Call
 
@@ -94,6 +103,65 @@
     assert daemon.ingress.usage.start("pulo780") is None
 
 
+OUTCOMES_AND_COUNTS = (
+    (Ok(Response(200, "OK")), (1, 0)),
+    (Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED)), (1, 0)),
+    (Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_REFUSED)), (1, 1)),
+)
+
+
+@then(
+    "a request counts for its account when it is sent, and no more if the target proves that it "
+    "did not run"
+)
+def check_ingress_counts(context):
+    """Guard against refused requests that are charged, and requests that are charged late."""
+    for outcome, count in OUTCOMES_AND_COUNTS:
+        ingress = CallHandlerMachine().ingress
+        table = UsageTable.from_window(("own", "1"), 6)
+        windows = iter((7, 8))
+        ingress.usage = UsageRecorder(table, lambda windows=windows: next(windows), "default")
+
+        def run(connections, request, cancel_socket, before_send, outcome=outcome):
+            before_send()
+            return outcome
+
+        with patch("comfreyhitch.ingress.execution.call_target", run):
+            for tenant in ("pulo780", "default"):
+                call = IncomingCall.from_wire(make_call_request(tenant), 0.0, None)
+                send_to_target(ingress, call, None)
+        assert table.own.counts_by_window == {7: {"pulo780": count}}
+
+    def refuse_connection(connections, request, cancel_socket, before_send):
+        return Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_UNREACHABLE))
+
+    ingress = CallHandlerMachine().ingress
+    table = UsageTable.from_window(("own", "1"), 6)
+    ingress.usage = UsageRecorder(table, lambda: 7, "default")
+    with patch("comfreyhitch.ingress.execution.call_target", refuse_connection):
+        send_to_target(ingress, IncomingCall.from_wire(make_call_request("a"), 0.0, None), None)
+    assert table.own.counts_by_window == {}
+
+
+def make_call_request(tenant):
+    """Return a call of an account."""
+    return CallRequest(
+        request_id="r1",
+        service_name="payments",
+        method="GET",
+        path="/",
+        headers=[],
+        body=b"",
+        timeout_seconds=5.0,
+        tenant=tenant,
+        priority=0,
+        idempotent=True,
+        fingerprint="f",
+        route="/",
+        attempt=1,
+    )
+
+
 @given("a running fleet that reports usage")
 def start_reporting_fleet(context):
     context.fleet_settings = {
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -27,6 +27,9 @@
   Scenario: A holder that is killed at any moment
     Then each window from before and after is reported in time with the same counts
 
+  Scenario: Requests at the ingress
+    Then a request counts for its account when it is sent, and no more if the target proves that it did not run
+
   Scenario: The platform's settings
     Then usage reports are on only if the settings of the platform name an address and the duty
 
