--- a/comfreyhitch/daemon/usage.py
+++ b/comfreyhitch/daemon/usage.py
@@ -93,7 +93,9 @@
 def send_last_counts(service: UsageService) -> None:
     """Send the counts of a daemon that has stopped serving its target."""
     service.is_closed = True
-    push_counts(service, LAST_PUSH_TIMEOUT_SECONDS)
+    service.pushes_by_address.clear()
+    pushes = push_counts(service, LAST_PUSH_TIMEOUT_SECONDS)
+    gevent.joinall(pushes, timeout=LAST_PUSH_TIMEOUT_SECONDS)
 
 
 def get_candidate_rank(blackboard: Blackboard) -> int | None:
@@ -167,13 +169,22 @@
     duty = service.duty
     watching: gevent.Greenlet | None = None
     watched_until = 0.0
+    members_revision = -1
+    candidate_rank: int | None = None
     while True:
         gevent.sleep(STEP_INTERVAL.total_seconds())
         now = service.true_time.read_boot()
-        rank = get_candidate_rank(daemon.blackboard)
+        if daemon.blackboard.members_revision != members_revision:
+            members_revision = daemon.blackboard.members_revision
+            candidate_rank = get_candidate_rank(daemon.blackboard)
+        rank = candidate_rank
         is_stopping = daemon.blackboard.is_draining
         if rank is not None:
             watched_until = now + WATCH_LINGER_SECONDS
+        if watching is not None and watching.dead:
+            # A change could not be applied; the error is in the log.
+            daemon.greenlets.remove(watching)
+            watching = None
         if watching is None and rank is not None and not is_stopping:
             watching = _start_watching(daemon, duty)
             daemon.greenlets.append(watching)
--- a/comfreyhitch/usage/duty.py
+++ b/comfreyhitch/usage/duty.py
@@ -62,39 +62,36 @@
     delivery: Delivery = field(default_factory=Delivery)
     call_failures: int = 0
     next_call_at: float = 0.0
+    # The token under which this daemon holds the duty, as far as that was logged.
+    noted_token: int | None = None
 
 
 def run_duty_step(duty: Duty, rank: int) -> DutyStep:
     """Do what is next at a candidate, and return what that was."""
-    lease = duty.lease
     now = duty.true_time.read_boot()
-    was_holder = lease.is_holder
     step = _choose(duty, rank)
     if step is DutyStep.POST:
         _post(duty)
     elif step is not DutyStep.WAIT and now >= duty.next_call_at:
         _call_store(duty, step, rank)
-    if was_holder and not lease.is_holder:
-        _note_loss(duty)
-    if lease.is_holder:
+    _note_changes(duty)
+    if duty.lease.is_holder:
         _note_given_up(duty)
     return step
 
 
 def observe_record(duty: Duty, found: FoundRecord) -> None:
     """Take in what a watch or a list of the store showed."""
-    was_holder = duty.lease.is_holder
     true_time = duty.true_time
     observe(duty.lease, found, duty.terms, true_time.read_boot(), true_time.now())
-    if was_holder and not duty.lease.is_holder:
-        _note_loss(duty)
+    _note_changes(duty)
 
 
 def give_up_duty(duty: Duty) -> None:
     """Stop acting as the holder, and let another candidate take over."""
     if duty.lease.is_holder:
         release(duty.lease, duty.true_time.read_boot())
-        _note_loss(duty)
+        _note_changes(duty)
 
 
 def _choose(duty: Duty, rank: int) -> DutyStep:
@@ -153,12 +150,8 @@
         duty.count_event("write-superseded")
         return False
     duty.count_event("write")
-    if is_takeover:
-        begin_term(duty.delivery)
-        duty.count_event("takeover")
-        logger.warning("took the usage duty over", extra=_describe(record))
-    else:
-        logger.info("usage report is final", extra=_describe(record))
+    _note_changes(duty)
+    logger.info("usage report is final", extra=_describe(record))
     remove_old_deliveries(duty.delivery, record)
     return True
 
@@ -242,10 +235,21 @@
         logger.warning("usage report was not acknowledged", extra=fields)
 
 
-def _note_loss(duty: Duty) -> None:
-    record = duty.lease.record
-    duty.count_event("loss")
-    logger.warning("lost the usage duty", extra={} if record is None else _describe(record))
+def _note_changes(duty: Duty) -> None:
+    """Log and count that this daemon has got or lost the duty, also by a write found later."""
+    lease = duty.lease
+    token = lease.record.token if lease.is_holder else None
+    if token == duty.noted_token:
+        return
+    fields = {} if lease.record is None else _describe(lease.record)
+    if duty.noted_token is not None:
+        duty.count_event("loss")
+        logger.warning("lost the usage duty", extra={**fields, "own_token": duty.noted_token})
+    if token is not None:
+        begin_term(duty.delivery)
+        duty.count_event("takeover")
+        logger.warning("took the usage duty over", extra=fields)
+    duty.noted_token = token
 
 
 def _note_given_up(duty: Duty) -> None:
--- a/comfreyhitch/usage/exchange.py
+++ b/comfreyhitch/usage/exchange.py
@@ -61,6 +61,8 @@
     list_candidates: Callable[[], list[str]]
     duty: Duty | None = None
     sent_by_address: dict[str, SentCounts] = field(default_factory=dict)
+    # Messages that have no answer yet.
+    pushes_by_address: dict[str, gevent.Greenlet] = field(default_factory=dict)
     # Whether the last counts have been sent, and no more will follow.
     is_closed: bool = False
 
@@ -70,8 +72,13 @@
         return get_window(self.true_time.now(), self.terms.window_seconds)
 
 
-def push_counts(service: UsageService, timeout_seconds: float = PUSH_TIMEOUT_SECONDS) -> None:
-    """Send the counts that have changed to each candidate."""
+def push_counts(
+    service: UsageService, timeout_seconds: float = PUSH_TIMEOUT_SECONDS
+) -> list[gevent.Greenlet]:
+    """Start to send the counts that have changed to each candidate.
+
+    A candidate that has not answered the message before is left out, and delays no other.
+    """
     current = service.current_window
     closed_through = CLOSED_FOR_EVER if service.is_closed else current - 1
     service.table.own.closed_through = closed_through
@@ -79,9 +86,15 @@
     addresses = [item for item in service.list_candidates() if item != service.own_address]
     for address in service.sent_by_address.keys() - set(addresses):
         del service.sent_by_address[address]
-    gevent.joinall(
-        [gevent.spawn(_push_to, service, address, timeout_seconds) for address in addresses]
-    )
+    pushes_by_address = service.pushes_by_address
+    for address, push in list(pushes_by_address.items()):
+        if push.dead:
+            del pushes_by_address[address]
+    for address in addresses:
+        if address not in pushes_by_address:
+            push = gevent.spawn(_push_to, service, address, timeout_seconds)
+            pushes_by_address[address] = push
+    return list(pushes_by_address.values())
 
 
 def receive_counts(service: UsageService, message: SourceUsage) -> None:
