--- a/comfreyhitch/management/commands/status.py
+++ b/comfreyhitch/management/commands/status.py
@@ -1,6 +1,7 @@
 """Show what is done, in progress or rolled back, and why."""
 
 import json
+import os
 import time
 from typing import ClassVar
 
@@ -9,6 +10,7 @@
 from result import Err, Ok
 
 from comfreyhitch.conf.exceptions import SettingsError
+from comfreyhitch.conf.loader import load_settings
 from comfreyhitch.management.common import (
     make_client,
     make_platform_options,
@@ -16,6 +18,8 @@
     report_section_error,
 )
 from comfreyhitch.management.exit_codes import ExitCode
+from comfreyhitch.management.usage_status import format_usage_status, read_usage_status
+from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.rollouts.models import RolloutPhase
 from comfreyhitch.sections.acceptance import SectionStatus, parse_section_status
 from comfreyhitch.sections.models import RolloutPlan
@@ -34,13 +38,15 @@
     options: ClassVar = [
         *make_platform_options(),
         option("json", None, "print JSON"),
+        option("usage", None, "show who reports usage instead, and up to which window"),
         option("wait", None, "maximum seconds to wait until nothing is in progress", flag=False),
     ]
     help = """Exit codes: 0 all edits are accepted and all rollouts done, 5 an edit or a
 rollout is in progress, 6 a current rollout was rolled back, 2 an edit was
 refused, 4 the platform can't be reached.
 
-    comfreyhitch status web-shop --json"""
+    comfreyhitch status web-shop --json
+    comfreyhitch status --usage"""
 
     def handle(self) -> int:
         """Read and print the status; with --wait, poll until nothing is in progress."""
@@ -49,6 +55,8 @@
             wait_seconds = _parse_wait(self.option("wait"))
         except SettingsError as error:
             return report_input_errors(self, [str(error)])
+        if self.option("usage"):
+            return self._print_usage(client)
         deadline = time.monotonic() + wait_seconds
         while True:
             match list_sections(client):
@@ -65,6 +73,20 @@
         self._print(reports)
         return code
 
+    def _print_usage(self, client: PlatformClient) -> int:
+        try:
+            window = load_settings(os.environ, {}).usage_window
+        except SettingsError as error:
+            return report_input_errors(self, [str(error)])
+        match read_usage_status(client, window, time.time()):
+            case Err(detail):
+                self.line_error(f"usage: {detail}")
+                return ExitCode.UNAVAILABLE
+            case Ok(status):
+                text = json.dumps(status) if self.option("json") else format_usage_status(status)
+                self.line(text)
+        return ExitCode.OK
+
     def _print(self, reports: list[dict]) -> None:
         if self.option("json"):
             self.line(json.dumps(reports, indent=2))
--- a/features/steps/usage_property_steps.py
+++ b/features/steps/usage_property_steps.py
@@ -231,13 +231,16 @@
         lost_seconds=st.floats(1, 15),
         restarts=restarts,
         has_takeover=st.booleans(),
+        is_forgotten=st.booleans(),
     )
-    def check(number, copied_at, lost_seconds, restarts, has_takeover):
+    def check(number, copied_at, lost_seconds, restarts, has_takeover, is_forgotten):
         world, store, platform, nodes = make_world(number)
         platform.has_late_withdrawals = True
         restored_at = copied_at + lost_seconds
         faults = [("copy", copied_at, 0, 0.0), ("restore", restored_at, 0, 0.0)]
         faults += [("kill", restored_at + at, index, 0.0) for index, at in restarts]
+        if is_forgotten:
+            faults += [("kill", restored_at + 0.01, index, 0.0) for index in range(3)]
         if has_takeover:
             # The first of the candidates usually holds the duty.
             faults.append(("pause", copied_at + 0.1, 0, 12.0))
--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -1,6 +1,9 @@
 """Test usage reports of running daemons, and the settings that ask for them."""
 
 import json
+import os
+import subprocess
+import sys
 import time
 from collections import Counter
 from unittest.mock import patch
@@ -283,6 +286,15 @@
     usage = get_admin(holder, "/v1/status")["usage"]
     assert usage["holder"] == holder.name and usage["token"] >= 2
     assert 0 < usage["last_window_age_seconds"] < LATE_SECONDS + WINDOW_SECONDS
+    environment = {
+        **os.environ,
+        "COMFREYHITCH_PLATFORM_URL": context.fleet.platform_url,
+        "COMFREYHITCH_USAGE_WINDOW": str(WINDOW_SECONDS),
+    }
+    command = [sys.executable, "-m", "comfreyhitch", "status", "--usage"]
+    line = subprocess.run(command, env=environment, capture_output=True, text=True, timeout=20)
+    expected = f"usage: reported by {holder.name} with token {usage['token']}, last window "
+    assert line.stdout.startswith(expected), line
     metrics = request(holder.host, "/metrics", port=8082).body.decode()
     assert "comfreyhitch_usage_duty_is_held 1" in metrics
 
