--- a/features/steps/usage_property_steps.py
+++ b/features/steps/usage_property_steps.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from behave import then
-from hypothesis import given, seed, settings
+from hypothesis import example, given, seed, settings
 from hypothesis import strategies as st
 
 from comfreyhitch.usage.counts import (
@@ -233,6 +233,23 @@
         has_takeover=st.booleans(),
         is_forgotten=st.booleans(),
     )
+    # A holder that was paused during a takeover that the store has lost.
+    @example(
+        number=142,
+        copied_at=15.825884393831776,
+        lost_seconds=10.522661901690716,
+        restarts=[(1, -1.342629815), (1, 0.810861486), (1, 3.870602855)],
+        has_takeover=True,
+        is_forgotten=False,
+    )
+    @example(
+        number=233,
+        copied_at=16.824769139473528,
+        lost_seconds=9.796482953733722,
+        restarts=[(1, 1.923712912), (2, 1.97640489), (0, 7.363283810), (1, 12.16169137)],
+        has_takeover=True,
+        is_forgotten=False,
+    )
     def check(number, copied_at, lost_seconds, restarts, has_takeover, is_forgotten):
         world, store, platform, nodes = make_world(number)
         platform.has_late_withdrawals = True
