Count requests for usage reports only if their tenant is a client account

Cause: the two parts were built apart; calls on public routes have the tenant "" and were counted for an account of that name.

Change: the recorder asks `is_account_name` with the accounts in force.

--- a/comfreyhitch/daemon/usage.py
+++ b/comfreyhitch/daemon/usage.py
@@ -6,9 +6,9 @@
 
 import gevent
 
+from comfreyhitch.accounts.models import is_account_name
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.daemon.assembly import Daemon
-from comfreyhitch.egress.classify import DEFAULT_TENANT
 from comfreyhitch.membership.queries import is_platform_reader, list_first_readers
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.platform.models import STALE, ObjectChange, ObjectList
@@ -79,11 +79,16 @@
     )
     service.duty = _make_duty(daemon, daemon.platform, service)
     daemon.ingress.usage = UsageRecorder(
-        table, lambda: service.current_window, unnamed_account=DEFAULT_TENANT
+        table, lambda: service.current_window, is_account=lambda tenant: _is_account(daemon, tenant)
     )
     return service
 
 
+def _is_account(daemon: Daemon, tenant: str) -> bool:
+    table = daemon.blackboard.route_table
+    return is_account_name(None if table is None else table.accounts, tenant)
+
+
 def start_usage(daemon: Daemon, service: UsageService) -> None:
     """Start to send counts, and to follow the duty while this daemon is a candidate."""
     for action in (_push_periodically, _run_duty):
--- a/comfreyhitch/usage/recorder.py
+++ b/comfreyhitch/usage/recorder.py
@@ -10,16 +10,16 @@
 class UsageRecorder:
     """Count requests by account and window; without a table, count nothing.
 
-    `unnamed_account` stands for requests that belong to no account, which are not counted.
+    `is_account` tells the tenants that are accounts; other requests are not counted.
     """
 
     table: UsageTable | None = None
     get_window: Callable[[], int] = lambda: 0
-    unnamed_account: str = ""
+    is_account: Callable[[str], bool] = bool
 
     def start(self, account: str) -> int | None:
         """Count a request that is being sent, and return its window, or None if not counted."""
-        if self.table is None or account == self.unnamed_account:
+        if self.table is None or not self.is_account(account):
             return None
         window = self.get_window()
         count_start(self.table, window, account)
--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -113,6 +113,11 @@
 )
 
 
+def is_account(tenant):
+    """Return whether requests of a tenant are counted."""
+    return tenant != "default"
+
+
 @then(
     "a request counts for its account when it is sent, and no more if the target proves that it "
     "did not run"
@@ -123,7 +128,7 @@
         ingress = CallHandlerMachine().ingress
         table = UsageTable.from_window(("own", "1"), 6)
         windows = iter((7, 8))
-        ingress.usage = UsageRecorder(table, lambda windows=windows: next(windows), "default")
+        ingress.usage = UsageRecorder(table, lambda windows=windows: next(windows), is_account)
 
         def run(connections, request, cancel_socket, before_send, outcome=outcome):
             before_send()
@@ -140,7 +145,7 @@
 
     ingress = CallHandlerMachine().ingress
     table = UsageTable.from_window(("own", "1"), 6)
-    ingress.usage = UsageRecorder(table, lambda: 7, "default")
+    ingress.usage = UsageRecorder(table, lambda: 7, is_account)
     with patch("comfreyhitch.ingress.execution.call_target", refuse_connection):
         send_to_target(ingress, IncomingCall.from_wire(make_call_request("a"), 0.0, None), None)
     assert table.own.counts_by_window == {}
