Learn the concurrency limit with the highest throughput

A target that takes 1.6 times as long for a request that starts as the fifth completes fewer requests with 5 at a time than with 4, but the limit was always the number of slots.

limit_rule = throughput, which the platform's settings select together with overload_control = cost, compares the response times at neighbouring concurrencies by route with a rank-sum test, tries the neighbouring limit for some responses, and keeps it if there is clear evidence. Samples at an unusual pace and of cold targets are left out.

--- a/comfreyhitch/admission/limiter.py
+++ b/comfreyhitch/admission/limiter.py
@@ -65,7 +65,8 @@
     window_was_saturated: bool = False
     proven_limit: int = INITIAL_LIMIT
     recovery_limit: int = INITIAL_LIMIT
-    # A fixed limit is the number of slots that the target reports, and is not adapted.
+    # A fixed limit is the number of slots that the target reports, or one that is learned by
+    # throughput, and is not adapted by latency.
     is_fixed: bool = False
 
 
@@ -92,9 +93,14 @@
 
 def set_fixed_limit(state: ConcurrencyLimit, slots: int) -> None:
     """Fix the limit at the number of slots that the target reports."""
+    set_learned_limit(state, slots, slots)
+
+
+def set_learned_limit(state: ConcurrencyLimit, slots: int, limit: int) -> None:
+    """Fix the limit at one that is learned elsewhere."""
     state.is_fixed = True
     state.slots = slots
-    state.limit = slots
+    state.limit = limit
 
 
 def restart_from_initial_limit(state: ConcurrencyLimit, now: float) -> None:
--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -50,8 +50,11 @@
         Meta(description="IP address of the target, if it differs from that of the daemon"),
     ] = None
     limit_rule: Annotated[
-        Literal["adaptive", "slots"],
-        Meta(description="whether the concurrency limit is learned or equals the slots"),
+        Literal["adaptive", "slots", "throughput"],
+        Meta(
+            description="whether the concurrency limit is learned by latency (adaptive), equals "
+            "the slots, or is learned by throughput, beginning at the slots"
+        ),
     ] = "adaptive"
     overload_control: Annotated[
         Literal["class", "cost"],
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -10,6 +10,7 @@
 from gevent.pywsgi import WSGIServer
 from msgspec import Meta, Struct
 
+from comfreyhitch.admission.saturation import get_relative_times
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.ingress.state import Ingress, is_accepting, make_load_report
@@ -130,6 +131,10 @@
 def _update_gauges(blackboard: Blackboard, ingress: Ingress, metrics: Metrics) -> None:
     load = make_load_report(ingress)
     metrics.ingress.limit.set({}, load.limit)
+    if ingress.throughput is not None:
+        samples_by_concurrency = ingress.throughput.samples_by_concurrency
+        for concurrency, time in get_relative_times(samples_by_concurrency).items():
+            metrics.ingress.relative_time.set({"concurrency": str(concurrency)}, time)
     metrics.ingress.in_flight.set({}, load.in_flight)
     metrics.ingress.queued.set({}, load.queued)
     counts: dict[str, int] = {}
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -6,6 +6,12 @@
 from comfreyhitch.admission.limiter import record_response, record_start, restart_from_initial_limit
 from comfreyhitch.admission.queue import start_waiting
 from comfreyhitch.admission.rate_limit import take_request
+from comfreyhitch.admission.throughput import (
+    StartedRequest,
+    abandon_request,
+    end_request,
+    start_request,
+)
 from comfreyhitch.admission.warm_up import admit_during_warm_up
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
@@ -20,7 +26,12 @@
     make_limit_refusal,
     make_refusal,
 )
-from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
+from comfreyhitch.ingress.state import (
+    Ingress,
+    apply_service_profile,
+    apply_throughput_limit,
+    record_latency,
+)
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
 from comfreyhitch.rollouts.exposure import admit_trial_request
@@ -66,8 +77,13 @@
     # a fence query or a resend can still get its outcome.
     cancel_socket = call.cancel_socket if call.is_idempotent else None
     request = _make_target_request(ingress, call, started_at)
-    outcome = call_target(connections, request, cancel_socket, before_send)
-    _record_target_outcome(ingress, call, outcome, started_at)
+    started = _start_measurement(ingress, call, started_at)
+    try:
+        outcome = call_target(connections, request, cancel_socket, before_send)
+    except BaseException:
+        _abandon_measurement(ingress, started)
+        raise
+    _record_target_outcome(ingress, call, outcome, started_at, started)
     return outcome
 
 
@@ -139,8 +155,42 @@
     )
 
 
+def _start_measurement(ingress: Ingress, call: IncomingCall, now: float) -> StartedRequest | None:
+    """Count a request for the limit that is learned by throughput, if one is."""
+    if ingress.throughput is None:
+        return None
+    pace_read_at = None if call.pace_at_send is None else call.pace_at_send.read_at
+    return start_request(ingress.throughput, call.route, pace_read_at, now)
+
+
+def _abandon_measurement(ingress: Ingress, started: StartedRequest | None) -> None:
+    if started is not None:
+        abandon_request(ingress.throughput, started, ingress.blackboard.clock.monotonic())
+
+
+def _end_measurement(ingress: Ingress, started: StartedRequest | None, outcome: Outcome) -> None:
+    """Learn the limit from a response that is not a failure and not from a cold target."""
+    if started is None:
+        return
+    now = ingress.blackboard.clock.monotonic()
+    match outcome:
+        case Ok(response):
+            is_failure = response.status >= MIN_SERVER_ERROR_STATUS
+            is_comparable = not is_failure and not is_cold(ingress.lifecycle, started.started_at)
+            end_request(ingress.throughput, started, now, is_comparable=is_comparable)
+        case Err(Failure(verdict=Verdict.NOT_RUN)):
+            end_request(ingress.throughput, started, now, is_comparable=False)
+        case Err(_):
+            abandon_request(ingress.throughput, started, now)
+    apply_throughput_limit(ingress)
+
+
 def _record_target_outcome(
-    ingress: Ingress, call: IncomingCall, outcome: Outcome, started_at: float
+    ingress: Ingress,
+    call: IncomingCall,
+    outcome: Outcome,
+    started_at: float,
+    started: StartedRequest | None,
 ) -> None:
     now = ingress.blackboard.clock.monotonic()
     limit = ingress.queue.limit
@@ -171,4 +221,5 @@
         case Err(_):
             record_response(limit, started_at, now, is_failure=True)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=True)
+    _end_measurement(ingress, started, outcome)
     start_waiting(ingress.queue, now)
--- a/comfreyhitch/ingress/health.py
+++ b/comfreyhitch/ingress/health.py
@@ -5,6 +5,7 @@
 from result import Err, Ok
 
 from comfreyhitch.admission.pacing import PaceReading
+from comfreyhitch.admission.throughput import record_pace
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Outcome, Refusal, Response
 from comfreyhitch.ingress.lifecycle import (
@@ -118,6 +119,8 @@
     load = parse_load(text) if text else None
     if load is not None and load.slowness is not None:
         ingress.pace = PaceReading(load.slowness, now)
+        if ingress.throughput is not None:
+            record_pace(ingress.throughput, load.slowness, now)
 
 
 def _get_instance_id(ingress: Ingress, response: Response) -> str:
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from comfreyhitch.admission.limiter import reset_baseline, set_fixed_limit
+from comfreyhitch.admission.limiter import reset_baseline, set_fixed_limit, set_learned_limit
 from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.admission.queue import AdmissionQueue
 from comfreyhitch.admission.rate_limit import (
@@ -15,6 +15,12 @@
     parse_rate_limit,
     set_rate_limit,
 )
+from comfreyhitch.admission.throughput import (
+    ThroughputLimit,
+    change_slots,
+    get_applied_limit,
+    reset_throughput,
+)
 from comfreyhitch.admission.warm_up import WarmUpLimiter, set_warm_up_rate
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
@@ -83,6 +89,8 @@
     pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
     calls_in_progress: int = 0
+    # None unless the concurrency limit is learned by throughput.
+    throughput: ThroughputLimit | None = None
 
     @classmethod
     def from_settings(
@@ -114,6 +122,11 @@
                 max(1.0, PROBE_BURST_SECONDS * settings.target_probe_rate),
                 blackboard.clock.monotonic(),
             ),
+            throughput=(
+                ThroughputLimit.from_slots(settings.slots)
+                if settings.limit_rule == "throughput"
+                else None
+            ),
         )
 
 
@@ -132,6 +145,8 @@
     ingress.connections.on_response = lambda response: apply_target_notices(ingress, response)
     ingress.rate_limit = NamedRateLimit()
     ingress.is_probed = False
+    if ingress.throughput is not None:
+        reset_throughput(ingress.throughput, slots)
     set_slots(ingress, slots)
     reset_learned_limit(ingress)
 
@@ -156,12 +171,22 @@
 
 def set_slots(ingress: Ingress, slots: int) -> None:
     """Set how many requests the target can run at a time."""
-    if ingress.settings.limit_rule == "slots":
+    if ingress.throughput is not None:
+        change_slots(ingress.throughput, slots)
+        apply_throughput_limit(ingress)
+    elif ingress.settings.limit_rule == "slots":
         set_fixed_limit(ingress.queue.limit, slots)
     else:
         ingress.queue.limit.slots = slots
 
 
+def apply_throughput_limit(ingress: Ingress) -> None:
+    """Admit requests by the limit that is learned by throughput, if one is."""
+    state = ingress.throughput
+    if state is not None:
+        set_learned_limit(ingress.queue.limit, state.slots, get_applied_limit(state))
+
+
 def apply_service_profile(ingress: Ingress) -> None:
     """Apply the configured request rate for cold targets of this daemon's service."""
     table = ingress.blackboard.route_table
@@ -190,7 +215,8 @@
     return LoadReport(
         in_flight=queue.running,
         queued=len(queue.waiting),
-        limit=queue.limit.limit,
+        # A limit that is only tried for some requests is not reported.
+        limit=queue.limit.limit if ingress.throughput is None else ingress.throughput.limit,
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
         slowness=None if ingress.pace is None else ingress.pace.slowness,
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -88,7 +88,7 @@
         "target_port": app_port,
         "platform_url": f"http://{values['Platform.Address']}",
         "registration": "all",
-        "limit_rule": "slots",
+        "limit_rule": "throughput" if has_overload_control else "slots",
         "overload_control": "cost" if has_overload_control else "class",
         "drain_timeout": grace_seconds * SHUTDOWN_GRACE_SHARE - linger_seconds,
         "stop_linger": linger_seconds,
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -45,6 +45,7 @@
     call_seconds: Histogram
     refusals: Counter
     limit: Gauge
+    relative_time: Gauge
     in_flight: Gauge
     queued: Gauge
     target_probes: Counter
@@ -167,6 +168,11 @@
         ),
         refusals=_make_counter(registry, "refusals_total", "Calls refused as not run, by cause."),
         limit=_make_gauge(registry, "concurrency_limit", "Concurrency limit of the target."),
+        relative_time=_make_gauge(
+            registry,
+            "relative_time",
+            "Response time by concurrency at the start, relative to the lowest one measured.",
+        ),
         in_flight=_make_gauge(registry, "in_flight", "Calls that run at the target."),
         queued=_make_gauge(registry, "queued", "Calls that wait for the target."),
         target_probes=_make_counter(
