Choose targets by expected completion with overload control by cost

The load-aware rule copies and filters all candidates for each request, judges them by utilization alone, counts targets of which nothing is known as idle, sends many requests to cold targets that refuse them, and forgets a failure after one answer.

With overload_control = cost, a choice draws 6 targets at random and takes the one that is expected to answer first, by requests in flight, the limit, the reported wait, the mean latency and the pace. Another zone has to be faster by 60 ms, or by a share of the time left for the objective where the caller passes it. Flaps are remembered with a half-life of 30 s, and cold targets are asked less often after each refusal. Overload control by class keeps its rule.

--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from typing import Annotated
@@ -13,6 +14,7 @@
 from comfreyhitch.admission.saturation import get_relative_times
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.egress.views import AVOIDANCE_CAUSES, get_avoidance_cause
 from comfreyhitch.ingress.state import Ingress, is_accepting, make_load_report
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
@@ -147,6 +149,11 @@
     for service, shares in blackboard.version_shares_by_service.items():
         for version, share in shares.items():
             metrics.control.rollout_share.set({"service": service, "version": version}, share)
+    views = blackboard.views_by_address.values()
+    now = blackboard.clock.monotonic()
+    causes = Counter(get_avoidance_cause(view, now) for view in views)
+    for cause in AVOIDANCE_CAUSES:
+        metrics.egress.targets_avoided.set({"cause": cause}, causes[cause])
     metrics.control.vetoes.set({}, len(blackboard.vetoes_by_rollout))
     table = blackboard.route_table
     unknown = [] if table is None else table.list_routes_of_unknown_kind()
--- a/comfreyhitch/daemon/observers.py
+++ b/comfreyhitch/daemon/observers.py
@@ -10,6 +10,7 @@
 from comfreyhitch.core.blackboard import Blackboard, CrashReport, Veto
 from comfreyhitch.documents.applying import DecodersByKind, apply_document, validate_document_fact
 from comfreyhitch.egress.eligibility import refresh_candidates
+from comfreyhitch.egress.views import replace_view
 from comfreyhitch.membership.detector import FailureDetector, refute_if_needed, update_suspicion
 from comfreyhitch.membership.models import decode_member
 from comfreyhitch.replication.facts import FactKind, FactStore, Observer, StoredFact, Validator
@@ -139,7 +140,7 @@
     blackboard.members_by_address[member.address] = member
     blackboard.members_revision += 1
     if known is not None and known.boot_id != member.boot_id:
-        blackboard.views_by_address.pop(member.address, None)
+        replace_view(blackboard.views_by_address, member.address)
     update_suspicion(detector, member)
     refute_if_needed(detector, member)
 
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -14,6 +14,8 @@
     get_or_create_view,
     record_ended,
     record_failure,
+    record_flap,
+    record_pause,
     record_sent,
     record_success,
     record_unreachable,
@@ -40,6 +42,10 @@
 MIN_SERVER_ERROR_STATUS = 500
 DEADLINE_STATUS = 504
 STALLED_MIN_IN_FLIGHT = 2
+# Refusals of targets that take few requests now, which their number in flight does not show.
+PAUSING_REFUSALS = frozenset(
+    {Refusal.TARGET_COLD, Refusal.TARGET_LIMITED, Refusal.TARGET_STARTING, Refusal.DRAINING}
+)
 
 
 @dataclass(slots=True)
@@ -69,6 +75,9 @@
         call.last_request_id = request.request_id
         call.last_version = candidate.version
         send_call(connection, request, remaining_seconds)
+        own_zone = egress.blackboard.own_member.zone
+        zone = "own" if candidate.zone == own_zone else "other"
+        egress.metrics.egress.attempts.inc({"zone": zone})
     except BaseException as error:
         record_ended(view)
         if isinstance(error, PeerError):
@@ -115,6 +124,7 @@
     """Count a failure if the target has answered no request or probe since this attempt."""
     if attempt.view.reported_at <= attempt.sent_at:
         record_failure(attempt.view, now)
+        record_flap(attempt.view, now)
 
 
 def is_target_stalled(attempt: Attempt) -> bool:
@@ -219,4 +229,7 @@
             record_success(attempt.view)
     elif _is_target_failure(outcome.err_value):
         record_failure(attempt.view, now)
+        record_flap(attempt.view, now)
+    elif outcome.err_value.refusal in PAUSING_REFUSALS:
+        record_pause(attempt.view, now)
     return outcome
--- a/comfreyhitch/egress/candidates.py
+++ b/comfreyhitch/egress/candidates.py
@@ -19,9 +19,16 @@
 
 
 def choose_candidate(
-    egress: Egress, service: str, tried_addresses: Collection[str]
+    egress: Egress,
+    service: str,
+    tried_addresses: Collection[str],
+    objective_at: float | None = None,
 ) -> Candidate | None:
-    """Return a target of a service at an address not yet tried, or None if there is none."""
+    """Return a target of a service at an address not yet tried, or None if there is none.
+
+    `objective_at` is the end of the latency objective of the request in monotonic seconds. A target
+    in another zone is chosen rather than one that is expected to answer after it.
+    """
     blackboard = egress.blackboard
     candidates = blackboard.candidates_by_service.get(service, [])
     active = blackboard.active_rollouts_by_service.get(service)
@@ -30,7 +37,8 @@
     shares = blackboard.version_shares_by_service.get(service)
     now = blackboard.clock.monotonic()
     if shares is None:
-        return egress.select_target(candidates, tried_addresses, now)
+        objective_seconds = None if objective_at is None else objective_at - now
+        return egress.select_target(candidates, tried_addresses, now, objective_seconds)
     drawn = select_version_candidates(candidates, shares, tried_addresses, egress.random)
     candidate = egress.select_target(drawn, tried_addresses, now)
     if candidate is None or not _is_full_new_version(egress, service, candidate, now):
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection, Sequence
 from random import Random
 
+from comfreyhitch.egress.completion import make_completion_selector
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.egress.views import estimate_in_flight, get_or_create_view, is_slow
 
@@ -20,7 +21,12 @@
 # zone is then preferred.
 HOT_UTILIZATION = 0.75
 
-TargetSelector = Callable[[Sequence[Candidate], Collection[str], float], Candidate | None]
+# Value of `make_selector` for the rule that applies with `overload_control = cost`.
+RULE_EXPECTED_COMPLETION = "expected-completion"
+
+# Takes candidates, excluded addresses and the time. The time left until the objective of the
+# request ends may follow.
+TargetSelector = Callable[..., Candidate | None]
 
 
 def make_load_aware_selector(
@@ -41,7 +47,10 @@
         return is_avoided, is_hot, is_other_zone, is_slow(view, now), utilization
 
     def select_target(
-        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        now: float,
+        objective_seconds: float | None = None,
     ) -> Candidate | None:
         sample = draw_sample(candidates, excluded, own_zone, random)
         return min(sample, key=lambda candidate: rank(candidate, now), default=None)
@@ -58,7 +67,10 @@
     """Return a selector of a uniformly random target, a baseline for benchmarks."""
 
     def select_target(
-        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        now: float,
+        objective_seconds: float | None = None,
     ) -> Candidate | None:
         allowed = [item for item in candidates if item.address not in excluded]
         return random.choice(allowed) if allowed else None
@@ -71,7 +83,10 @@
     position = 0
 
     def select_target(
-        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        now: float,
+        objective_seconds: float | None = None,
     ) -> Candidate | None:
         nonlocal position
         allowed = [item for item in candidates if item.address not in excluded]
@@ -87,7 +102,10 @@
     """Return a selector by fewest requests in flight from this daemon, for benchmarks."""
 
     def select_target(
-        candidates: Sequence[Candidate], excluded: Collection[str], now: float
+        candidates: Sequence[Candidate],
+        excluded: Collection[str],
+        now: float,
+        objective_seconds: float | None = None,
     ) -> Candidate | None:
         allowed = [item for item in candidates if item.address not in excluded]
         random.shuffle(allowed)
@@ -103,7 +121,9 @@
 def make_selector(
     rule: str, views_by_address: dict[str, TargetView], own_zone: str, random: Random
 ) -> TargetSelector:
-    """Return the selector for a value of the setting `choice_rule`."""
+    """Return the selector for a value of the setting `choice_rule`, or for expected completion."""
+    if rule == RULE_EXPECTED_COMPLETION:
+        return make_completion_selector(views_by_address, own_zone, random)
     if rule == "random":
         return make_random_selector(random)
     if rule == "round-robin":
--- a/comfreyhitch/egress/models.py
+++ b/comfreyhitch/egress/models.py
@@ -37,3 +37,15 @@
     avoid_until: float = 0.0
     is_accepting: bool = True
     boot_id: str = ""
+    # Expected wait of a request of the least urgent rank, as reported; 0 if the report names none.
+    wait_seconds: float = 0.0
+    # Mean of the reported latencies, and their number.
+    mean_latency_seconds: float = 0.0
+    latency_reports: int = 0
+    # Number of times that the target failed after it had answered, which decays over time.
+    flap_score: float = 0.0
+    flapped_at: float = 0.0
+    has_answered_since_flap: bool = False
+    # Until when the target takes no request, as the refusals of a cold or limited target say.
+    paused_until: float = 0.0
+    pause_seconds: float = 0.0
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -7,7 +7,11 @@
 
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.egress.choice import TargetSelector, make_selector
+from comfreyhitch.egress.choice import (
+    RULE_EXPECTED_COMPLETION,
+    TargetSelector,
+    make_selector,
+)
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.stopping import StopPlan
 from comfreyhitch.rollouts.exposure import ExposureCounter
@@ -60,7 +64,7 @@
             pool=pool,
             metrics=metrics,
             select_target=make_selector(
-                settings.choice_rule,
+                _get_choice_rule(settings),
                 blackboard.views_by_address,
                 blackboard.own_member.zone,
                 random,
@@ -75,6 +79,12 @@
         )
 
 
+def _get_choice_rule(settings: Settings) -> str:
+    if settings.overload_control == "cost" and settings.choice_rule == "load-aware":
+        return RULE_EXPECTED_COMPLETION
+    return settings.choice_rule
+
+
 def get_retry_budget(egress: Egress, service: str) -> TokenBucket:
     """Return the retry budget of a service, created on first use.
 
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -35,6 +35,8 @@
     hedges: Counter
     fences: Counter
     probes: Counter
+    attempts: Counter
+    targets_avoided: Gauge
     connections_ended: Counter
 
 
@@ -150,6 +152,12 @@
         hedges=_make_counter(registry, "hedges_total", "Hedged requests, by result."),
         fences=_make_counter(registry, "fences_total", "Fences, by result."),
         probes=_make_counter(registry, "probes_total", "Load probes to other daemons."),
+        attempts=_make_counter(
+            registry, "attempts_total", "Requests sent to targets, by whether in the own zone."
+        ),
+        targets_avoided=_make_gauge(
+            registry, "targets_avoided", "Targets to which others are preferred, by cause."
+        ),
         connections_ended=_make_counter(
             registry,
             "caller_connections_ended_total",
