--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -144,6 +144,15 @@
     assert settings.platform_url == "http://10.200.1.7:8309"
     assert get_addresses(SETTINGS)["Listen.Control"] == ("10.1.0.8", 8306)
     assert make_settings(SETTINGS, {"COMFREYHITCH_ZONE": "zx"}).zone == "zx"
+    # Without this selection, the limit of a target that saturates below its slots is never learned.
+    expected_by_contracts = {
+        "pool": ("throughput", "cost"),
+        "pool,rollout": ("slots", "class"),
+        "": ("slots", "class"),
+    }
+    for contracts, expected in expected_by_contracts.items():
+        settings = make_settings({**SETTINGS, "Contracts": contracts}, {})
+        assert (settings.limit_rule, settings.overload_control) == expected, contracts
     check_error_names(SETTINGS, "no_such", {"COMFREYHITCH_NO_SUCH": "1"})
     for name in REQUIRED_SETTINGS:
         check_error_names({key: value for key, value in SETTINGS.items() if key != name}, name)
