Uncount a request before the check for a crash

After a failure of the target, the request stayed counted for the limit by throughput while the daemon checked for a crash. A greenlet that was killed during this check left it counted for good, so all later requests seemed to start at a higher concurrency.

The request is uncounted as soon as its outcome is known and the pace of its response is read.

The other scenarios of throughput_limit were not run again.

--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -80,10 +80,14 @@
     started = _start_measurement(ingress, call, started_at)
     try:
         outcome = call_target(connections, request, cancel_socket, before_send)
+        if outcome.is_ok():
+            update_pace(ingress, outcome.ok_value, clock.monotonic())
     except BaseException:
         _abandon_measurement(ingress, started)
         raise
-    _record_target_outcome(ingress, call, outcome, started_at, started)
+    # The check for a crash below yields, and a greenlet that is killed there has to be uncounted.
+    _end_measurement(ingress, started, outcome)
+    _record_target_outcome(ingress, call, outcome, started_at)
     return outcome
 
 
@@ -186,18 +190,13 @@
 
 
 def _record_target_outcome(
-    ingress: Ingress,
-    call: IncomingCall,
-    outcome: Outcome,
-    started_at: float,
-    started: StartedRequest | None,
+    ingress: Ingress, call: IncomingCall, outcome: Outcome, started_at: float
 ) -> None:
     now = ingress.blackboard.clock.monotonic()
     limit = ingress.queue.limit
     seconds = now - started_at
     match outcome:
         case Ok(response):
-            update_pace(ingress, response, now)
             response.version = ingress.blackboard.own_member.version
             is_failure = response.status >= MIN_SERVER_ERROR_STATUS
             record_response(limit, started_at, now, is_failure=is_failure)
@@ -221,5 +220,4 @@
         case Err(_):
             record_response(limit, started_at, now, is_failure=True)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=True)
-    _end_measurement(ingress, started, outcome)
     start_waiting(ingress.queue, now)
--- a/features/steps/throughput_limit_steps.py
+++ b/features/steps/throughput_limit_steps.py
@@ -1,13 +1,16 @@
 """Test how the concurrency limit with the highest throughput is learned."""
 
 from collections import Counter
+from contextlib import suppress
+from dataclasses import replace
 from random import Random
 from unittest.mock import patch
 
+import gevent
 from behave import then
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
-from result import Ok
+from result import Err, Ok
 
 from comfreyhitch.admission.throughput import (
     MAX_SAMPLES_PER_CONCURRENCY,
@@ -19,7 +22,7 @@
 )
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.core.verdicts import Response
+from comfreyhitch.core.verdicts import Failure, Refusal, Response, Verdict
 from comfreyhitch.ingress.execution import send_to_target
 from comfreyhitch.ingress.lifecycle import TargetState
 from comfreyhitch.ingress.models import IncomingCall
@@ -174,6 +177,50 @@
     assert not state.samples_by_concurrency
 
 
+@then("each request is uncounted once, and what the target may still run with is not measured")
+def check_uncounted(context):
+    # A request that stays counted makes all later ones seem to start at a higher concurrency.
+    not_run = Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_UNREACHABLE, ""))
+    lost = Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.TARGET_FAILED, ""))
+    cases = {"not run": (not_run, 1), "lost": (lost, 0), "killed": (None, 0)}
+    for name, (outcome, expected) in cases.items():
+        clock = FakeClock()
+        ingress = make_ingress(clock)
+        ingress.header_names = replace(ingress.header_names, instance="")
+        ingress.throughput.limit = 1
+        end_without_response(ingress, clock, outcome)
+        assert ingress.throughput.running == 0, name
+        ingress.lifecycle.is_suspected = False
+        send(ingress, clock, pace=100)
+        assert len(ingress.throughput.samples_by_concurrency.get(1, ())) == expected, name
+    clock = FakeClock()
+    ingress = make_ingress(clock)
+    with patch("comfreyhitch.ingress.execution.report_if_crashed", lambda *_: gevent.sleep(10)):
+        # The greenlet is killed while it waits for the check whether the target has crashed.
+        greenlet = gevent.spawn(end_without_response, ingress, clock, lost)
+        gevent.sleep(0)
+        assert not greenlet.ready()
+        greenlet.kill()
+    assert ingress.throughput.running == 0, "killed during the check for a crash"
+
+
+@then("responses with status 500 and those of a cold target are not measured")
+def check_not_comparable(context):
+    clock = FakeClock()
+    ingress = make_ingress(clock)
+    ingress.throughput.limit = 1
+    send(ingress, clock, pace=100, status=500)
+    ingress.lifecycle.cold_until = clock.seconds + 1.0
+    send(ingress, clock, pace=100)
+    assert not ingress.throughput.samples_by_concurrency
+    clock.seconds += 1.0
+    for _ in range(2):
+        # The last reading of the pace is too old for the first response.
+        assert not ingress.throughput.samples_by_concurrency
+        send(ingress, clock, pace=100)
+    assert len(ingress.throughput.samples_by_concurrency[1]) == 1
+
+
 def make_ingress(clock):
     """Return an ingress that learns its limit by throughput, with a target that is warm."""
     blackboard = Blackboard(clock=clock.make_clock(), own_member=make_member())
@@ -193,25 +240,45 @@
     return ingress
 
 
-def send(ingress, clock, pace):
+def send(ingress, clock, pace, status=200):
     """Send one request that takes 10 ms, with a response that names a pace."""
 
     def call_target(connections, request, cancel_socket, before_send):
         before_send()
         clock.seconds += 0.01
         load = f"0,0,{SLOTS},{pace}"
-        return Ok(Response(200, "OK", [(ingress.header_names.load, load)], b""))
+        return Ok(Response(status, "", [(ingress.header_names.load, load)], b""))
 
-    now = clock.seconds
-    call = IncomingCall(
+    with patch("comfreyhitch.ingress.execution.call_target", call_target):
+        assert send_to_target(ingress, make_call(clock), None).is_ok()
+
+
+def end_without_response(ingress, clock, outcome):
+    """Send one request that ends with a failure after 10 ms; its greenlet is killed if None."""
+
+    def call_target(connections, request, cancel_socket, before_send):
+        before_send()
+        clock.seconds += 0.01
+        if outcome is None:
+            raise gevent.GreenletExit
+        return outcome
+
+    patched = patch("comfreyhitch.ingress.execution.call_target", call_target)
+    with patched, suppress(gevent.GreenletExit):
+        assert send_to_target(ingress, make_call(clock), None) == outcome
+
+
+def make_call(clock):
+    """Return a call that arrives now."""
+    return IncomingCall(
         request_id="r",
         service="payments",
         method="GET",
         path="/",
         headers=[],
         body=b"",
-        arrived_at=now,
-        deadline=now + 10.0,
+        arrived_at=clock.seconds,
+        deadline=clock.seconds + 10.0,
         tenant="default",
         traffic_class=TrafficClass.NORMAL,
         is_idempotent=True,
@@ -220,5 +287,3 @@
         route="fetch-log",
         attempt_number=1,
     )
-    with patch("comfreyhitch.ingress.execution.call_target", call_target):
-        assert send_to_target(ingress, call, None).is_ok()
--- a/features/throughput_limit.feature
+++ b/features/throughput_limit.feature
@@ -17,3 +17,7 @@
 
   Scenario: A daemon learns the limit of its target
     Then an ingress admits and reports the learned limit, and a pace that is not usual counts for nothing
+
+  Scenario: Requests end without a response, or their greenlets are killed
+    Then each request is uncounted once, and what the target may still run with is not measured
+    And responses with status 500 and those of a cold target are not measured
