Bound the wait in the own zone by the targets that may be chosen

The time left for the objective was taken from the earliest expected completion in the sample, also if that target was avoided. The own zone was then preferred although the request missed its objective there and another zone would have answered in time: with 0.45 s expected in the own zone, 0.38 s in another, 0.1 s at an avoided target and an objective of 0.41 s.

Only targets of the best rank count now. Tests also check that the reported wait, the pace and requests sent since the report delay the expected completion; the simulated fleet reports neither a wait nor a pace.

The new zone step fails without the change and passes with it. target_choice passed as a whole; after the explicit example was added, its zone scenario was run again and passed.

--- a/comfreyhitch/egress/completion.py
+++ b/comfreyhitch/egress/completion.py
@@ -77,19 +77,21 @@
             estimate_completion(view, candidate.slots, pool, now)
             for view, candidate in zip(views, sample, strict=True)
         ]
-        zone_wait_seconds = get_zone_wait_seconds(min(seconds), objective_seconds)
         ranks = [
             (
                 get_avoidance_cause(view, now) is not None or candidate.is_suspect,
                 view.error_rate > FAILING_ERROR_RATE or _is_mostly_overdue(view),
-                time + (zone_wait_seconds if candidate.zone != own_zone else 0.0),
-                position,
-            )
-            for position, (view, candidate, time) in enumerate(
-                zip(views, sample, seconds, strict=True)
             )
+            for view, candidate in zip(views, sample, strict=True)
         ]
-        return sample[min(ranks)[-1]]
+        best_rank = min(ranks)
+        usable = [index for index, rank in enumerate(ranks) if rank == best_rank]
+        best_seconds = min(seconds[index] for index in usable)
+        zone_wait_seconds = get_zone_wait_seconds(best_seconds, objective_seconds)
+        for index in usable:
+            if sample[index].zone != own_zone:
+                seconds[index] += zone_wait_seconds
+        return sample[min(usable, key=seconds.__getitem__)]
 
     return select_target
 
--- a/features/steps/target_choice_steps.py
+++ b/features/steps/target_choice_steps.py
@@ -4,7 +4,7 @@
 from unittest.mock import patch
 
 from behave import then
-from hypothesis import given, seed
+from hypothesis import example, given, seed
 from hypothesis import strategies as st
 
 from comfreyhitch.conf.models import Settings
@@ -15,6 +15,7 @@
     MAX_ZONE_WAIT_SECONDS,
     SAMPLE_SIZE,
     TargetPool,
+    estimate_completion,
     get_zone_wait_seconds,
     make_completion_selector,
 )
@@ -22,14 +23,17 @@
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.views import (
     FLAP_HALF_LIFE_SECONDS,
+    apply_load_report,
     get_avoidance_cause,
     get_flap_score,
     record_failure,
     record_flap,
+    record_sent,
     record_success,
     replace_view,
 )
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.wire.generated.ttypes import LoadReport
 from features.fakes import FakeClock, make_member
 from features.simulated_fleets import (
     MEAN_WORK_SECONDS,
@@ -76,6 +80,40 @@
     assert hops[make_load_aware_selector] > 1.1, hops
 
 
+@then(
+    "the reported wait, the pace and requests sent since the report each delay the expected "
+    "completion"
+)
+def check_expected_completion(context):
+    # The simulated fleet reports neither a wait nor a pace.
+    pool = TargetPool([], [], [])
+
+    def estimate(wait_seconds=None, slowness=1.0, sent=0, age_seconds=0.0):
+        view = TargetView("a")
+        report = LoadReport(
+            in_flight=SLOTS,
+            queued=0,
+            limit=SLOTS,
+            latency_seconds=0.1,
+            accepting=True,
+            slowness=slowness,
+            wait_seconds=wait_seconds,
+        )
+        apply_load_report(view, report, 100.0)
+        for _ in range(sent):
+            record_sent(view)
+        return estimate_completion(view, SLOTS, pool, 100.0 + age_seconds)
+
+    usual = estimate()
+    assert abs(estimate(wait_seconds=1.0) - estimate(wait_seconds=0.5) - 0.5) < 1e-9
+    assert estimate(wait_seconds=0.5) > usual
+    assert estimate(wait_seconds=0.5, sent=3) > estimate(wait_seconds=0.5)
+    assert estimate(sent=3) > usual
+    assert estimate(slowness=5.0) > usual
+    # Reports this old say nothing.
+    assert estimate(wait_seconds=0.5, slowness=5.0, age_seconds=5.0) == estimate(age_seconds=5.0)
+
+
 @then(
     "at 0.7 of capacity, fewer than 5 in 100 requests leave their zone, and by utilization over "
     "15 in 100"
@@ -114,6 +152,42 @@
     check()
 
 
+@then(
+    "a wait in the own zone never makes a request miss its objective, also beside faster targets "
+    "that are avoided"
+)
+def check_zone_choice(context):
+    addresses = [f"t{number}" for number in range(4)]
+    candidates = [
+        Candidate(address, "za" if number < 2 else "zb", "v1", SLOTS)
+        for number, address in enumerate(addresses)
+    ]
+
+    @seed(context.seed)
+    @given(
+        st.lists(st.floats(0.01, 1.0), min_size=4, max_size=4),
+        st.sets(st.sampled_from(addresses)),
+        st.floats(0.0, 1.0),
+    )
+    # The first target is avoided, and only the third one answers in time.
+    @example([0.1, 0.45, 0.38, 0.5], {"t0"}, 0.41)
+    def check(seconds, avoided, objective_seconds):
+        seconds_by_address = dict(zip(addresses, seconds, strict=True))
+        views_by_address = {address: TargetView(address, avoid_until=9.0) for address in avoided}
+        select = make_completion_selector(views_by_address, "za", Random(context.seed))
+        with patch.object(
+            completion, "estimate_completion", lambda view, *_: seconds_by_address[view.address]
+        ):
+            chosen = select(candidates, (), 1.0, objective_seconds).address
+        usable = set(addresses) - avoided or set(addresses)
+        assert chosen in usable
+        best_seconds = min(seconds_by_address[address] for address in usable)
+        if best_seconds <= objective_seconds:
+            assert seconds_by_address[chosen] <= objective_seconds + 1e-9
+
+    check()
+
+
 @then("the time without requests grows with each flap, is not ended by one response, and decays")
 def check_flap_memory(context):
     view = TargetView("a")
--- a/features/target_choice.feature
+++ b/features/target_choice.feature
@@ -2,11 +2,13 @@
 
   Scenario: Targets of different speed
     Then with a quarter of the targets slow, at 0.9 of capacity, 95 in 100 requests are answered within their objective, at fewer than 1.05 hops for each, and by utilization at over 1.1
+    And the reported wait, the pace and requests sent since the report each delay the expected completion
 
   Scenario: Availability zones
     Then at 0.7 of capacity, fewer than 5 in 100 requests leave their zone, and by utilization over 15 in 100
     And a zone that gets most requests uses the others, so that at least 95 in 100 requests are answered within their objective
     And the time left for the objective bounds the wait in the own zone
+    And a wait in the own zone never makes a request miss its objective, also beside faster targets that are avoided
 
   Scenario: Targets that flap
     Then the time without requests grows with each flap, is not ended by one response, and decays
