--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -35,6 +35,8 @@
     hedges: Counter
     fences: Counter
     probes: Counter
+    attempts: Counter
+    targets_avoided: Gauge
     connections_ended: Counter
     key_faults: Counter
 
@@ -46,6 +48,7 @@
     call_seconds: Histogram
     refusals: Counter
     limit: Gauge
+    relative_time: Gauge
     in_flight: Gauge
     queued: Gauge
     target_probes: Counter
@@ -169,6 +172,12 @@
         hedges=_make_counter(registry, "hedges_total", "Hedged requests, by result."),
         fences=_make_counter(registry, "fences_total", "Fences, by result."),
         probes=_make_counter(registry, "probes_total", "Load probes to other daemons."),
+        attempts=_make_counter(
+            registry, "attempts_total", "Requests sent to targets, by whether in the own zone."
+        ),
+        targets_avoided=_make_gauge(
+            registry, "targets_avoided", "Targets to which others are preferred, by cause."
+        ),
         connections_ended=_make_counter(
             registry,
             "caller_connections_ended_total",
@@ -190,6 +199,11 @@
         ),
         refusals=_make_counter(registry, "refusals_total", "Calls refused as not run, by cause."),
         limit=_make_gauge(registry, "concurrency_limit", "Concurrency limit of the target."),
+        relative_time=_make_gauge(
+            registry,
+            "relative_time",
+            "Response time by concurrency at the start, relative to the lowest one measured.",
+        ),
         in_flight=_make_gauge(registry, "in_flight", "Calls that run at the target."),
         queued=_make_gauge(registry, "queued", "Calls that wait for the target."),
         target_probes=_make_counter(
