Pace large responses to other daemons

Cause: on links of 8.5 Mbit/s, answers to nested calls wait behind downloads in the queue of the link and miss their deadline.

Change: with overload_control = cost and link_bandwidth set (on the platform: Limits.LinkMbps), frames above 16 KB between daemons are sent in pieces of 8 KB at nine tenths of the bandwidth and take turns. Smaller frames are sent at once. Without the setting, frames are written as before.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -16,6 +16,7 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 SlotCount = Annotated[int, Meta(ge=1, le=10_000)]
+Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
 ProbeRate = Annotated[float, Meta(ge=0, le=1000)]
 TargetProbeRate = Annotated[float, Meta(ge=0, le=100)]
@@ -60,6 +61,13 @@
             "the delay or refusal of each costs its caller"
         ),
     ] = "class"
+    link_bandwidth: Annotated[
+        Positive | None,
+        Meta(
+            description="bandwidth of this instance's link in Mbit/s, by which large responses are "
+            "paced with overload-control=cost"
+        ),
+    ] = None
     slots: Annotated[
         SlotCount, Meta(description="requests that the target can run concurrently")
     ] = 10
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -26,6 +26,7 @@
         "platform_url",
         "registration",
         "log_level",
+        "link_bandwidth",
     }
 )
 
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -13,6 +13,7 @@
 from comfreyhitch.ingress.lifecycle import Heartbeat
 from comfreyhitch.ingress.state import apply_service_profile, attach_target
 from comfreyhitch.membership.detector import publish_own_record, receive_datagrams
+from comfreyhitch.wire.pacing import make_paced_send
 from comfreyhitch.wire.server import make_peer_server
 
 logger = logging.getLogger(__name__)
@@ -22,8 +23,14 @@
     """Start the servers, publish the daemon's member record, and start its controllers."""
     settings = daemon.settings
     services = PeerServices(daemon.blackboard, daemon.ingress, daemon.claims, daemon.store)
+    link = daemon.ingress.link
     daemon.servers = [
-        make_peer_server(str(settings.host), settings.peer_port, make_handler_factory(services)),
+        make_peer_server(
+            str(settings.host),
+            settings.peer_port,
+            make_handler_factory(services),
+            None if link is None else make_paced_send(link, daemon.clock),
+        ),
         make_caller_server(daemon.egress, daemon.adapter.make_caller_interface(daemon.egress)),
         make_admin_server(
             settings,
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -38,6 +38,7 @@
 from comfreyhitch.utils.recent_set import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.generated.ttypes import LoadReport
+from comfreyhitch.wire.pacing import LinkPacer
 
 logger = logging.getLogger(__name__)
 
@@ -83,6 +84,8 @@
     pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
     calls_in_progress: int = 0
+    # Paces large responses to other daemons; None if they are sent at once.
+    link: LinkPacer | None = None
 
     @classmethod
     def from_settings(
@@ -114,9 +117,16 @@
                 max(1.0, PROBE_BURST_SECONDS * settings.target_probe_rate),
                 blackboard.clock.monotonic(),
             ),
+            link=_make_link_pacer(settings, blackboard.clock.monotonic()),
         )
 
 
+def _make_link_pacer(settings: Settings, now: float) -> LinkPacer | None:
+    if settings.overload_control != "cost" or settings.link_bandwidth is None:
+        return None
+    return LinkPacer.from_bandwidth(settings.link_bandwidth, now)
+
+
 def reports_pace(ingress: Ingress) -> bool:
     """Return whether the target has reported its pace."""
     return ingress.pace is not None
--- a/comfreyhitch/wire/server.py
+++ b/comfreyhitch/wire/server.py
@@ -12,6 +12,7 @@
 from comfreyhitch.wire.codec import make_protocol
 from comfreyhitch.wire.connections import MAX_FRAME_BYTES
 from comfreyhitch.wire.generated import Peer
+from comfreyhitch.wire.pacing import PacedTransport, SendFrame
 from comfreyhitch.wire.sockets import configure_socket
 
 logger = logging.getLogger(__name__)
@@ -19,12 +20,17 @@
 HandlerFactory = Callable[[gevent.socket.socket], Peer.Iface]
 
 
-def make_peer_server(host: str, port: int, make_handler: HandlerFactory) -> StreamServer:
-    """Return a server that creates a handler for each connection."""
+def make_peer_server(
+    host: str, port: int, make_handler: HandlerFactory, send: SendFrame | None = None
+) -> StreamServer:
+    """Return a server that creates a handler for each connection.
+
+    Frames are written with `send`, or at once if there is none.
+    """
 
     def serve(sock: gevent.socket.socket, peer_address: tuple[str, int]) -> None:
         configure_socket(sock)
-        transport = TSocket()
+        transport = TSocket() if send is None else PacedTransport(send)
         transport.setHandle(sock)
         protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
         processor = Peer.Processor(make_handler(sock))
--- /dev/null
+++ b/features/large_responses.feature
@@ -0,0 +1,18 @@
+Feature: Large responses share the link with small ones
+
+  Scenario: A link that downloads fill
+    Then small responses beside downloads that fill a link of 8.5 Mbit/s arrive within tens of milliseconds
+    And a large response does not wait for all of a larger one
+    And at least 85 in 100 of the bandwidth are used while large responses wait
+    And large responses go on while small ones alone fill the link
+
+  Scenario: Any sequence of large frames
+    Then each frame is sent completely, and the backlog is that of the frames that wait
+
+  Scenario: Large responses between daemons
+    Given a peer server with a link of 8.5 Mbit/s
+    Then a small answer during large ones arrives within 250 ms, and all answers are complete
+    And a peer that disconnects during a large answer leaves no backlog
+
+  Scenario: The bandwidth in the settings
+    Then the bandwidth of the platform is used only where requests are scheduled by cost
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -258,3 +258,17 @@
         assert 0.0 < linger_seconds < 3.0, (grace_seconds, linger_seconds)
         stop_seconds = linger_seconds + settings.drain_timeout.total_seconds()
         assert linger_seconds < stop_seconds < grace_seconds, (grace_seconds, stop_seconds)
+
+
+@then("the bandwidth of the platform is used only where requests are scheduled by cost")
+def check_link_bandwidth(context):
+    # Guards against a deployment without overload control whose responses are paced.
+    with_link = {**SETTINGS, "Limits.LinkMbps": "8.5"}
+    shared = {"Contracts": "pool, tenants"}
+    assert make_settings(with_link, {}).link_bandwidth is None
+    assert make_settings({**with_link, **shared}, {}).link_bandwidth == 8.5
+    assert make_settings({**SETTINGS, **shared}, {}).link_bandwidth is None
+    excluded = {"Contracts": "pool,rollout"}
+    assert make_settings({**with_link, **excluded}, {}).link_bandwidth is None
+    check_error_names({**with_link, **shared, "Limits.LinkMbps": "0"}, "link_bandwidth")
+    check_error_names({**with_link, **shared, "Limits.LinkMbps": "fast"}, "link_bandwidth")
