Wait for paced answers at both ends

Cause: a paced answer arrives for longer than an answer did before. Its load report was taken as new when its last bytes arrived, a fence query had 0.5 s for each part of the answer that it returns, and a daemon that stops did not wait for answers that it still sends.

Change: the load report counts from the first bytes if the answer takes over 20 ms; fence answers get the time of other answers with overload_control = cost; a stop waits for large frames in progress. Large frames get an eighth of the rate instead of a piece every 250 ms, so that many of them together do not exceed the receivers' 5 s between parts.

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -19,6 +19,7 @@
 from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.egress.stopping import StopPlan
 from comfreyhitch.idempotency.recovery import hand_over_claims
+from comfreyhitch.ingress.state import count_calls_in_progress
 from comfreyhitch.membership.detector import (
     publish_own_record,
 )
@@ -99,7 +100,7 @@
     gevent.sleep(max(0.0, plan.serves_until + REFUSING_SECONDS - clock.monotonic()))
     # Requests that run at the target may make calls of their own through this daemon.
     _wait_until(
-        lambda: daemon.ingress.calls_in_progress == 0,
+        lambda: count_calls_in_progress(daemon.ingress) == 0,
         clock,
         plan.answers_until - LAST_READS_SECONDS,
     )
@@ -120,7 +121,7 @@
     """Close quiet connections of callers; return whether no connection and no call is left."""
     caller_server.close_quiet_connections(MIN_QUIET_SECONDS)
     busy = (
-        daemon.ingress.calls_in_progress
+        count_calls_in_progress(daemon.ingress)
         + len(caller_server.connections.by_socket)
         + daemon.claims.pending_settlements
     )
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -35,8 +35,11 @@
 LATE_LATENCY_FACTOR = 4.0
 MIN_LATE_AFTER_SECONDS = 0.005
 DEFAULT_LATE_AFTER_SECONDS = 0.1
-# Once the first bytes of an answer arrive, the rest has to arrive within this time.
+# Once the first bytes of an answer arrive, each further part has to arrive within this time. The
+# whole answer may take longer, since the daemon that sends it may pace it.
 READ_TIMEOUT_SECONDS = 5.0
+# The load report of an answer that arrives for longer than this is as old as its first bytes.
+SLOW_READ_SECONDS = 0.02
 MIN_SERVER_ERROR_STATUS = 500
 DEADLINE_STATUS = 504
 STALLED_MIN_IN_FLIGHT = 2
@@ -79,11 +82,19 @@
 
 def finish_attempt(egress: Egress, attempt: Attempt, call: OutgoingCall) -> Outcome:
     """Read an answer that has begun to arrive; raise `PeerError` if it stays incomplete."""
+    clock = egress.blackboard.clock
+    began_at = clock.monotonic()
+    sent_before = attempt.view.sent_since_report
     answer = receive_call(attempt.connection, attempt.request_id, READ_TIMEOUT_SECONDS)
     egress.pool.release(attempt.connection)
     end_attempt(attempt)
-    now = egress.blackboard.clock.monotonic()
-    apply_load_report(attempt.view, answer.load, now)
+    now = clock.monotonic()
+    if now - began_at <= SLOW_READ_SECONDS:
+        apply_load_report(attempt.view, answer.load, now)
+    elif attempt.view.reported_at < began_at:
+        sent_meanwhile = attempt.view.sent_since_report - sent_before
+        apply_load_report(attempt.view, answer.load, began_at)
+        attempt.view.sent_since_report = sent_meanwhile
     return _record_answer(egress, attempt, call, answer, now)
 
 
--- a/comfreyhitch/egress/fencing.py
+++ b/comfreyhitch/egress/fencing.py
@@ -11,6 +11,7 @@
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.egress.attempts import (
+    READ_TIMEOUT_SECONDS,
     Attempt,
     abandon_attempt,
     get_late_after_seconds,
@@ -25,6 +26,7 @@
 from comfreyhitch.egress.views import get_or_create_view, is_full
 from comfreyhitch.ingress.models import parse_answer
 from comfreyhitch.utils.token_bucket import take_tokens
+from comfreyhitch.wire.connections import wait_for_answer
 from comfreyhitch.wire.exceptions import PeerError
 from comfreyhitch.wire.generated.ttypes import FenceAnswer, FenceQuery, FenceState
 
@@ -117,7 +119,13 @@
         return None
     try:
         connection.set_timeout(seconds)
-        answer = connection.client.fence(query)
+        connection.client.send_fence(query)
+        if egress.settings.overload_control == "cost" and seconds >= FENCE_TIMEOUT_SECONDS:
+            if not wait_for_answer(connection, seconds):
+                raise TimeoutError("no answer to the fence query")
+            # The answer may contain a large response, which is paced.
+            connection.set_timeout(READ_TIMEOUT_SECONDS)
+        answer = connection.client.recv_fence()
     except (OSError, TException, EOFError):
         connection.close()
         return None
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -207,6 +207,12 @@
     )
 
 
+def count_calls_in_progress(ingress: Ingress) -> int:
+    """Return the number of calls that run or whose large response is not sent completely."""
+    sending = 0 if ingress.link is None else ingress.link.frames_in_progress
+    return ingress.calls_in_progress + sending
+
+
 def is_accepting(ingress: Ingress) -> bool:
     """Return whether new calls may be admitted."""
     blackboard = ingress.blackboard
--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -25,9 +25,11 @@
 # The rest of the bandwidth is left for the headers of packets, gossip and requests, which are not
 # paced.
 BANDWIDTH_SHARE = 0.9
-# Small frames delay large ones by at most this much. Otherwise large frames would never be sent
-# while small ones alone fill the link, and receivers would give up on them.
-MAX_PIECE_DELAY_SECONDS = 0.25
+# Fraction of the rate that large frames get even if small frames alone fill the link. Otherwise
+# large frames would never be sent, and their receivers would give up on them.
+MIN_LARGE_SHARE = 0.125
+# Limit of the bytes that small frames may have sent beyond the rate, in seconds of the rate.
+MAX_DEBT_SECONDS = 0.25
 # Bytes that a link may send at once after a pause, in seconds of its rate. Greenlets on a busy
 # machine run some milliseconds late, and without these bytes the link would be idle meanwhile.
 BURST_SECONDS = 0.01
@@ -60,6 +62,8 @@
     # Bytes of large frames that wait for the link. Bytes that wait only for their receiver to
     # read are not included.
     backlog_bytes: int = 0
+    # Large frames that are not sent completely.
+    frames_in_progress: int = 0
     # Monotonic seconds since which the first turn has waited.
     waiting_since: float = 0.0
 
@@ -74,7 +78,7 @@
 def charge_bytes(pacer: LinkPacer, now: float, size: int) -> None:
     """Count bytes that are sent without a turn; later pieces wait until the link has sent them."""
     refill(pacer.bucket, now)
-    max_debt = MAX_PIECE_DELAY_SECONDS * pacer.bucket.rate
+    max_debt = MAX_DEBT_SECONDS * pacer.bucket.rate
     pacer.bucket.tokens = max(-max_debt, pacer.bucket.tokens - size)
 
 
@@ -109,7 +113,8 @@
     refill(pacer.bucket, now)
     missing_bytes = turn.piece_bytes - pacer.bucket.tokens
     by_tokens = missing_bytes / pacer.bucket.rate
-    by_delay = pacer.waiting_since + _get_max_delay_seconds(pacer) - now
+    max_delay = turn.piece_bytes / (MIN_LARGE_SHARE * pacer.bucket.rate)
+    by_delay = pacer.waiting_since + max_delay - now
     return max(0.0, min(by_tokens, by_delay))
 
 
@@ -125,11 +130,6 @@
     return (pacer.backlog_bytes + added_bytes) / pacer.bucket.rate
 
 
-def _get_max_delay_seconds(pacer: LinkPacer) -> float:
-    # On a link so slow that a piece takes longer than the bound, pieces follow one another.
-    return max(MAX_PIECE_DELAY_SECONDS, PIECE_BYTES / pacer.bucket.rate)
-
-
 def make_paced_send(pacer: LinkPacer, clock: Clock) -> SendFrame:
     """Return a function that sends small frames at once, and large ones in turns."""
 
@@ -140,11 +140,14 @@
             return
         previous_timeout = sock.gettimeout()
         sock.settimeout(STALL_TIMEOUT_SECONDS)
+        pacer.frames_in_progress += 1
         try:
             _send_in_pieces(pacer, clock, sock, memoryview(frame))
         except TimeoutError:
             logger.warning("peer does not read a response", extra={"response_bytes": len(frame)})
             raise
+        finally:
+            pacer.frames_in_progress -= 1
         sock.settimeout(previous_timeout)
 
     return send
