Refuse requests whose large responses can't be sent in time

Cause: beyond the bandwidth of the link, downloads run although their responses come after the deadline, and their bytes delay later ones.

Change: the ingress measures the mean size of responses by route and refuses a request as overloaded, not run, when the backlog of the link, the responses expected from running requests and its own can't be sent in 0.85 of the time left. Nested calls, small and unknown responses and one on an idle link are never refused for it. The backlog in seconds is reported as wait_seconds.

--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -12,7 +12,12 @@
 
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.ingress.state import Ingress, is_accepting, make_load_report
+from comfreyhitch.ingress.state import (
+    Ingress,
+    get_backlog_wait_seconds,
+    is_accepting,
+    make_load_report,
+)
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
 
@@ -132,6 +137,9 @@
     metrics.ingress.limit.set({}, load.limit)
     metrics.ingress.in_flight.set({}, load.in_flight)
     metrics.ingress.queued.set({}, load.queued)
+    if ingress.link is not None:
+        metrics.ingress.link_backlog_bytes.set({}, ingress.link.backlog_bytes)
+        metrics.ingress.link_backlog_seconds.set({}, get_backlog_wait_seconds(ingress))
     counts: dict[str, int] = {}
     for member in blackboard.members_by_address.values():
         counts[member.status.name.lower()] = counts.get(member.status.name.lower(), 0) + 1
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -20,6 +20,7 @@
     make_limit_refusal,
     make_refusal,
 )
+from comfreyhitch.ingress.response_sizes import expecting_response, record_size
 from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
@@ -66,7 +67,8 @@
     # a fence query or a resend can still get its outcome.
     cancel_socket = call.cancel_socket if call.is_idempotent else None
     request = _make_target_request(ingress, call, started_at)
-    outcome = call_target(connections, request, cancel_socket, before_send)
+    with expecting_response(ingress.response_sizes, call.route):
+        outcome = call_target(connections, request, cancel_socket, before_send)
     _record_target_outcome(ingress, call, outcome, started_at)
     return outcome
 
@@ -153,6 +155,7 @@
             record_response(limit, started_at, now, is_failure=is_failure)
             record_latency(ingress, seconds)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=is_failure)
+            record_size(ingress.response_sizes, call.route, len(response.body))
             add_recent(ingress.completed_fingerprints, call.fingerprint, now)
         case Err(Failure(refusal=Refusal.CANCELLED)):
             pass
--- a/comfreyhitch/ingress/refusals.py
+++ b/comfreyhitch/ingress/refusals.py
@@ -5,6 +5,7 @@
 from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
 from comfreyhitch.ingress.lifecycle import TargetState
 from comfreyhitch.ingress.models import IncomingCall
+from comfreyhitch.ingress.response_limits import find_response_refusal
 from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.utils.recent_set import is_recent
 
@@ -38,7 +39,7 @@
         return make_limit_refusal(ingress)
     if call.deadline <= now:
         return make_refusal(Refusal.DEADLINE, "deadline passed before the request was admitted")
-    return None
+    return find_response_refusal(ingress, call, now)
 
 
 def make_refusal(refusal: Refusal, detail: str) -> Failure:
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -29,6 +29,7 @@
     mark_suspected,
 )
 from comfreyhitch.ingress.records import RecordStore
+from comfreyhitch.ingress.response_sizes import ResponseSizes, get_link_wait_seconds
 from comfreyhitch.ingress.target import TargetConnectionPool, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.rollouts.exposure import TrialCounter
@@ -86,6 +87,7 @@
     calls_in_progress: int = 0
     # Paces large responses to other daemons; None if they are sent at once.
     link: LinkPacer | None = None
+    response_sizes: ResponseSizes = field(default_factory=ResponseSizes)
 
     @classmethod
     def from_settings(
@@ -204,12 +206,20 @@
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
         slowness=None if ingress.pace is None else ingress.pace.slowness,
+        wait_seconds=get_backlog_wait_seconds(ingress),
     )
 
 
+def get_backlog_wait_seconds(ingress: Ingress) -> float | None:
+    """Return the seconds for which a large response waits for the link, None if it is not paced."""
+    if ingress.link is None:
+        return None
+    return get_link_wait_seconds(ingress.response_sizes, ingress.link)
+
+
 def count_calls_in_progress(ingress: Ingress) -> int:
     """Return the number of calls that run or whose large response is not sent completely."""
-    sending = 0 if ingress.link is None else ingress.link.frames_in_progress
+    sending = 0 if ingress.link is None else len(ingress.link.frames)
     return ingress.calls_in_progress + sending
 
 
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -44,6 +44,9 @@
 
     call_seconds: Histogram
     refusals: Counter
+    response_refusals: Counter
+    link_backlog_bytes: Gauge
+    link_backlog_seconds: Gauge
     limit: Gauge
     in_flight: Gauge
     queued: Gauge
@@ -166,6 +169,19 @@
             registry=registry,
         ),
         refusals=_make_counter(registry, "refusals_total", "Calls refused as not run, by cause."),
+        response_refusals=_make_counter(
+            registry,
+            "response_refusals_total",
+            "Calls refused as not run because of the expected size of their response, by cause.",
+        ),
+        link_backlog_bytes=_make_gauge(
+            registry, "link_backlog_bytes", "Bytes of large responses that wait for the link."
+        ),
+        link_backlog_seconds=_make_gauge(
+            registry,
+            "link_backlog_seconds",
+            "Time to send them, and the expected responses of running calls.",
+        ),
         limit=_make_gauge(registry, "concurrency_limit", "Concurrency limit of the target."),
         in_flight=_make_gauge(registry, "in_flight", "Calls that run at the target."),
         queued=_make_gauge(registry, "queued", "Calls that wait for the target."),
--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -30,6 +30,9 @@
 MIN_LARGE_SHARE = 0.125
 # Limit of the bytes that small frames may have sent beyond the rate, in seconds of the rate.
 MAX_DEBT_SECONDS = 0.25
+# Large frames take turns for this long; after that, they are sent in the order of their arrival.
+# With turns alone, all frames become late together when there are more than the link can send.
+MAX_TURNS_SECONDS = 0.5
 # Bytes that a link may send at once after a pause, in seconds of its rate. Greenlets on a busy
 # machine run some milliseconds late, and without these bytes the link would be idle meanwhile.
 BURST_SECONDS = 0.01
@@ -41,30 +44,38 @@
 
 
 @dataclass(slots=True, eq=False)
-class Turn:
-    """Hold the wait of a large frame for its next piece; sizes are in bytes."""
+class LargeFrame:
+    """Hold a large frame that is being sent; `started_at` is in monotonic seconds."""
 
-    piece_bytes: int
-    remaining_bytes: int
-    # Called when this turn becomes the first of those that wait.
-    on_first: Callable[[], None] = lambda: None
+    unsent_bytes: int
+    started_at: float
+    # Whether the frame waits for the link, and not for its receiver.
+    is_waiting: bool = False
+    # Called when the next piece may be sent.
+    on_grant: Callable[[], None] = lambda: None
+
+    @property
+    def piece_bytes(self) -> int:
+        """Return the size of the next piece."""
+        return min(PIECE_BYTES, self.unsent_bytes)
 
 
 @dataclass(slots=True)
 class LinkPacer:
-    """Hold the tokens of a link in bytes, and the large frames that wait for their next piece.
+    """Hold the tokens of a link in bytes, and the large frames that are sent over it.
 
     Handles downloads that fill the link of a target while its other answers are small.
     """
 
     bucket: TokenBucket
-    turns: deque[Turn] = field(default_factory=deque)
+    # In the order of their arrival.
+    frames: dict[LargeFrame, None] = field(default_factory=dict)
+    # Frames that wait for their next piece, in the order of their turns.
+    turns: deque[LargeFrame] = field(default_factory=deque)
     # Bytes of large frames that wait for the link. Bytes that wait only for their receiver to
     # read are not included.
     backlog_bytes: int = 0
-    # Large frames that are not sent completely.
-    frames_in_progress: int = 0
-    # Monotonic seconds since which the first turn has waited.
+    # Monotonic seconds since which a frame has waited for the next piece.
     waiting_since: float = 0.0
 
     @classmethod
@@ -82,47 +93,51 @@
     pacer.bucket.tokens = max(-max_debt, pacer.bucket.tokens - size)
 
 
-def add_turn(pacer: LinkPacer, turn: Turn, now: float) -> None:
-    """Add a turn after all others."""
+def start_frame(pacer: LinkPacer, size: int, now: float) -> LargeFrame:
+    """Return a large frame whose first piece is sent at once."""
+    charge_bytes(pacer, now, FIRST_PIECE_BYTES)
+    frame = LargeFrame(size - FIRST_PIECE_BYTES, now)
+    pacer.frames[frame] = None
+    return frame
+
+
+def end_frame(pacer: LinkPacer, frame: LargeFrame) -> None:
+    """Remove a frame that is sent completely, or whose receiver is gone."""
+    if frame.is_waiting:
+        pacer.turns.remove(frame)
+        _stop_waiting(pacer, frame)
+    del pacer.frames[frame]
+
+
+def add_turn(pacer: LinkPacer, frame: LargeFrame, now: float) -> None:
+    """Let a frame wait for its next piece after all others."""
     if not pacer.turns:
         pacer.waiting_since = now
-    pacer.turns.append(turn)
-    pacer.backlog_bytes += turn.remaining_bytes
+    frame.is_waiting = True
+    pacer.turns.append(frame)
+    pacer.backlog_bytes += frame.unsent_bytes
 
 
-def remove_turn(pacer: LinkPacer, turn: Turn) -> None:
-    """Remove a turn, and notify the one that is first now."""
-    if not pacer.turns:
-        return
-    was_first = pacer.turns[0] is turn
-    if was_first:
-        pacer.turns.popleft()
-    elif turn in pacer.turns:
-        pacer.turns.remove(turn)
-    else:
-        return
-    pacer.backlog_bytes -= turn.remaining_bytes
-    if was_first and pacer.turns:
-        pacer.turns[0].on_first()
-
-
-def get_wait_seconds(pacer: LinkPacer, turn: Turn, now: float) -> float | None:
-    """Return the seconds until a piece may be sent, or None if other turns are before it."""
-    if not pacer.turns or pacer.turns[0] is not turn:
-        return None
+def get_wait_seconds(pacer: LinkPacer, now: float) -> float:
+    """Return the seconds until the next piece may be sent; some frame must wait for it."""
+    piece_bytes = _get_next(pacer, now).piece_bytes
     refill(pacer.bucket, now)
-    missing_bytes = turn.piece_bytes - pacer.bucket.tokens
-    by_tokens = missing_bytes / pacer.bucket.rate
-    max_delay = turn.piece_bytes / (MIN_LARGE_SHARE * pacer.bucket.rate)
+    by_tokens = (piece_bytes - pacer.bucket.tokens) / pacer.bucket.rate
+    max_delay = piece_bytes / (MIN_LARGE_SHARE * pacer.bucket.rate)
     by_delay = pacer.waiting_since + max_delay - now
     return max(0.0, min(by_tokens, by_delay))
 
 
-def grant_turn(pacer: LinkPacer, turn: Turn, now: float) -> None:
-    """Take the tokens of a piece that is sent now, and end its turn."""
-    charge_bytes(pacer, now, turn.piece_bytes)
+def grant_next(pacer: LinkPacer, now: float) -> LargeFrame:
+    """Take the tokens of the next piece, which is sent now, and return its frame."""
+    frame = _get_next(pacer, now)
+    # Usually the frame is first, so that this takes the same time for any number of frames.
+    pacer.turns.remove(frame)
+    _stop_waiting(pacer, frame)
+    charge_bytes(pacer, now, frame.piece_bytes)
+    frame.unsent_bytes -= frame.piece_bytes
     pacer.waiting_since = now
-    remove_turn(pacer, turn)
+    return frame
 
 
 def get_backlog_seconds(pacer: LinkPacer, added_bytes: float = 0.0) -> float:
@@ -130,59 +145,70 @@
     return (pacer.backlog_bytes + added_bytes) / pacer.bucket.rate
 
 
+def _get_next(pacer: LinkPacer, now: float) -> LargeFrame:
+    for frame in pacer.frames:
+        if now - frame.started_at < MAX_TURNS_SECONDS:
+            break
+        if frame.is_waiting:
+            return frame
+    return pacer.turns[0]
+
+
+def _stop_waiting(pacer: LinkPacer, frame: LargeFrame) -> None:
+    frame.is_waiting = False
+    pacer.backlog_bytes -= frame.unsent_bytes
+
+
 def make_paced_send(pacer: LinkPacer, clock: Clock) -> SendFrame:
     """Return a function that sends small frames at once, and large ones in turns."""
+    granting: gevent.Greenlet | None = None
 
-    def send(sock: gevent.socket.socket, frame: bytes) -> None:
-        if len(frame) <= MAX_SMALL_FRAME_BYTES:
-            charge_bytes(pacer, clock.monotonic(), len(frame))
-            sock.sendall(frame)
+    def send(sock: gevent.socket.socket, data: bytes) -> None:
+        if len(data) <= MAX_SMALL_FRAME_BYTES:
+            charge_bytes(pacer, clock.monotonic(), len(data))
+            sock.sendall(data)
             return
         previous_timeout = sock.gettimeout()
         sock.settimeout(STALL_TIMEOUT_SECONDS)
-        pacer.frames_in_progress += 1
+        frame = start_frame(pacer, len(data), clock.monotonic())
         try:
-            _send_in_pieces(pacer, clock, sock, memoryview(frame))
+            send_in_pieces(sock, frame, memoryview(data))
         except TimeoutError:
-            logger.warning("peer does not read a response", extra={"response_bytes": len(frame)})
+            logger.warning("peer does not read a response", extra={"response_bytes": len(data)})
             raise
         finally:
-            pacer.frames_in_progress -= 1
+            end_frame(pacer, frame)
         sock.settimeout(previous_timeout)
 
+    def send_in_pieces(sock: gevent.socket.socket, frame: LargeFrame, data: memoryview) -> None:
+        nonlocal granting
+        is_granted = Event()
+        frame.on_grant = is_granted.set
+        sent_bytes = 0
+        while sent_bytes < len(data):
+            end = len(data) - frame.unsent_bytes
+            sock.sendall(data[sent_bytes:end])
+            sent_bytes = end
+            if frame.unsent_bytes == 0:
+                return
+            is_granted.clear()
+            add_turn(pacer, frame, clock.monotonic())
+            if not granting:
+                granting = gevent.spawn(_grant_while_frames_wait, pacer, clock)
+            is_granted.wait()
+
     return send
 
 
-def _send_in_pieces(
-    pacer: LinkPacer, clock: Clock, sock: gevent.socket.socket, frame: memoryview
-) -> None:
-    charge_bytes(pacer, clock.monotonic(), FIRST_PIECE_BYTES)
-    sock.sendall(frame[:FIRST_PIECE_BYTES])
-    unsent = frame[FIRST_PIECE_BYTES:]
-    while unsent:
-        piece = unsent[:PIECE_BYTES]
-        _await_turn(pacer, clock, len(piece), len(unsent))
-        sock.sendall(piece)
-        unsent = unsent[PIECE_BYTES:]
-
-
-def _await_turn(pacer: LinkPacer, clock: Clock, piece_bytes: int, remaining_bytes: int) -> None:
-    is_first = Event()
-    turn = Turn(piece_bytes, remaining_bytes, is_first.set)
-    add_turn(pacer, turn, clock.monotonic())
-    try:
-        while True:
-            wait_seconds = get_wait_seconds(pacer, turn, clock.monotonic())
-            if wait_seconds is None:
-                is_first.wait()
-            elif wait_seconds > 0.0:
-                gevent.sleep(wait_seconds)
-            else:
-                grant_turn(pacer, turn, clock.monotonic())
-                return
-    except BaseException:
-        remove_turn(pacer, turn)
-        raise
+def _grant_while_frames_wait(pacer: LinkPacer, clock: Clock) -> None:
+    while pacer.turns:
+        wait_seconds = get_wait_seconds(pacer, clock.monotonic())
+        if wait_seconds > 0.0:
+            gevent.sleep(wait_seconds)
+        else:
+            grant_next(pacer, clock.monotonic()).on_grant()
+            # Lets the greenlet send its piece, and wait for the next one behind the others.
+            gevent.sleep(0)
 
 
 class PacedTransport(TSocket):
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -6,6 +6,12 @@
     And at least 85 in 100 of the bandwidth are used while large responses wait
     And large responses go on while small ones alone fill the link
 
+  Scenario: Downloads beyond the bandwidth of a link
+    Then of downloads at 2.2 times the load, those that run are answered before their deadline, and the link stays in use
+    And nested calls and responses of small or unknown size are never refused for the backlog, and a refused one has not run
+    And a load report names the backlog only if responses are paced
+    And sizes are measured for a bounded number of routes
+
   Scenario: Any sequence of large frames
     Then each frame is sent completely, and the backlog is that of the frames that wait
 
--- /dev/null
+++ b/features/steps/paced_answer_steps.py
@@ -0,0 +1,192 @@
+"""Test large answers between daemons over real sockets."""
+
+import struct
+from contextlib import suppress
+from types import SimpleNamespace
+from unittest.mock import patch
+
+import gevent
+import gevent.socket
+from behave import given, then
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.verdicts import Refusal
+from comfreyhitch.egress import attempts
+from comfreyhitch.egress.attempts import Attempt, read_outcome, wait_for_any
+from comfreyhitch.egress.models import Candidate, TargetView
+from comfreyhitch.ingress.state import count_calls_in_progress
+from comfreyhitch.wire.codec import make_protocol
+from comfreyhitch.wire.connections import PeerPool
+from comfreyhitch.wire.generated import Peer
+from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Greeting, LoadReport
+from comfreyhitch.wire.pacing import (
+    LinkPacer,
+    make_paced_send,
+)
+from comfreyhitch.wire.server import make_peer_server
+from features.link_emulation import LINK_MEGABITS, MEAN_DOWNLOAD_BYTES, SMALL_BYTES
+
+
+class SizedHandler(Peer.Iface):
+    """Answer each call with a body whose size is the call's path."""
+
+    def call(self, request):
+        """Return a body of the size that the path names."""
+        body = (b"%07d" % int(request.path)) * (int(request.path) // 7)
+        load = LoadReport(0, 0, 1, 0.0, True)
+        return CallAnswer(request.request_id, 2, 200, "OK", [], body, load, None, "v1")
+
+    def greet(self, caller):
+        """Return a greeting."""
+        return Greeting(boot_id="b", load=LoadReport(0, 0, 1, 0.0, True))
+
+
+@given("a peer server with a link of 8.5 Mbit/s")
+def start_paced_server(context):
+    clock = Clock.from_system()
+    context.pacer = LinkPacer.from_bandwidth(LINK_MEGABITS, clock.monotonic())
+    send = make_paced_send(context.pacer, clock)
+    context.server = make_peer_server("127.0.0.1", 0, lambda sock: SizedHandler(), send)
+    context.server.start()
+    context.add_cleanup(context.server.stop, timeout=0)
+
+
+def open_client(context):
+    """Return a client with its own connection to the server, and its socket."""
+    sock = gevent.socket.create_connection(("127.0.0.1", context.server.server_port))
+    sock.settimeout(10.0)
+    transport = TSocket()
+    transport.setHandle(sock)
+    return Peer.Client(make_protocol(TFramedTransport(transport))), sock
+
+
+def send_sized_call(client, size):
+    """Ask for an answer whose body has about this size."""
+    request = CallRequest(
+        "id", "s", "GET", str(size), [], b"", 10.0, "t", 1, True, None, "f", "r", 1
+    )
+    client.send_call(request)
+
+
+def check_body(answer, size):
+    """Check that a body is the one that was asked for."""
+    assert answer.body == (b"%07d" % size) * (size // 7), len(answer.body)
+
+
+@then("a small answer during large ones arrives within 250 ms, and all answers are complete")
+def check_sockets(context):
+    # Guards against answers that are cut or mixed when connections take turns. 8 downloads of
+    # 90 KB take 0.75 s on this link; the bound for small ones allows for a busy machine.
+    large = [open_client(context) for _ in range(8)]
+    for client, _ in large:
+        send_sized_call(client, MEAN_DOWNLOAD_BYTES)
+    gevent.sleep(0.1)
+    clock = Clock.from_system()
+    small, small_sock = open_client(context)
+    for _ in range(5):
+        started_at = clock.monotonic()
+        send_sized_call(small, SMALL_BYTES)
+        check_body(small.recv_call(), SMALL_BYTES)
+        seconds = clock.monotonic() - started_at
+        assert seconds < 0.25, seconds
+    assert context.pacer.backlog_bytes > 0
+    for client, sock in large:
+        check_body(client.recv_call(), MEAN_DOWNLOAD_BYTES)
+        sock.close()
+    small_sock.close()
+    assert context.pacer.backlog_bytes == 0
+
+
+@then("a peer that disconnects during a large answer leaves no backlog")
+def check_disconnect(context):
+    # Guards against a backlog that stays after an abandoned answer, and refuses requests forever.
+    client, sock = open_client(context)
+    send_sized_call(client, 2_000_000)
+    gevent.sleep(0.1)
+    assert context.pacer.backlog_bytes > 0
+    sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+    with gevent.Timeout(2.0):
+        while context.pacer.backlog_bytes > 0:
+            gevent.sleep(0.01)
+    assert not context.pacer.frames
+
+
+def serve_in_parts(listener, gaps):
+    """Accept a connection, greet it, and send the answer to its call in parts after gaps."""
+    sock, _ = listener.accept()
+    read = TSocket()
+    read.setHandle(sock)
+    frames = []
+    written = TSocket()
+    written.setHandle(sock)
+    written.write = frames.append
+    processor = Peer.Processor(SizedHandler())
+    protocols = [make_protocol(TFramedTransport(transport)) for transport in (read, written)]
+    for wait_seconds in ([], gaps):
+        processor.process(*protocols)
+        frame = frames.pop()
+        size = len(frame) // (len(wait_seconds) + 1) + 1
+        sock.sendall(frame[:size])
+        for number, seconds in enumerate(wait_seconds, 1):
+            gevent.sleep(seconds)
+            with suppress(OSError):
+                sock.sendall(frame[number * size : (number + 1) * size])
+
+
+def read_answer_in_parts(gaps):
+    """Return the outcome of an attempt whose answer arrives in parts, its view and its times."""
+    fake_clock = Clock.from_system()
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    server = gevent.spawn(serve_in_parts, listener, gaps)
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    pool = PeerPool.from_address("127.0.0.1:1", "127.0.0.1", fake_clock)
+    connection = pool.open(address, 1.0)
+    send_sized_call(connection.client, MEAN_DOWNLOAD_BYTES)
+    view = TargetView(address, own_in_flight=1)
+    started_at = fake_clock.monotonic()
+    attempt = Attempt("id", Candidate(address, "za", "v1", 1), view, connection, started_at)
+    egress = SimpleNamespace(
+        blackboard=SimpleNamespace(clock=fake_clock), pool=pool, latency_seconds_by_route={}
+    )
+    call = SimpleNamespace(service="s", route="r")
+    wait_for_any([attempt], 1.0)
+    began_at = fake_clock.monotonic()
+    outcome = read_outcome(egress, attempt, call)
+    listener.close()
+    server.kill()
+    pool.close()
+    return outcome, view, began_at
+
+
+@then(
+    "an answer that arrives in parts is read whole, one that stalls is a failure, and a load "
+    "report is as old as its first part"
+)
+def check_parts(context):
+    # Guards against a paced answer that is given up because all of it takes longer than the time
+    # for one part, and against an outdated load report that is taken as new.
+    with patch.object(attempts, "READ_TIMEOUT_SECONDS", 0.5):
+        outcome, view, began_at = read_answer_in_parts([0.2] * 5)
+        assert len(outcome.unwrap().body) > MEAN_DOWNLOAD_BYTES - 7
+        assert abs(view.reported_at - began_at) < 0.1, (view.reported_at, began_at)
+        outcome, _, _ = read_answer_in_parts([0.1, 1.0, 0.1])
+        assert outcome.unwrap_err().refusal is Refusal.PEER_FAILED
+
+
+@then("a daemon that stops waits for the large answers that it sends")
+def check_stop(context):
+    # Guards against a stop that cuts off responses which their target has produced.
+    ingress = SimpleNamespace(link=context.pacer, calls_in_progress=0)
+    client, sock = open_client(context)
+    send_sized_call(client, MEAN_DOWNLOAD_BYTES)
+    gevent.sleep(0.03)
+    assert count_calls_in_progress(ingress) == 1
+    check_body(client.recv_call(), MEAN_DOWNLOAD_BYTES)
+    gevent.sleep(0.01)
+    assert count_calls_in_progress(ingress) == 0
+    sock.close()
