Limit the bytes of requests and responses that a daemon holds

Cause: responses that are produced faster than links and callers take them are all held in memory, and a daemon has 200 MB.

Change: with overload_control = cost and memory_limit set (on the platform: Limits.MemoryMb), a daemon counts the bytes of requests and responses on both of its sides. A request that needs more than 16 KB is refused as overloaded, not run, when that exceeds a fifth of the memory. The metric bytes_held and refusals by cause show it.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -68,6 +68,13 @@
             "paced with overload-control=cost"
         ),
     ] = None
+    memory_limit: Annotated[
+        Positive | None,
+        Meta(
+            description="memory of this daemon in MB, of which requests and responses may hold a "
+            "fifth with overload-control=cost"
+        ),
+    ] = None
     slots: Annotated[
         SlotCount, Meta(description="requests that the target can run concurrently")
     ] = 10
--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -5,6 +5,7 @@
 from datetime import datetime
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.documents.models import DocumentKind, RolloutOrder, ServiceVersion
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.membership.models import Member
@@ -55,6 +56,7 @@
 
     clock: Clock
     own_member: Member
+    held_bytes: HeldBytes = field(default_factory=HeldBytes)
     members_by_address: dict[str, Member] = field(default_factory=dict)
     members_revision: int = 0
     sections_by_name: dict[str, Section] = field(default_factory=dict)
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -137,6 +137,7 @@
     metrics.ingress.limit.set({}, load.limit)
     metrics.ingress.in_flight.set({}, load.in_flight)
     metrics.ingress.queued.set({}, load.queued)
+    metrics.ingress.bytes_held.set({}, blackboard.held_bytes.total)
     if ingress.link is not None:
         metrics.ingress.link_backlog_bytes.set({}, ingress.link.backlog_bytes)
         metrics.ingress.link_backlog_seconds.set({}, get_backlog_wait_seconds(ingress))
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -15,6 +15,7 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.daemon.adapter import DEFAULT_ADAPTER, PlatformAdapter
 from comfreyhitch.daemon.observers import make_blackboard_observer, make_validators
 from comfreyhitch.documents.models import DocumentKind
@@ -73,6 +74,8 @@
     ) -> "Daemon":
         """Build a daemon from its settings; its servers and controllers are not started yet."""
         blackboard = Blackboard(clock=clock, own_member=make_own_member(settings, clock))
+        if settings.overload_control == "cost":
+            blackboard.held_bytes = HeldBytes.from_memory(settings.memory_limit)
         random = Random(blackboard.own_member.boot_id)
         metrics = Metrics.create()
         store = FactStore.from_clock(clock)
--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from comfreyhitch.core.blackboard import Blackboard
+from comfreyhitch.core.held_bytes import holding
 from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
 from comfreyhitch.idempotency.claims import ClaimClient, handle_claim_request, store_outcomes
 from comfreyhitch.idempotency.recovery import list_claims_for_registrar
@@ -74,7 +75,8 @@
         except ValueError as error:
             outcome = Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, str(error)))
         else:
-            outcome = handle_call(services.ingress, call)
+            with holding(services.blackboard.held_bytes, len(call.body)):
+                outcome = handle_call(services.ingress, call)
         return make_answer(request.request_id, outcome, make_load_report(services.ingress))
 
     def fence(self, query: FenceQuery) -> FenceAnswer:
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -27,6 +27,7 @@
         "registration",
         "log_level",
         "link_bandwidth",
+        "memory_limit",
     }
 )
 
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -13,7 +13,12 @@
 from comfreyhitch.ingress.lifecycle import Heartbeat
 from comfreyhitch.ingress.state import apply_service_profile, attach_target
 from comfreyhitch.membership.detector import publish_own_record, receive_datagrams
-from comfreyhitch.wire.pacing import make_paced_send
+from comfreyhitch.wire.pacing import (
+    SendFrame,
+    make_counted_send,
+    make_paced_send,
+    send_at_once,
+)
 from comfreyhitch.wire.server import make_peer_server
 
 logger = logging.getLogger(__name__)
@@ -23,13 +28,12 @@
     """Start the servers, publish the daemon's member record, and start its controllers."""
     settings = daemon.settings
     services = PeerServices(daemon.blackboard, daemon.ingress, daemon.claims, daemon.store)
-    link = daemon.ingress.link
     daemon.servers = [
         make_peer_server(
             str(settings.host),
             settings.peer_port,
             make_handler_factory(services),
-            None if link is None else make_paced_send(link, daemon.clock),
+            _make_send(daemon),
         ),
         make_caller_server(daemon.egress, daemon.adapter.make_caller_interface(daemon.egress)),
         make_admin_server(
@@ -53,6 +57,14 @@
     logger.info("daemon started", extra={"address": daemon.blackboard.own_member.address})
 
 
+def _make_send(daemon: Daemon) -> SendFrame | None:
+    """Return the function that writes frames to other daemons, None to write them at once."""
+    link = daemon.ingress.link
+    held = daemon.blackboard.held_bytes
+    send = None if link is None else make_paced_send(link, daemon.clock)
+    return send if held.limit is None else make_counted_send(held, send or send_at_once)
+
+
 def _attach_configured_target(daemon: Daemon) -> None:
     settings = daemon.settings
     if settings.service is None:
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -49,6 +49,8 @@
     end_reason: EndReason = EndReason.CALLER_CLOSED
     # Known once the current request has been classified.
     call: OutgoingCall | None = None
+    # Bytes of the current request and its response that are counted as held.
+    held_bytes: int = 0
     # Returns whether bytes of a further request have arrived.
     has_further_request: Callable[[], bool] = lambda: False
     # Ends the wait for the current request's response; None while there is no such wait.
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -11,6 +11,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HEADER_VERDICT
+from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.core.verdicts import Verdict
 from comfreyhitch.egress.caller_connections import (
     CallerConnection,
@@ -60,6 +61,7 @@
     def __init__(self, *arguments: object, **options: object) -> None:
         super().__init__(*arguments, **options)
         self.connections = CallerConnections(Clock.from_system())
+        self.held_bytes = HeldBytes()
         self.get_limits: Callable[[], CallerLimits | None] = lambda: None
         # Called with the reason when a request could not be read.
         self.record_unread: Callable[[str], None] = lambda reason: None
@@ -188,7 +190,11 @@
     def handle_one_response(self) -> None:
         """Send one response, and record why the connection ends if it ends after it."""
         self._enter(ConnectionPhase.HANDLING)
-        super().handle_one_response()
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.held_bytes.total -= self.connection.held_bytes
+            self.connection.held_bytes = 0
         if self.close_connection:
             self.connection.end_reason = EndReason.RESPONSE_SENT
 
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -31,6 +31,12 @@
 )
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
+from comfreyhitch.egress.memory import (
+    find_memory_refusal,
+    get_declared_bytes,
+    hold_bytes,
+    route_within_memory,
+)
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.stopping import (
@@ -67,6 +73,7 @@
         backlog=512,
     )
     server.connections = CallerConnections(egress.blackboard.clock)
+    server.held_bytes = egress.blackboard.held_bytes
     server.get_limits = interface.get_limits
     server.record_unread = lambda reason: _record_unread_request(egress, reason)
     server.record_end = lambda connection, unread: _record_connection_end(
@@ -119,6 +126,9 @@
 ) -> tuple[OutgoingCall | None, Outcome]:
     limit_bytes = _get_body_limit(egress, interface)
     connection = environ[CONNECTION_ENVIRON_KEY]
+    failure = find_memory_refusal(egress, get_declared_bytes(environ.get("CONTENT_LENGTH")))
+    if failure is not None:
+        return None, Err(failure)
     try:
         with interruptible(connection):
             body = _read_body(environ, limit_bytes)
@@ -129,6 +139,7 @@
     if body is None:
         detail = f"body exceeds {limit_bytes} bytes"
         return None, Err(Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail))
+    hold_bytes(egress, connection, len(body))
     request = CallerRequest(
         method=environ["REQUEST_METHOD"],
         path=environ[PATH_ENVIRON_KEY],
@@ -141,7 +152,9 @@
             return None, Err(failure)
         case Ok(call):
             connection.call = call
-            return call, _route_unless_stopping(egress, call, connection)
+            return call, route_within_memory(
+                egress, call, connection, lambda: _route_unless_stopping(egress, call, connection)
+            )
 
 
 def _get_body_limit(egress: Egress, interface: CallerInterface) -> int:
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -10,6 +10,7 @@
 from comfreyhitch.egress.choice import TargetSelector, make_selector
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.stopping import StopPlan
+from comfreyhitch.ingress.response_sizes import ResponseSizes
 from comfreyhitch.rollouts.exposure import ExposureCounter
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
@@ -43,6 +44,7 @@
     exposures_by_rollout: dict[str, ExposureCounter] = field(default_factory=dict)
     latency_seconds_by_route: dict[tuple[str, str], float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
+    response_sizes: ResponseSizes = field(default_factory=ResponseSizes)
     # None until the daemon is asked to stop.
     stop_plan: StopPlan | None = None
 
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -67,7 +67,8 @@
     # a fence query or a resend can still get its outcome.
     cancel_socket = call.cancel_socket if call.is_idempotent else None
     request = _make_target_request(ingress, call, started_at)
-    with expecting_response(ingress.response_sizes, call.route):
+    held = ingress.blackboard.held_bytes
+    with expecting_response(ingress.response_sizes, call.route, held):
         outcome = call_target(connections, request, cancel_socket, before_send)
     _record_target_outcome(ingress, call, outcome, started_at)
     return outcome
--- a/comfreyhitch/ingress/response_sizes.py
+++ b/comfreyhitch/ingress/response_sizes.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from comfreyhitch.core.held_bytes import HeldBytes, holding
 from comfreyhitch.wire.pacing import MAX_SMALL_FRAME_BYTES, LinkPacer, get_backlog_seconds
 
 MAX_ROUTES = 256
@@ -25,7 +26,7 @@
     mean_bytes_by_route: dict[str, float] = field(default_factory=dict)
     counts_by_route: dict[str, int] = field(default_factory=dict)
     # Bytes of large responses that running requests are expected to have.
-    expected_bytes: float = 0.0
+    expected_bytes: int = 0
 
 
 def record_size(sizes: ResponseSizes, route: str, size: int) -> None:
@@ -40,19 +41,20 @@
         del sizes.mean_bytes_by_route[oldest], sizes.counts_by_route[oldest]
 
 
-def get_large_bytes(sizes: ResponseSizes, route: str) -> float:
+def get_large_bytes(sizes: ResponseSizes, route: str) -> int:
     """Return the expected size of a route's responses, 0 if they are small or not known."""
     mean = sizes.mean_bytes_by_route.get(route, 0.0)
-    return mean if mean > MAX_SMALL_FRAME_BYTES else 0.0
+    return round(mean) if mean > MAX_SMALL_FRAME_BYTES else 0
 
 
 @contextmanager
-def expecting_response(sizes: ResponseSizes, route: str) -> Iterator[None]:
+def expecting_response(sizes: ResponseSizes, route: str, held: HeldBytes) -> Iterator[None]:
     """Count the expected response of a request while it runs."""
     large_bytes = get_large_bytes(sizes, route)
     sizes.expected_bytes += large_bytes
     try:
-        yield
+        with holding(held, large_bytes):
+            yield
     finally:
         sizes.expected_bytes -= large_bytes
 
@@ -73,7 +75,7 @@
     """
     large_bytes = get_large_bytes(sizes, route)
     other_bytes = link.backlog_bytes + sizes.expected_bytes
-    if large_bytes == 0.0 or other_bytes < MAX_SMALL_FRAME_BYTES:
+    if large_bytes == 0 or other_bytes < MAX_SMALL_FRAME_BYTES:
         return True
     seconds = get_backlog_seconds(link, sizes.expected_bytes + large_bytes)
     return seconds <= USABLE_TIME_SHARE * seconds_left
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -91,6 +91,7 @@
         "limit_rule": "slots",
         "overload_control": "cost" if has_overload_control else "class",
         "link_bandwidth": values.get("Limits.LinkMbps") if has_overload_control else None,
+        "memory_limit": values.get("Limits.MemoryMb") if has_overload_control else None,
         "drain_timeout": grace_seconds * SHUTDOWN_GRACE_SHARE - linger_seconds,
         "stop_linger": linger_seconds,
         "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -45,6 +45,7 @@
     call_seconds: Histogram
     refusals: Counter
     response_refusals: Counter
+    bytes_held: Gauge
     link_backlog_bytes: Gauge
     link_backlog_seconds: Gauge
     limit: Gauge
@@ -172,7 +173,12 @@
         response_refusals=_make_counter(
             registry,
             "response_refusals_total",
-            "Calls refused as not run because of the expected size of their response, by cause.",
+            "Requests refused as not run for the bytes of request or response, by cause.",
+        ),
+        bytes_held=_make_gauge(
+            registry,
+            "bytes_held",
+            "Bytes of requests and responses held, and expected from calls that run.",
         ),
         link_backlog_bytes=_make_gauge(
             registry, "link_backlog_bytes", "Bytes of large responses that wait for the link."
--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -11,6 +11,7 @@
 from thrift.transport.TSocket import TSocket
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.held_bytes import HeldBytes, holding
 from comfreyhitch.utils.token_bucket import TokenBucket, refill
 
 logger = logging.getLogger(__name__)
@@ -211,8 +212,23 @@
             gevent.sleep(0)
 
 
+def send_at_once(sock: gevent.socket.socket, data: bytes) -> None:
+    """Send a frame without pacing."""
+    sock.sendall(data)
+
+
+def make_counted_send(held: HeldBytes, send: SendFrame) -> SendFrame:
+    """Return a function that counts the bytes of each frame until it is sent."""
+
+    def send_counted(sock: gevent.socket.socket, data: bytes) -> None:
+        with holding(held, len(data)):
+            send(sock, data)
+
+    return send_counted
+
+
 class PacedTransport(TSocket):
-    """Write each frame with a function that paces it."""
+    """Write each frame with a function that paces or counts it."""
 
     def __init__(self, send: SendFrame) -> None:
         super().__init__()
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -15,6 +15,10 @@
   Scenario: Any sequence of large frames
     Then each frame is sent completely, and the backlog is that of the frames that wait
 
+  Scenario: Bytes held by a daemon
+    Then requests that need bytes beyond the limit are refused, small ones are not, and all bytes are given back
+    And at the ingress a request beyond the limit is refused as not run
+
   Scenario: Large responses between daemons
     Given a peer server with a link of 8.5 Mbit/s
     Then a small answer during large ones arrives within 250 ms, and all answers are complete
@@ -22,5 +26,25 @@
     And a daemon that stops waits for the large answers that it sends
     And a peer that disconnects during a large answer leaves no backlog
 
-  Scenario: The bandwidth in the settings
-    Then the bandwidth of the platform is used only where requests are scheduled by cost
+  Scenario: Bandwidth and memory in the settings
+    Then the bandwidth and memory of the platform are used only where requests are scheduled by cost
+
+  Scenario: Daemons with a link of 8.5 Mbit/s
+    Given daemons that schedule by cost, with a link of 8.5 Mbit/s and 1000 MB of memory
+    And a running fleet
+      | service  | zone | count |
+      | shop     | za   | 1     |
+      | payments | za   | 1     |
+    When 8 requests with responses of 300 KB are sent through shop
+    Then each gets its whole response, in no less time than the link takes, and small ones in between are fast
+    And the daemon of payments showed a backlog, and no bytes are held afterwards
+
+  Scenario: Daemons with little memory
+    Given daemons that schedule by cost, with a link of 8.5 Mbit/s and 5 MB of memory
+    And a running fleet
+      | service  | zone | count |
+      | shop     | za   | 1     |
+      | payments | za   | 1     |
+    When 8 requests with responses of 300 KB are sent through shop
+    Then some get their whole response, the others are refused as not run, and none ran that was refused
+    And no bytes are held afterwards
--- a/features/steps/large_response_steps.py
+++ b/features/steps/large_response_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import seed
 from hypothesis import strategies as st
 
+from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.core.verdicts import Refusal, Verdict
 from comfreyhitch.ingress.response_limits import find_response_refusal
 from comfreyhitch.ingress.response_sizes import (
@@ -136,6 +137,7 @@
         link=LinkPacer.from_bandwidth(LINK_MEGABITS, 0.0),
         response_sizes=ResponseSizes(),
         metrics=Metrics.create(),
+        blackboard=SimpleNamespace(held_bytes=HeldBytes()),
     )
     ingress.link.backlog_bytes = int(3.0 * ingress.link.bucket.rate)
     if route_bytes is not None:
@@ -158,7 +160,9 @@
         (None, False, 1.0, False),
     ):
         ingress = make_busy_ingress(route_bytes)
-        call = SimpleNamespace(route="r", is_nested=is_nested, deadline=5.0 + seconds_left)
+        call = SimpleNamespace(
+            route="r", body=b"", is_nested=is_nested, deadline=5.0 + seconds_left
+        )
         failure = find_response_refusal(ingress, call, 5.0)
         assert (failure is not None) is is_refused, (route_bytes, is_nested, seconds_left)
         if is_refused:
@@ -166,7 +170,7 @@
             assert "90 KB" in failure.detail and "3000 ms" in failure.detail, failure.detail
     ingress = make_busy_ingress(10 * LINK_BYTES_PER_SECOND)
     ingress.link.backlog_bytes = 0
-    call = SimpleNamespace(route="r", is_nested=False, deadline=1.0)
+    call = SimpleNamespace(route="r", body=b"", is_nested=False, deadline=1.0)
     # Otherwise the route would be refused forever, also after its responses became smaller.
     assert find_response_refusal(ingress, call, 0.0) is None
 
@@ -176,7 +180,7 @@
     # Guards against bytes on the wire that a deployment without overload control did not have.
     ingress = make_busy_ingress(MEAN_DOWNLOAD_BYTES)
     assert abs(get_backlog_wait_seconds(ingress) - 3.0) < 0.01
-    with expecting_response(ingress.response_sizes, "r"):
+    with expecting_response(ingress.response_sizes, "r", ingress.blackboard.held_bytes):
         expected_seconds = 3.0 + MEAN_DOWNLOAD_BYTES / ingress.link.bucket.rate
         assert abs(get_backlog_wait_seconds(ingress) - expected_seconds) < 0.01
     assert abs(get_backlog_wait_seconds(ingress) - 3.0) < 0.01
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -26,6 +26,7 @@
     make_paced_send,
 )
 from comfreyhitch.wire.server import make_peer_server
+from comfreyhitch.wire.sockets import wait_readable
 from features.link_emulation import LINK_MEGABITS, MEAN_DOWNLOAD_BYTES, SMALL_BYTES
 
 
@@ -104,8 +105,9 @@
     # Guards against a backlog that stays after an abandoned answer, and refuses requests forever.
     client, sock = open_client(context)
     send_sized_call(client, 2_000_000)
-    gevent.sleep(0.1)
-    assert context.pacer.backlog_bytes > 0
+    with gevent.Timeout(2.0):
+        while context.pacer.backlog_bytes == 0:
+            gevent.sleep(0.01)
     sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
     with gevent.Timeout(2.0):
@@ -184,7 +186,7 @@
     ingress = SimpleNamespace(link=context.pacer, calls_in_progress=0)
     client, sock = open_client(context)
     send_sized_call(client, MEAN_DOWNLOAD_BYTES)
-    gevent.sleep(0.03)
+    assert wait_readable(sock, 2.0)
     assert count_calls_in_progress(ingress) == 1
     check_body(client.recv_call(), MEAN_DOWNLOAD_BYTES)
     gevent.sleep(0.01)
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -260,7 +260,7 @@
         assert linger_seconds < stop_seconds < grace_seconds, (grace_seconds, stop_seconds)
 
 
-@then("the bandwidth of the platform is used only where requests are scheduled by cost")
+@then("the bandwidth and memory of the platform are used only where requests are scheduled by cost")
 def check_link_bandwidth(context):
     # Guards against a deployment without overload control whose responses are paced.
     with_link = {**SETTINGS, "Limits.LinkMbps": "8.5"}
@@ -270,5 +270,8 @@
     assert make_settings({**SETTINGS, **shared}, {}).link_bandwidth is None
     excluded = {"Contracts": "pool,rollout"}
     assert make_settings({**with_link, **excluded}, {}).link_bandwidth is None
+    with_memory = {**SETTINGS, "Limits.MemoryMb": "200"}
+    assert make_settings(with_memory, {}).memory_limit is None
+    assert make_settings({**with_memory, **shared}, {}).memory_limit == 200
     check_error_names({**with_link, **shared, "Limits.LinkMbps": "0"}, "link_bandwidth")
     check_error_names({**with_link, **shared, "Limits.LinkMbps": "fast"}, "link_bandwidth")
