Disconnect callers that do not read their responses

Cause: a write to a caller had no time limit of its own, and after a failed write the HTTP library sends an error page if no part had been sent whole, which a caller could take for the rest of its response.

Change: a write ends when the caller's kernel acknowledges no byte for 5 s. The connection is then reset, nothing is sent after a part of a response, and the held bytes are given back. A caller that reads slowly is not cut off. Large answers to other daemons are written in the same way.

--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -36,6 +36,8 @@
     RESPONSE_SENT = "response-sent"
     REQUEST_INVALID = "request-invalid"
     STOPPING = "stopping"
+    # The caller took no byte of its response for some seconds.
+    CALLER_STALLED = "caller-stalled"
 
 
 @dataclass(slots=True, eq=False)
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers: limits on request heads, idle timeouts and shutdown."""
 
+import errno
 import socket
 import time
 from collections.abc import Callable
@@ -26,10 +27,14 @@
     configure_socket,
     end_stream,
     is_open_and_empty,
+    reset_on_close,
+    send_while_read,
 )
 
 # How long a caller may take to close its side of a connection after the last response.
 END_OF_STREAM_SECONDS = 0.5
+# A caller that takes no byte of its response for this long is disconnected.
+WRITE_STALL_SECONDS = 5.0
 REASONS_AFTER_RESPONSE = frozenset({EndReason.RESPONSE_SENT, EndReason.REQUEST_INVALID})
 
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
@@ -195,9 +200,22 @@
         finally:
             self.server.held_bytes.total -= self.connection.held_bytes
             self.connection.held_bytes = 0
-        if self.close_connection:
+        if self.close_connection and self.connection.end_reason is not EndReason.CALLER_STALLED:
             self.connection.end_reason = EndReason.RESPONSE_SENT
 
+    def _sendall(self, data: bytes) -> None:
+        """Send a part of a response; raise `ConnectionResetError` if that fails."""
+        try:
+            send_while_read(self.socket, data, WRITE_STALL_SECONDS)
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                self.connection.end_reason = EndReason.CALLER_STALLED
+            reset_on_close(self.socket)
+            # For other errors, the library would send an error page after a part of the response,
+            # which callers could take for the rest of it.
+            raise ConnectionResetError(errno.ECONNRESET, str(error)) from error
+        self.response_length += len(data)
+
     def MessageClass(self, file: object, *arguments: object) -> object:  # noqa: N802
         """Read and return the headers of a request; the WSGI library defines this name."""
         limits = self.server.get_limits()
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -19,6 +19,7 @@
     CallerConnection,
     CallerConnections,
     ConnectionPhase,
+    EndReason,
     describe_request,
     interruptible,
 )
@@ -52,6 +53,7 @@
 logger = logging.getLogger(__name__)
 
 MIN_SERVER_ERROR_STATUS = 500
+UNREAD_MESSAGE = "connection ended with a request unread"
 NO_BODY_STATUSES = frozenset({204, 304})
 
 StartResponse = Callable[[str, Headers], object]
@@ -91,12 +93,13 @@
     }
     egress.metrics.egress.connections_ended.inc(labels)
     # The usual end of a connection is not logged: it holds no request and no unread bytes.
-    is_request_lost = connection.phase is ConnectionPhase.READING
-    if (is_request_lost or has_unread_bytes) and admit_log_line(egress.decisions, is_failure=True):
+    is_stalled = connection.end_reason is EndReason.CALLER_STALLED
+    is_lost = is_stalled or connection.phase is ConnectionPhase.READING
+    if (is_lost or has_unread_bytes) and admit_log_line(egress.decisions, is_failure=True):
         now = egress.blackboard.clock.monotonic()
         log_decision(
             egress.decisions,
-            "connection ended with a request unread",
+            "caller did not read its response" if is_stalled else UNREAD_MESSAGE,
             {**labels, **describe_request(connection, now)},
         )
 
--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -13,6 +13,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.held_bytes import HeldBytes, holding
 from comfreyhitch.utils.token_bucket import TokenBucket, refill
+from comfreyhitch.wire.sockets import send_while_read
 
 logger = logging.getLogger(__name__)
 
@@ -37,7 +38,7 @@
 # Bytes that a link may send at once after a pause, in seconds of its rate. Greenlets on a busy
 # machine run some milliseconds late, and without these bytes the link would be idle meanwhile.
 BURST_SECONDS = 0.01
-# A receiver that does not accept a piece within this time is disconnected.
+# A receiver that takes no bytes for this long is disconnected.
 STALL_TIMEOUT_SECONDS = 5.0
 BITS_PER_BYTE = 8
 
@@ -169,8 +170,6 @@
             charge_bytes(pacer, clock.monotonic(), len(data))
             sock.sendall(data)
             return
-        previous_timeout = sock.gettimeout()
-        sock.settimeout(STALL_TIMEOUT_SECONDS)
         frame = start_frame(pacer, len(data), clock.monotonic())
         try:
             send_in_pieces(sock, frame, memoryview(data))
@@ -179,7 +178,6 @@
             raise
         finally:
             end_frame(pacer, frame)
-        sock.settimeout(previous_timeout)
 
     def send_in_pieces(sock: gevent.socket.socket, frame: LargeFrame, data: memoryview) -> None:
         nonlocal granting
@@ -188,7 +186,7 @@
         sent_bytes = 0
         while sent_bytes < len(data):
             end = len(data) - frame.unsent_bytes
-            sock.sendall(data[sent_bytes:end])
+            send_while_read(sock, data[sent_bytes:end], STALL_TIMEOUT_SECONDS)
             sent_bytes = end
             if frame.unsent_bytes == 0:
                 return
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -1,6 +1,9 @@
 """Options and helpers for the TCP sockets to peers, targets and callers."""
 
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
@@ -18,6 +21,8 @@
 _IP_BIND_ADDRESS_NO_PORT = 24
 _READ_EVENT = 1
 DISCARD_BYTES = 64 * 1024
+# How often progress is checked within the time after which a connection counts as stalled.
+STALL_CHECKS = 5
 
 
 def configure_socket(sock: gevent.socket.socket) -> None:
@@ -93,6 +98,45 @@
         return False
 
 
+def send_while_read(sock: gevent.socket.socket, data: bytes, stall_seconds: float) -> None:
+    """Send all bytes; raise `TimeoutError` if the other end takes none for `stall_seconds`."""
+    previous_timeout = sock.gettimeout()
+    sock.settimeout(stall_seconds / STALL_CHECKS)
+    unsent = memoryview(data)
+    checks_without_progress = 0
+    queued_bytes = None
+    while unsent:
+        try:
+            sent_bytes = sock.send(unsent)
+        except TimeoutError as error:
+            if error.errno is not None:
+                # The kernel has closed the connection after its own timeout.
+                raise
+            # A socket accepts further bytes only after a third of its buffer is free, which may
+            # take long although the other end reads.
+            known_bytes, queued_bytes = queued_bytes, _count_unacknowledged_bytes(sock)
+            has_progress = known_bytes is not None and queued_bytes < known_bytes
+            checks_without_progress = 0 if has_progress else checks_without_progress + 1
+            if checks_without_progress >= STALL_CHECKS:
+                raise
+        else:
+            unsent = unsent[sent_bytes:]
+            checks_without_progress = 0
+    sock.settimeout(previous_timeout)
+
+
+def reset_on_close(sock: gevent.socket.socket) -> None:
+    """Let the end of a connection reset it, so that no incomplete response looks complete."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def _count_unacknowledged_bytes(sock: gevent.socket.socket) -> int:
+    buffer = bytearray(struct.calcsize("i"))
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, buffer)
+    return struct.unpack("i", buffer)[0]
+
+
 def end_stream(sock: gevent.socket.socket, timeout_seconds: float) -> None:
     """Send the end of the stream, then discard what arrives until the other end closes.
 
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -172,11 +172,11 @@
 def check_parts(context):
     # Guards against a paced answer that is given up because all of it takes longer than the time
     # for one part, and against an outdated load report that is taken as new.
-    with patch.object(attempts, "READ_TIMEOUT_SECONDS", 0.5):
-        outcome, view, began_at = read_answer_in_parts([0.2] * 5)
+    with patch.object(attempts, "READ_TIMEOUT_SECONDS", 1.5):
+        outcome, view, began_at = read_answer_in_parts([0.4] * 5)
         assert len(outcome.unwrap().body) > MEAN_DOWNLOAD_BYTES - 7
         assert abs(view.reported_at - began_at) < 0.1, (view.reported_at, began_at)
-        outcome, _, _ = read_answer_in_parts([0.1, 1.0, 0.1])
+        outcome, _, _ = read_answer_in_parts([0.1, 2.5, 0.1])
         assert outcome.unwrap_err().refusal is Refusal.PEER_FAILED
 
 
