Change the age of load reports only where requests are scheduled by cost

Cause: the load report of an answer that takes over 20 ms to read counted from its first bytes in all deployments.

Change: this holds only with overload_control = cost.

--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -89,7 +89,8 @@
     egress.pool.release(attempt.connection)
     end_attempt(attempt)
     now = clock.monotonic()
-    if now - began_at <= SLOW_READ_SECONDS:
+    is_paced = egress.settings.overload_control == "cost" and now - began_at > SLOW_READ_SECONDS
+    if not is_paced:
         apply_load_report(attempt.view, answer.load, now)
     elif attempt.view.reported_at < began_at:
         sent_meanwhile = attempt.view.sent_since_report - sent_before
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -153,7 +153,10 @@
     started_at = fake_clock.monotonic()
     attempt = Attempt("id", Candidate(address, "za", "v1", 1), view, connection, started_at)
     egress = SimpleNamespace(
-        blackboard=SimpleNamespace(clock=fake_clock), pool=pool, latency_seconds_by_route={}
+        settings=SimpleNamespace(overload_control="cost"),
+        blackboard=SimpleNamespace(clock=fake_clock),
+        pool=pool,
+        latency_seconds_by_route={},
     )
     call = SimpleNamespace(service="s", route="r")
     wait_for_any([attempt], 1.0)
