Send a piece of each large response every 2 seconds

Cause: a large frame waits while frames that are older than 0.5 s are sent. With deadlines of 10 s or more the backlog may exceed 5 s, after which the receiver gives up on an answer whose next part is missing.

Change: a frame that has waited for a piece for 2 s goes first.

--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -35,6 +35,9 @@
 # Large frames take turns for this long; after that, they are sent in the order of their arrival.
 # With turns alone, all frames become late together when there are more than the link can send.
 MAX_TURNS_SECONDS = 0.5
+# A frame that has waited for a piece for this long goes first. Receivers give up on an answer after
+# 5 s without a further part.
+MAX_GAP_SECONDS = 2.0
 # Bytes that a link may send at once after a pause, in seconds of its rate. Greenlets on a busy
 # machine run some milliseconds late, and without these bytes the link would be idle meanwhile.
 BURST_SECONDS = 0.01
@@ -53,6 +56,8 @@
     started_at: float
     # Whether the frame waits for the link, and not for its receiver.
     is_waiting: bool = False
+    # Monotonic seconds since which the frame has waited for its next piece.
+    waiting_since: float = 0.0
     # Called when the next piece may be sent.
     on_grant: Callable[[], None] = lambda: None
 
@@ -116,6 +121,7 @@
     if not pacer.turns:
         pacer.waiting_since = now
     frame.is_waiting = True
+    frame.waiting_since = now
     pacer.turns.append(frame)
     pacer.backlog_bytes += frame.unsent_bytes
 
@@ -148,6 +154,8 @@
 
 
 def _get_next(pacer: LinkPacer, now: float) -> LargeFrame:
+    if now - pacer.turns[0].waiting_since >= MAX_GAP_SECONDS:
+        return pacer.turns[0]
     for frame in pacer.frames:
         if now - frame.started_at < MAX_TURNS_SECONDS:
             break
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -3,6 +3,7 @@
   Scenario: A link that downloads fill
     Then small responses beside downloads that fill a link of 8.5 Mbit/s arrive within tens of milliseconds
     And a large response does not wait for all of a larger one
+    And each large response gets a piece every 3 seconds, however many there are
     And at least 85 in 100 of the bandwidth are used while large responses wait
     And large responses go on while small ones alone fill the link
 
--- a/features/link_emulation.py
+++ b/features/link_emulation.py
@@ -45,6 +45,7 @@
     size: int
     sent_bytes: int = 0
     done_at: float = 0.0
+    max_gap_seconds: float = 0.0
 
     @property
     def seconds(self):
@@ -64,6 +65,8 @@
         """Put bytes of a frame into the queue of the link."""
         seconds = size * (1 + HEADER_SHARE) / LINK_BYTES_PER_SECOND
         self.free_at = max(self.free_at, now) + seconds
+        if frame.sent_bytes:
+            frame.max_gap_seconds = max(frame.max_gap_seconds, self.free_at - frame.done_at)
         frame.sent_bytes += size
         frame.done_at = self.free_at
 
--- a/features/steps/large_response_steps.py
+++ b/features/steps/large_response_steps.py
@@ -77,6 +77,16 @@
     assert largest.done_at > late.done_at
 
 
+@then("each large response gets a piece every 3 seconds, however many there are")
+def check_gaps(context):
+    # Guards against receivers that give up on an answer after 5 s without a further part, while
+    # older responses are sent.
+    frames = [Frame(number / 100, MEAN_DOWNLOAD_BYTES) for number in range(200)]
+    simulate(frames, is_paced=True)
+    assert max(frame.done_at for frame in frames) > 15.0
+    assert max(frame.max_gap_seconds for frame in frames) < 3.0
+
+
 @then("at least 85 in 100 of the bandwidth are used while large responses wait")
 def check_throughput(context):
     # Guards against a rate so low that downloads take longer than the link requires.
