Count requests sent during slow answers from a total that is never reset

The count of requests sent while an answer arrives was the difference of two values of `sent_since_report`, which the load report of another answer resets meanwhile. With two overlapping answers it became negative, and a loaded target looked idle.

`TargetView.sent_total` only grows, and the difference is taken from it. The new step of `large_responses.feature` gave -8 instead of 2 before the change, and passes with it.

--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -84,7 +84,7 @@
     """Read an answer that has begun to arrive; raise `PeerError` if it stays incomplete."""
     clock = egress.blackboard.clock
     began_at = clock.monotonic()
-    sent_before = attempt.view.sent_since_report
+    sent_before = attempt.view.sent_total
     answer = receive_call(attempt.connection, attempt.request_id, READ_TIMEOUT_SECONDS)
     egress.pool.release(attempt.connection)
     end_attempt(attempt)
@@ -93,9 +93,8 @@
     if not is_paced:
         apply_load_report(attempt.view, answer.load, now)
     elif attempt.view.reported_at < began_at:
-        sent_meanwhile = attempt.view.sent_since_report - sent_before
         apply_load_report(attempt.view, answer.load, began_at)
-        attempt.view.sent_since_report = sent_meanwhile
+        attempt.view.sent_since_report = attempt.view.sent_total - sent_before
     return _record_answer(egress, attempt, call, answer, now)
 
 
--- a/comfreyhitch/egress/models.py
+++ b/comfreyhitch/egress/models.py
@@ -37,3 +37,5 @@
     avoid_until: float = 0.0
     is_accepting: bool = True
     boot_id: str = ""
+    # Never reset, so that requests can be counted over any period.
+    sent_total: int = 0
--- a/comfreyhitch/egress/views.py
+++ b/comfreyhitch/egress/views.py
@@ -25,6 +25,7 @@
     """Count a request that was sent to a target."""
     view.own_in_flight += 1
     view.sent_since_report += 1
+    view.sent_total += 1
 
 
 def record_ended(view: TargetView) -> None:
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -8,6 +8,7 @@
 import gevent
 import gevent.socket
 from behave import given, then
+from gevent.event import AsyncResult
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport
 
@@ -16,6 +17,7 @@
 from comfreyhitch.egress import attempts
 from comfreyhitch.egress.attempts import Attempt, read_outcome, wait_for_any
 from comfreyhitch.egress.models import Candidate, TargetView
+from comfreyhitch.egress.views import record_sent
 from comfreyhitch.ingress.state import count_calls_in_progress
 from comfreyhitch.wire.codec import make_protocol
 from comfreyhitch.wire.connections import PeerPool
@@ -183,6 +185,52 @@
         assert outcome.unwrap_err().refusal is Refusal.PEER_FAILED
 
 
+def begin_reading(egress, view):
+    """Begin to read an answer, and return how to complete it."""
+    answer = AsyncResult()
+    connection = SimpleNamespace(answer=answer, close=lambda: None)
+    attempt = Attempt("id", Candidate("a", "za", "v1", 1), view, connection, 0.0)
+    call = SimpleNamespace(service="s", route="r")
+    reading = gevent.spawn(read_outcome, egress, attempt, call)
+    gevent.sleep(2 * attempts.SLOW_READ_SECONDS)
+
+    def complete():
+        load = LoadReport(0, 0, 1, 0.0, True)
+        answer.set(CallAnswer("id", 2, 200, "OK", [], b"", load, None, "v1"))
+        reading.get(timeout=2.0)
+
+    return complete
+
+
+@then("requests sent while answers arrive are counted, also if the answers overlap")
+def check_overlapping_answers(context):
+    # Guards against a negative count, with which a loaded target looks idle: the report of one
+    # answer resets the count that another one started from.
+    egress = SimpleNamespace(
+        settings=SimpleNamespace(overload_control="cost"),
+        blackboard=SimpleNamespace(clock=Clock.from_system()),
+        pool=SimpleNamespace(release=lambda connection: None),
+        latency_seconds_by_route={},
+    )
+    view = TargetView("a")
+
+    def send(count):
+        for _ in range(count):
+            record_sent(view)
+
+    with patch.object(attempts, "receive_call", lambda connection, *_: connection.answer.get()):
+        send(10)
+        complete_first = begin_reading(egress, view)
+        send(2)
+        complete_second = begin_reading(egress, view)
+        send(1)
+        complete_first()
+        assert view.sent_since_report == 3, view.sent_since_report
+        send(1)
+        complete_second()
+        assert view.sent_since_report == 2, view.sent_since_report
+
+
 @then("a daemon that stops waits for the large answers that it sends")
 def check_stop(context):
     # Guards against a stop that cuts off responses which their target has produced.
