Count the body of a request as held before it is read

The declared length was compared with the limit of bytes held, but counted only when the whole body had arrived, so bodies that arrived at the same time were all accepted. A declared length above the limit for bodies was refused with 503 instead of 413 if other bytes were held.

The declared length counts from the check on, and is not checked against memory if the body is refused for its length anyway.

--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -32,12 +32,7 @@
 )
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
-from comfreyhitch.egress.memory import (
-    find_memory_refusal,
-    get_declared_bytes,
-    hold_bytes,
-    route_within_memory,
-)
+from comfreyhitch.egress.memory import hold_bytes, hold_declared_body, route_within_memory
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.stopping import (
@@ -129,7 +124,8 @@
 ) -> tuple[OutgoingCall | None, Outcome]:
     limit_bytes = _get_body_limit(egress, interface)
     connection = environ[CONNECTION_ENVIRON_KEY]
-    failure = find_memory_refusal(egress, get_declared_bytes(environ.get("CONTENT_LENGTH")))
+    length = environ.get("CONTENT_LENGTH")
+    failure = hold_declared_body(egress, connection, length, limit_bytes)
     if failure is not None:
         return None, Err(failure)
     try:
@@ -142,7 +138,7 @@
     if body is None:
         detail = f"body exceeds {limit_bytes} bytes"
         return None, Err(Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail))
-    hold_bytes(egress, connection, len(body))
+    hold_bytes(egress, connection, len(body) - connection.held_bytes)
     request = CallerRequest(
         method=environ["REQUEST_METHOD"],
         path=environ[PATH_ENVIRON_KEY],
--- a/comfreyhitch/egress/memory.py
+++ b/comfreyhitch/egress/memory.py
@@ -30,6 +30,23 @@
     return int(text) if text.isascii() and text.isdigit() else 0
 
 
+def hold_declared_body(
+    egress: Egress, connection: CallerConnection, content_length: str | None, limit_bytes: int
+) -> Failure | None:
+    """Count a body before it is read, or return the failure of a request that needs too many bytes.
+
+    Otherwise bodies that arrive at the same time would all be accepted. A body above the limit
+    for bodies is not read at all.
+    """
+    declared_bytes = get_declared_bytes(content_length)
+    if declared_bytes > limit_bytes:
+        return None
+    failure = find_memory_refusal(egress, declared_bytes)
+    if failure is None:
+        hold_bytes(egress, connection, declared_bytes)
+    return failure
+
+
 def hold_bytes(egress: Egress, connection: CallerConnection, size: int) -> None:
     """Count bytes until the response to the current request of a connection is written."""
     egress.blackboard.held_bytes.total += size
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -19,6 +19,7 @@
   Scenario: Bytes held by a daemon
     Then requests that need bytes beyond the limit are refused, small ones are not, and all bytes are given back
     And at the ingress a request beyond the limit is refused as not run
+    And a body counts from its declared length on, before it is read
 
   Scenario: Large responses between daemons
     Given a peer server with a link of 8.5 Mbit/s
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -11,6 +11,7 @@
 
 from comfreyhitch.core.held_bytes import MAX_SMALL_BYTES, HeldBytes, can_hold
 from comfreyhitch.core.verdicts import Refusal, Verdict
+from comfreyhitch.egress.memory import hold_declared_body
 from comfreyhitch.ingress.response_limits import find_response_refusal
 from comfreyhitch.ingress.response_sizes import ResponseSizes, record_size
 from comfreyhitch.telemetry.metrics import Metrics
@@ -79,6 +80,28 @@
     assert find_response_refusal(ingress, call, 0.0) is None
 
 
+@then("a body counts from its declared length on, before it is read")
+def check_declared_body(context):
+    # Guards against bodies that arrive at the same time and are all accepted, and against a body
+    # above the limit for bodies that is refused with 503, which callers would send again.
+    egress = SimpleNamespace(
+        metrics=Metrics.create(),
+        blackboard=SimpleNamespace(held_bytes=HeldBytes.from_memory(5.0)),
+    )
+    connections = [SimpleNamespace(held_bytes=0) for _ in range(3)]
+    failures = [
+        hold_declared_body(egress, connection, "600000", 2_000_000) for connection in connections
+    ]
+    assert failures[0] is None
+    for failure in failures[1:]:
+        assert (failure.verdict, failure.refusal) == (Verdict.NOT_RUN, Refusal.OVERLOADED)
+    held_bytes = [connection.held_bytes for connection in connections]
+    assert held_bytes == [600_000, 0, 0], held_bytes
+    assert egress.blackboard.held_bytes.total == 600_000
+    assert hold_declared_body(egress, connections[1], "9000000", 2_000_000) is None
+    assert connections[1].held_bytes == 0
+
+
 @given("daemons that schedule by cost, with a link of 8.5 Mbit/s and {megabytes} MB of memory")
 def set_limits(context, megabytes):
     context.fleet_settings = {
