Pace only the answers that contain responses of targets

All frames above 16 KB to other daemons were paced, also those with configuration or claims. Beside a backlog they waited until it was sent, while claims are due within 0.5 s and a change of the configuration has to take effect within 2.5 s.

Only the answers of `call` and `fence` are paced and counted.

--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -44,6 +44,9 @@
 # A receiver that takes no bytes for this long is disconnected.
 STALL_TIMEOUT_SECONDS = 5.0
 BITS_PER_BYTE = 8
+# Peer methods whose answers contain responses of targets. Answers of other methods, such as those
+# with configuration or claims, are due sooner than a backlog of responses ends.
+RESPONSE_METHODS = frozenset({"call", "fence"})
 
 SendFrame = Callable[[gevent.socket.socket, bytes], None]
 
@@ -234,12 +237,18 @@
 
 
 class PacedTransport(TSocket):
-    """Write each frame with a function that paces or counts it."""
+    """Write each frame that may contain a response with a function that paces or counts it."""
 
     def __init__(self, send: SendFrame) -> None:
         super().__init__()
         self._send = send
+        self._has_response = False
+
+    def begin_message(self, method: str, *_: object) -> None:
+        """Note the method whose answer is the next frame."""
+        self._has_response = method in RESPONSE_METHODS
 
     def write(self, buff: bytes) -> None:
         """Send one frame; raise `OSError` if it can't be sent completely."""
-        self._send(self.handle, buff)
+        send = self._send if self._has_response else send_at_once
+        send(self.handle, buff)
--- a/comfreyhitch/wire/server.py
+++ b/comfreyhitch/wire/server.py
@@ -25,7 +25,7 @@
 ) -> StreamServer:
     """Return a server that creates a handler for each connection.
 
-    Frames are written with `send`, or at once if there is none.
+    Answers with responses of targets are written with `send`, or at once if there is none.
     """
 
     def serve(sock: gevent.socket.socket, peer_address: tuple[str, int]) -> None:
@@ -34,6 +34,8 @@
         transport.setHandle(sock)
         protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
         processor = Peer.Processor(make_handler(sock))
+        if isinstance(transport, PacedTransport):
+            processor.on_message_begin(transport.begin_message)
         try:
             while True:
                 processor.process(protocol, protocol)
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -24,6 +24,7 @@
   Scenario: Large responses between daemons
     Given a peer server with a link of 8.5 Mbit/s
     Then a small answer during large ones arrives within 250 ms, and all answers are complete
+    And facts are sent at once beside a backlog of large answers
     And an answer that arrives in parts is read whole, one that stalls is a failure, and a load report is as old as its first part
     And requests sent while answers arrive are counted, also if the answers overlap
     And a daemon that stops waits for the large answers that it sends
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -22,7 +22,7 @@
 from comfreyhitch.wire.codec import make_protocol
 from comfreyhitch.wire.connections import PeerPool
 from comfreyhitch.wire.generated import Peer
-from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Greeting, LoadReport
+from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Fact, Greeting, LoadReport
 from comfreyhitch.wire.pacing import (
     LinkPacer,
     make_paced_send,
@@ -31,6 +31,8 @@
 from comfreyhitch.wire.sockets import wait_readable
 from features.link_emulation import LINK_MEGABITS, MEAN_DOWNLOAD_BYTES, SMALL_BYTES
 
+FACT_BYTES = 50_000
+
 
 class SizedHandler(Peer.Iface):
     """Answer each call with a body whose size is the call's path."""
@@ -41,6 +43,10 @@
         load = LoadReport(0, 0, 1, 0.0, True)
         return CallAnswer(request.request_id, 2, 200, "OK", [], body, load, None, "v1")
 
+    def fetch(self, heads):
+        """Return a fact of some kilobytes, as a configuration has."""
+        return [Fact("sections", "a", 1, b"x" * FACT_BYTES)]
+
     def greet(self, caller):
         """Return a greeting."""
         return Greeting(boot_id="b", load=LoadReport(0, 0, 1, 0.0, True))
@@ -102,6 +108,29 @@
     assert context.pacer.backlog_bytes == 0
 
 
+@then("facts are sent at once beside a backlog of large answers")
+def check_facts(context):
+    # Guards against a configuration that arrives only after the backlog of responses is sent: a
+    # change has to take effect within 2.5 s.
+    large = [open_client(context) for _ in range(4)]
+    for client, _ in large:
+        send_sized_call(client, 500_000)
+    gevent.sleep(0.6)
+    client, client_sock = open_client(context)
+    clock = Clock.from_system()
+    started_at = clock.monotonic()
+    facts = client.fetch([])
+    seconds = clock.monotonic() - started_at
+    assert seconds < 0.5, seconds
+    assert context.pacer.backlog_bytes > 0
+    assert len(facts[0].value) == FACT_BYTES
+    for _, sock in [*large, (client, client_sock)]:
+        sock.close()
+    with gevent.Timeout(5.0):
+        while context.pacer.frames:
+            gevent.sleep(0.01)
+
+
 @then("a peer that disconnects during a large answer leaves no backlog")
 def check_disconnect(context):
     # Guards against a backlog that stays after an abandoned answer, and refuses requests forever.
