Refuse large responses that need more than 0.8 of the time left

With 0.85, the simulation of downloads at 2.2 times the load had responses after their deadline: 14 of 25,241 with 100 seeds, in 12 of the seeds, up to 0.13 s late. The test used one seed without any.

The test now checks 20 seeds; it fails at seed 5 with 0.85 (4.73 s), and passes with 0.8.

--- a/comfreyhitch/ingress/response_sizes.py
+++ b/comfreyhitch/ingress/response_sizes.py
@@ -10,7 +10,7 @@
 MAX_ROUTES = 256
 # Part of the time until the deadline in which the backlog has to be sent. The rest covers responses
 # larger than the mean, and the bytes of small responses.
-USABLE_TIME_SHARE = 0.85
+USABLE_TIME_SHARE = 0.8
 # The mean follows a change of the sizes within some tens of responses.
 SIZE_WEIGHT = 0.1
 
--- a/features/steps/large_response_steps.py
+++ b/features/steps/large_response_steps.py
@@ -114,8 +114,16 @@
 )
 def check_refused_downloads(context):
     # Guards against downloads that run although their responses come too late for their callers.
+    # Rare sizes decide about it, so that one seed shows little.
+    for seed_number in range(context.seed, context.seed + 20):
+        check_refused_downloads_of(seed_number)
+
+
+def check_refused_downloads_of(seed_number):
+    """Check the downloads that are generated from a seed."""
+
     def simulate_downloads(may_start):
-        random = Random(context.seed)
+        random = Random(seed_number)
         rate = BURST_FACTOR * DOWNLOADS_PER_SECOND / MACHINES
         downloads = make_arrivals(random, rate, 1.0, lambda: draw_download_bytes(random))
         simulate(downloads, is_paced=True, may_start=may_start)
@@ -136,7 +144,8 @@
         return True
 
     served = simulate_downloads(can_start)
-    assert max(frame.seconds for frame in served) < DOWNLOAD_DEADLINE_SECONDS
+    latest_seconds = max(frame.seconds for frame in served)
+    assert latest_seconds < DOWNLOAD_DEADLINE_SECONDS, (seed_number, latest_seconds)
     seconds = max(frame.done_at for frame in served)
     assert sum(frame.size for frame in served) > 0.85 * LINK_BYTES_PER_SECOND * seconds
 
