--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -17,6 +17,7 @@
 Share = Annotated[float, Meta(ge=0, le=1)]
 SlotCount = Annotated[int, Meta(ge=1, le=10_000)]
 CallRate = Annotated[float, Meta(ge=0.1, le=10_000)]
+Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
 ProbeRate = Annotated[float, Meta(ge=0, le=1000)]
 TargetProbeRate = Annotated[float, Meta(ge=0, le=100)]
@@ -64,6 +65,20 @@
             "the delay or refusal of each costs its caller"
         ),
     ] = "class"
+    link_bandwidth: Annotated[
+        Positive | None,
+        Meta(
+            description="bandwidth of this instance's link in Mbit/s, by which large responses are "
+            "paced with overload-control=cost"
+        ),
+    ] = None
+    memory_limit: Annotated[
+        Positive | None,
+        Meta(
+            description="memory of this daemon in MB, of which requests and responses may hold a "
+            "fifth with overload-control=cost"
+        ),
+    ] = None
     slots: Annotated[
         SlotCount, Meta(description="requests that the target can run concurrently")
     ] = 10
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -15,7 +15,12 @@
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.egress.views import AVOIDANCE_CAUSES, get_avoidance_cause
-from comfreyhitch.ingress.state import Ingress, is_accepting, make_load_report
+from comfreyhitch.ingress.state import (
+    Ingress,
+    get_backlog_wait_seconds,
+    is_accepting,
+    make_load_report,
+)
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
 
@@ -155,6 +160,10 @@
             metrics.ingress.relative_time.set({"concurrency": str(concurrency)}, time)
     metrics.ingress.in_flight.set({}, load.in_flight)
     metrics.ingress.queued.set({}, load.queued)
+    metrics.ingress.bytes_held.set({}, blackboard.held_bytes.total)
+    if ingress.link is not None:
+        metrics.ingress.link_backlog_bytes.set({}, ingress.link.backlog_bytes)
+        metrics.ingress.link_backlog_seconds.set({}, get_backlog_wait_seconds(ingress))
     counts: dict[str, int] = {}
     for member in blackboard.members_by_address.values():
         counts[member.status.name.lower()] = counts.get(member.status.name.lower(), 0) + 1
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -32,6 +32,8 @@
         "usage_report_limit",
         "usage_call_rate",
         "log_level",
+        "link_bandwidth",
+        "memory_limit",
     }
 )
 
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers: limits on request heads, idle timeouts and shutdown."""
 
+import errno
 import socket
 import time
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HEADER_VERDICT
+from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.core.verdicts import Verdict
 from comfreyhitch.egress.caller_connections import (
     CallerConnection,
@@ -27,6 +29,8 @@
     configure_socket,
     end_stream,
     is_open_and_empty,
+    reset_on_close,
+    send_while_read,
 )
 
 # The library refuses longer request lines with 414. Its default is 8 KiB, and the configuration may
@@ -35,6 +39,8 @@
 
 # How long a caller may take to close its side of a connection after the last response.
 END_OF_STREAM_SECONDS = 0.5
+# A caller that takes no byte of its response for this long is disconnected.
+WRITE_STALL_SECONDS = 5.0
 REASONS_AFTER_RESPONSE = frozenset({EndReason.RESPONSE_SENT, EndReason.REQUEST_INVALID})
 
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
@@ -60,6 +66,7 @@
     def __init__(self, *arguments: object, **options: object) -> None:
         super().__init__(*arguments, **options)
         self.connections = CallerConnections(Clock.from_system())
+        self.held_bytes = HeldBytes()
         self.get_limits: Callable[[], CallerLimits | None] = lambda: None
         # Called with the reason when a request could not be read.
         self.record_unread: Callable[[str], None] = lambda reason: None
@@ -188,10 +195,27 @@
     def handle_one_response(self) -> None:
         """Send one response, and record why the connection ends if it ends after it."""
         self._enter(ConnectionPhase.HANDLING)
-        super().handle_one_response()
-        if self.close_connection:
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.held_bytes.total -= self.connection.held_bytes
+            self.connection.held_bytes = 0
+        if self.close_connection and self.connection.end_reason is not EndReason.CALLER_STALLED:
             self.connection.end_reason = EndReason.RESPONSE_SENT
 
+    def _sendall(self, data: bytes) -> None:
+        """Send a part of a response; raise `ConnectionResetError` if that fails."""
+        try:
+            send_while_read(self.socket, data, WRITE_STALL_SECONDS)
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                self.connection.end_reason = EndReason.CALLER_STALLED
+            reset_on_close(self.socket)
+            # For other errors, the library would send an error page after a part of the response,
+            # which callers could take for the rest of it.
+            raise ConnectionResetError(errno.ECONNRESET, str(error)) from error
+        self.response_length += len(data)
+
     def MessageClass(self, file: object, *arguments: object) -> object:  # noqa: N802
         """Read and return the headers of a request; the WSGI library defines this name."""
         headers = self._read_headers(file, *arguments)
--- a/comfreyhitch/egress/models.py
+++ b/comfreyhitch/egress/models.py
@@ -49,3 +49,5 @@
     # Until when the target takes no request, as the refusals of a cold or limited target say.
     paused_until: float = 0.0
     pause_seconds: float = 0.0
+    # Never reset, so that requests can be counted over any period.
+    sent_total: int = 0
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -27,6 +27,7 @@
     make_limit_refusal,
     make_refusal,
 )
+from comfreyhitch.ingress.response_sizes import expecting_response, record_size
 from comfreyhitch.ingress.state import (
     Ingress,
     apply_service_profile,
@@ -83,9 +84,11 @@
     # a fence query or a resend can still get its outcome.
     cancel_socket = call.cancel_socket if call.is_idempotent else None
     request = _make_target_request(ingress, call, started_at)
+    held = ingress.blackboard.held_bytes
     started = _start_measurement(ingress, call, started_at)
     try:
-        outcome = call_target(connections, request, cancel_socket, before_send)
+        with expecting_response(ingress.response_sizes, call.route, held):
+            outcome = call_target(connections, request, cancel_socket, before_send)
         if outcome.is_ok():
             update_pace(ingress, outcome.ok_value, clock.monotonic())
     except BaseException:
@@ -210,6 +213,7 @@
             record_response(limit, started_at, now, is_failure=is_failure)
             record_latency(ingress, seconds)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=is_failure)
+            record_size(ingress.response_sizes, call.route, len(response.body))
             add_recent(ingress.completed_fingerprints, call.fingerprint, now)
         case Err(Failure(refusal=Refusal.CANCELLED)):
             pass
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -37,6 +37,7 @@
     mark_suspected,
 )
 from comfreyhitch.ingress.records import RecordStore
+from comfreyhitch.ingress.response_sizes import ResponseSizes, get_link_wait_seconds
 from comfreyhitch.ingress.target import TargetConnectionPool, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.rollouts.exposure import TrialCounter
@@ -47,6 +48,7 @@
 from comfreyhitch.utils.recent_set import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.generated.ttypes import LoadReport
+from comfreyhitch.wire.pacing import LinkPacer
 
 logger = logging.getLogger(__name__)
 
@@ -105,6 +107,9 @@
     calls_in_progress: int = 0
     # None unless the concurrency limit is learned by throughput.
     throughput: ThroughputLimit | None = None
+    # Paces large responses to other daemons; None if they are sent at once.
+    link: LinkPacer | None = None
+    response_sizes: ResponseSizes = field(default_factory=ResponseSizes)
 
     @classmethod
     def from_settings(
@@ -141,9 +146,16 @@
                 if settings.limit_rule == "throughput"
                 else None
             ),
+            link=_make_link_pacer(settings, blackboard.clock.monotonic()),
         )
 
 
+def _make_link_pacer(settings: Settings, now: float) -> LinkPacer | None:
+    if settings.overload_control != "cost" or settings.link_bandwidth is None:
+        return None
+    return LinkPacer.from_bandwidth(settings.link_bandwidth, now)
+
+
 def reports_pace(ingress: Ingress) -> bool:
     """Return whether the target has reported its pace."""
     return ingress.pace is not None
@@ -240,9 +252,23 @@
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
         slowness=None if ingress.pace is None else ingress.pace.slowness,
+        wait_seconds=get_backlog_wait_seconds(ingress),
     )
 
 
+def get_backlog_wait_seconds(ingress: Ingress) -> float | None:
+    """Return the seconds for which a large response waits for the link, None if it is not paced."""
+    if ingress.link is None:
+        return None
+    return get_link_wait_seconds(ingress.response_sizes, ingress.link)
+
+
+def count_calls_in_progress(ingress: Ingress) -> int:
+    """Return the number of calls that run or whose large response is not sent completely."""
+    sending = 0 if ingress.link is None else len(ingress.link.frames)
+    return ingress.calls_in_progress + sending
+
+
 def is_accepting(ingress: Ingress) -> bool:
     """Return whether new calls may be admitted."""
     blackboard = ingress.blackboard
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -47,6 +47,10 @@
 
     call_seconds: Histogram
     refusals: Counter
+    response_refusals: Counter
+    bytes_held: Gauge
+    link_backlog_bytes: Gauge
+    link_backlog_seconds: Gauge
     limit: Gauge
     relative_time: Gauge
     in_flight: Gauge
@@ -198,6 +202,24 @@
             registry=registry,
         ),
         refusals=_make_counter(registry, "refusals_total", "Calls refused as not run, by cause."),
+        response_refusals=_make_counter(
+            registry,
+            "response_refusals_total",
+            "Requests refused as not run for the bytes of request or response, by cause.",
+        ),
+        bytes_held=_make_gauge(
+            registry,
+            "bytes_held",
+            "Bytes of requests and responses held, and expected from calls that run.",
+        ),
+        link_backlog_bytes=_make_gauge(
+            registry, "link_backlog_bytes", "Bytes of large responses that wait for the link."
+        ),
+        link_backlog_seconds=_make_gauge(
+            registry,
+            "link_backlog_seconds",
+            "Time to send them, and the expected responses of running calls.",
+        ),
         limit=_make_gauge(registry, "concurrency_limit", "Concurrency limit of the target."),
         relative_time=_make_gauge(
             registry,
