--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -16,6 +16,8 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 SlotCount = Annotated[int, Meta(ge=1, le=10_000)]
+CallRate = Annotated[float, Meta(ge=0.1, le=10_000)]
+Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
 ProbeRate = Annotated[float, Meta(ge=0, le=1000)]
 TargetProbeRate = Annotated[float, Meta(ge=0, le=100)]
@@ -50,8 +52,11 @@
         Meta(description="IP address of the target, if it differs from that of the daemon"),
     ] = None
     limit_rule: Annotated[
-        Literal["adaptive", "slots"],
-        Meta(description="whether the concurrency limit is learned or equals the slots"),
+        Literal["adaptive", "slots", "throughput"],
+        Meta(
+            description="whether the concurrency limit is learned by latency (adaptive), equals "
+            "the slots, or is learned by throughput, beginning at the slots"
+        ),
     ] = "adaptive"
     overload_control: Annotated[
         Literal["class", "cost"],
@@ -60,6 +65,20 @@
             "the delay or refusal of each costs its caller"
         ),
     ] = "class"
+    link_bandwidth: Annotated[
+        Positive | None,
+        Meta(
+            description="bandwidth of this instance's link in Mbit/s, by which large responses are "
+            "paced with overload-control=cost"
+        ),
+    ] = None
+    memory_limit: Annotated[
+        Positive | None,
+        Meta(
+            description="memory of this daemon in MB, of which requests and responses may hold a "
+            "fifth with overload-control=cost"
+        ),
+    ] = None
     slots: Annotated[
         SlotCount, Meta(description="requests that the target can run concurrently")
     ] = 10
@@ -129,6 +148,24 @@
     key_retention: Annotated[
         timedelta, Meta(description="time for which outcomes by Idempotency-Key are kept")
     ] = timedelta(minutes=10)
+    usage_address: Annotated[
+        Address | None, Meta(description="address that usage reports are sent to, if any")
+    ] = None
+    node_name: Annotated[
+        str, Meta(description="name of this instance in usage reports", max_length=256)
+    ] = ""
+    usage_window: Annotated[timedelta, Meta(description="time that one usage report is about")] = (
+        timedelta(seconds=5)
+    )
+    usage_lease: Annotated[
+        timedelta, Meta(description="time for which a daemon may report usage after each write")
+    ] = timedelta(seconds=3)
+    usage_report_limit: Annotated[
+        timedelta, Meta(description="time after a usage window by which its report is sent")
+    ] = timedelta(seconds=10)
+    usage_call_rate: Annotated[
+        CallRate, Meta(description="usage reports a second that the platform accepts")
+    ] = 50.0
     log_level: Annotated[
         Literal["DEBUG", "INFO", "WARNING", "ERROR"],
         Meta(description="least severe level that is logged"),
--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from typing import Annotated
@@ -10,9 +11,16 @@
 from gevent.pywsgi import WSGIServer
 from msgspec import Meta, Struct
 
+from comfreyhitch.admission.saturation import get_relative_times
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.ingress.state import Ingress, is_accepting, make_load_report
+from comfreyhitch.egress.views import AVOIDANCE_CAUSES, get_avoidance_cause
+from comfreyhitch.ingress.state import (
+    Ingress,
+    get_backlog_wait_seconds,
+    is_accepting,
+    make_load_report,
+)
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
 
@@ -43,11 +51,13 @@
     store: FactStore,
     metrics: Metrics,
     announce: Callable[[Announcement], None],
+    get_usage_status: Callable[[], dict[str, object] | None] = lambda: None,
 ) -> WSGIServer:
-    """Return the server on the admin port."""
+    """Return the server on the admin port; `get_usage_status` gives None without reports."""
 
     def get_metrics() -> AdminResponse:
         _update_gauges(blackboard, ingress, metrics)
+        _update_usage_gauges(get_usage_status(), metrics)
         content, content_type = render_metrics(metrics)
         return "200 OK", content_type, content
 
@@ -58,12 +68,17 @@
         status = "200 OK" if is_ready else "503 Service Unavailable"
         return _make_json(status, {"ready": is_ready, "accepting": is_accepting(ingress)})
 
+    def get_status() -> dict[str, object]:
+        usage = get_usage_status()
+        status = _make_status(blackboard, ingress, store)
+        return status if usage is None else {**status, "usage": usage}
+
     handlers_by_path: dict[str, Callable[[], AdminResponse]] = {
         "/metrics": get_metrics,
         "/healthz": lambda: _make_json("200 OK", {"healthy": True}),
         "/readyz": get_readiness,
         "/v1/members": lambda: _make_json("200 OK", _list_members(blackboard)),
-        "/v1/status": lambda: _make_json("200 OK", _make_status(blackboard, ingress, store)),
+        "/v1/status": lambda: _make_json("200 OK", get_status()),
     }
 
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
@@ -113,6 +128,7 @@
             name: section.generation for name, section in blackboard.sections_by_name.items()
         },
         "zones_out": sorted(blackboard.zones_out),
+        "accounts": _describe_accounts(blackboard),
         "rollouts": [asdict(status) for status in blackboard.rollout_statuses_by_id.values()],
         "vetoes": [asdict(veto) for veto in blackboard.vetoes_by_rollout.values()],
         "quarantined": sorted(blackboard.crash_reports_by_fingerprint),
@@ -127,11 +143,27 @@
     }
 
 
+def _describe_accounts(blackboard: Blackboard) -> dict[str, int] | None:
+    """Return how many client accounts and keys are in force, or None without accounts."""
+    table = blackboard.route_table
+    if table is None or table.accounts is None:
+        return None
+    return {"count": len(table.accounts.by_name), "keys": len(table.accounts.digests)}
+
+
 def _update_gauges(blackboard: Blackboard, ingress: Ingress, metrics: Metrics) -> None:
     load = make_load_report(ingress)
     metrics.ingress.limit.set({}, load.limit)
+    if ingress.throughput is not None:
+        samples_by_concurrency = ingress.throughput.samples_by_concurrency
+        for concurrency, time in get_relative_times(samples_by_concurrency).items():
+            metrics.ingress.relative_time.set({"concurrency": str(concurrency)}, time)
     metrics.ingress.in_flight.set({}, load.in_flight)
     metrics.ingress.queued.set({}, load.queued)
+    metrics.ingress.bytes_held.set({}, blackboard.held_bytes.total)
+    if ingress.link is not None:
+        metrics.ingress.link_backlog_bytes.set({}, ingress.link.backlog_bytes)
+        metrics.ingress.link_backlog_seconds.set({}, get_backlog_wait_seconds(ingress))
     counts: dict[str, int] = {}
     for member in blackboard.members_by_address.values():
         counts[member.status.name.lower()] = counts.get(member.status.name.lower(), 0) + 1
@@ -142,7 +174,25 @@
     for service, shares in blackboard.version_shares_by_service.items():
         for version, share in shares.items():
             metrics.control.rollout_share.set({"service": service, "version": version}, share)
+    views = blackboard.views_by_address.values()
+    now = blackboard.clock.monotonic()
+    causes = Counter(get_avoidance_cause(view, now) for view in views)
+    for cause in AVOIDANCE_CAUSES:
+        metrics.egress.targets_avoided.set({"cause": cause}, causes[cause])
     metrics.control.vetoes.set({}, len(blackboard.vetoes_by_rollout))
     table = blackboard.route_table
     unknown = [] if table is None else table.list_routes_of_unknown_kind()
     metrics.control.routes_of_unknown_kind.set({}, len(unknown))
+    accounts = None if table is None else table.accounts
+    metrics.control.accounts_in_force.set({}, int(accounts is not None))
+    metrics.control.accounts.set({}, 0 if accounts is None else len(accounts.by_name))
+    metrics.control.account_keys.set({}, 0 if accounts is None else len(accounts.digests))
+
+
+def _update_usage_gauges(status: dict[str, object] | None, metrics: Metrics) -> None:
+    if status is None:
+        return
+    metrics.usage.is_holder.set({}, int(status["is_holder"]))
+    if "token" in status:
+        metrics.usage.token.set({}, status["token"])
+        metrics.usage.last_window_age_seconds.set({}, status["last_window_age_seconds"])
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -15,6 +15,7 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.daemon.adapter import DEFAULT_ADAPTER, PlatformAdapter
 from comfreyhitch.daemon.observers import make_blackboard_observer, make_validators
 from comfreyhitch.documents.models import DocumentKind
@@ -35,6 +36,7 @@
 from comfreyhitch.replication.sync import fetch_facts
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.usage.exchange import UsageService
 from comfreyhitch.watching.follower import Follower
 from comfreyhitch.wire.connections import PeerPool
 
@@ -62,6 +64,7 @@
     read_settings: Callable[[], Settings] | None = None
     platform: PlatformClient | None = None
     registration: Registration | None = None
+    usage: UsageService | None = None
     followers_by_document_kind: dict[DocumentKind, Follower] = field(default_factory=dict)
     stop_requested: Event = field(default_factory=Event)
     servers: list[StreamServer | WSGIServer] = field(default_factory=list)
@@ -73,6 +76,8 @@
     ) -> "Daemon":
         """Build a daemon from its settings; its servers and controllers are not started yet."""
         blackboard = Blackboard(clock=clock, own_member=make_own_member(settings, clock))
+        if settings.overload_control == "cost":
+            blackboard.held_bytes = HeldBytes.from_memory(settings.memory_limit)
         random = Random(blackboard.own_member.boot_id)
         metrics = Metrics.create()
         store = FactStore.from_clock(clock)
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -19,6 +19,7 @@
     CallerConnection,
     CallerConnections,
     ConnectionPhase,
+    EndReason,
     describe_request,
     interruptible,
 )
@@ -31,6 +32,7 @@
 )
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
+from comfreyhitch.egress.memory import hold_bytes, hold_declared_body, route_within_memory
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.stopping import (
@@ -46,6 +48,7 @@
 logger = logging.getLogger(__name__)
 
 MIN_SERVER_ERROR_STATUS = 500
+UNREAD_MESSAGE = "connection ended with a request unread"
 NO_BODY_STATUSES = frozenset({204, 304})
 
 StartResponse = Callable[[str, Headers], object]
@@ -67,6 +70,7 @@
         backlog=512,
     )
     server.connections = CallerConnections(egress.blackboard.clock)
+    server.held_bytes = egress.blackboard.held_bytes
     server.get_limits = interface.get_limits
     server.record_unread = lambda reason: _record_unread_request(egress, reason)
     server.record_end = lambda connection, unread: _record_connection_end(
@@ -84,12 +88,13 @@
     }
     egress.metrics.egress.connections_ended.inc(labels)
     # The usual end of a connection is not logged: it holds no request and no unread bytes.
-    is_request_lost = connection.phase is ConnectionPhase.READING
-    if (is_request_lost or has_unread_bytes) and admit_log_line(egress.decisions, is_failure=True):
+    is_stalled = connection.end_reason is EndReason.CALLER_STALLED
+    is_lost = is_stalled or connection.phase is ConnectionPhase.READING
+    if (is_lost or has_unread_bytes) and admit_log_line(egress.decisions, is_failure=True):
         now = egress.blackboard.clock.monotonic()
         log_decision(
             egress.decisions,
-            "connection ended with a request unread",
+            "caller did not read its response" if is_stalled else UNREAD_MESSAGE,
             {**labels, **describe_request(connection, now)},
         )
 
@@ -119,6 +124,10 @@
 ) -> tuple[OutgoingCall | None, Outcome]:
     limit_bytes = _get_body_limit(egress, interface)
     connection = environ[CONNECTION_ENVIRON_KEY]
+    length = environ.get("CONTENT_LENGTH")
+    failure = hold_declared_body(egress, connection, length, limit_bytes)
+    if failure is not None:
+        return None, Err(failure)
     try:
         with interruptible(connection):
             body = _read_body(environ, limit_bytes)
@@ -129,6 +138,7 @@
     if body is None:
         detail = f"body exceeds {limit_bytes} bytes"
         return None, Err(Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail))
+    hold_bytes(egress, connection, len(body) - connection.held_bytes)
     request = CallerRequest(
         method=environ["REQUEST_METHOD"],
         path=environ[PATH_ENVIRON_KEY],
@@ -141,7 +151,9 @@
             return None, Err(failure)
         case Ok(call):
             connection.call = call
-            return call, _route_unless_stopping(egress, call, connection)
+            return call, route_within_memory(
+                egress, call, connection, lambda: _route_unless_stopping(egress, call, connection)
+            )
 
 
 def _get_body_limit(egress: Egress, interface: CallerInterface) -> int:
@@ -274,6 +286,7 @@
 
 _REASON_BY_STATUS = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
     422: "Unprocessable Content",
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -7,9 +7,14 @@
 
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.egress.choice import TargetSelector, make_selector
+from comfreyhitch.egress.choice import (
+    RULE_EXPECTED_COMPLETION,
+    TargetSelector,
+    make_selector,
+)
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.stopping import StopPlan
+from comfreyhitch.ingress.response_sizes import ResponseSizes
 from comfreyhitch.rollouts.exposure import ExposureCounter
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
@@ -43,6 +48,7 @@
     exposures_by_rollout: dict[str, ExposureCounter] = field(default_factory=dict)
     latency_seconds_by_route: dict[tuple[str, str], float] = field(default_factory=dict)
     request_numbers: Iterator[int] = field(default_factory=itertools.count)
+    response_sizes: ResponseSizes = field(default_factory=ResponseSizes)
     # None until the daemon is asked to stop.
     stop_plan: StopPlan | None = None
 
@@ -60,7 +66,7 @@
             pool=pool,
             metrics=metrics,
             select_target=make_selector(
-                settings.choice_rule,
+                _get_choice_rule(settings),
                 blackboard.views_by_address,
                 blackboard.own_member.zone,
                 random,
@@ -75,6 +81,12 @@
         )
 
 
+def _get_choice_rule(settings: Settings) -> str:
+    if settings.overload_control == "cost" and settings.choice_rule == "load-aware":
+        return RULE_EXPECTED_COMPLETION
+    return settings.choice_rule
+
+
 def get_retry_budget(egress: Egress, service: str) -> TokenBucket:
     """Return the retry budget of a service, created on first use.
 
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -6,10 +6,17 @@
 from comfreyhitch.admission.limiter import record_response, record_start, restart_from_initial_limit
 from comfreyhitch.admission.queue import start_waiting
 from comfreyhitch.admission.rate_limit import take_request
+from comfreyhitch.admission.throughput import (
+    StartedRequest,
+    abandon_request,
+    end_request,
+    start_request,
+)
 from comfreyhitch.admission.warm_up import admit_during_warm_up
 from comfreyhitch.core.headers import find_header
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.ingress.accounting import MIN_SERVER_ERROR_STATUS
+from comfreyhitch.ingress.cold_checks import count_request
 from comfreyhitch.ingress.health import report_if_crashed, update_pace
 from comfreyhitch.ingress.lifecycle import is_cold, mark_suspected
 from comfreyhitch.ingress.models import IncomingCall
@@ -20,8 +27,14 @@
     make_limit_refusal,
     make_refusal,
 )
+from comfreyhitch.ingress.response_sizes import expecting_response, record_size
 from comfreyhitch.ingress.scheduling import record_call_work
-from comfreyhitch.ingress.state import Ingress, apply_service_profile, record_latency
+from comfreyhitch.ingress.state import (
+    Ingress,
+    apply_service_profile,
+    apply_throughput_limit,
+    record_latency,
+)
 from comfreyhitch.ingress.target import TargetRequest, call_target
 from comfreyhitch.rollouts.evidence import record_outcome
 from comfreyhitch.rollouts.exposure import admit_trial_request
@@ -55,19 +68,37 @@
     failure = _find_rate_refusal(ingress, call, started_at)
     if failure is not None:
         return Err(failure)
+    count_request(ingress, started_at)
     call.sent_at = started_at
     call.pace_at_send = ingress.pace
     if record is not None:
         mark_running(record, started_at)
 
+    usage_window: int | None = None
+
     def before_send() -> None:
+        nonlocal usage_window
         record_start(limit, ingress.queue.running)
+        usage_window = ingress.usage.start(call.tenant)
 
     # A non-idempotent request is not cancelled when its caller disconnects, so that
     # a fence query or a resend can still get its outcome.
     cancel_socket = call.cancel_socket if call.is_idempotent else None
     request = _make_target_request(ingress, call, started_at)
-    outcome = call_target(connections, request, cancel_socket, before_send)
+    held = ingress.blackboard.held_bytes
+    started = _start_measurement(ingress, call, started_at)
+    try:
+        with expecting_response(ingress.response_sizes, call.route, held):
+            outcome = call_target(connections, request, cancel_socket, before_send)
+        if outcome.is_ok():
+            update_pace(ingress, outcome.ok_value, clock.monotonic())
+    except BaseException:
+        _abandon_measurement(ingress, started)
+        raise
+    # The check for a crash below yields, and a greenlet that is killed there has to be uncounted.
+    _end_measurement(ingress, started, outcome)
+    if outcome.is_err() and outcome.err_value.verdict is Verdict.NOT_RUN:
+        ingress.usage.withdraw(call.tenant, usage_window)
     _record_target_outcome(ingress, call, outcome, started_at)
     return outcome
 
@@ -140,6 +171,36 @@
     )
 
 
+def _start_measurement(ingress: Ingress, call: IncomingCall, now: float) -> StartedRequest | None:
+    """Count a request for the limit that is learned by throughput, if one is."""
+    if ingress.throughput is None:
+        return None
+    pace_read_at = None if call.pace_at_send is None else call.pace_at_send.read_at
+    return start_request(ingress.throughput, call.route, pace_read_at, now)
+
+
+def _abandon_measurement(ingress: Ingress, started: StartedRequest | None) -> None:
+    if started is not None:
+        abandon_request(ingress.throughput, started, ingress.blackboard.clock.monotonic())
+
+
+def _end_measurement(ingress: Ingress, started: StartedRequest | None, outcome: Outcome) -> None:
+    """Learn the limit from a response that is not a failure and not from a cold target."""
+    if started is None:
+        return
+    now = ingress.blackboard.clock.monotonic()
+    match outcome:
+        case Ok(response):
+            is_failure = response.status >= MIN_SERVER_ERROR_STATUS
+            is_comparable = not is_failure and not is_cold(ingress.lifecycle, started.started_at)
+            end_request(ingress.throughput, started, now, is_comparable=is_comparable)
+        case Err(Failure(verdict=Verdict.NOT_RUN)):
+            end_request(ingress.throughput, started, now, is_comparable=False)
+        case Err(_):
+            abandon_request(ingress.throughput, started, now)
+    apply_throughput_limit(ingress)
+
+
 def _record_target_outcome(
     ingress: Ingress, call: IncomingCall, outcome: Outcome, started_at: float
 ) -> None:
@@ -148,7 +209,6 @@
     seconds = now - started_at
     match outcome:
         case Ok(response):
-            update_pace(ingress, response, now)
             response.version = ingress.blackboard.own_member.version
             is_failure = response.status >= MIN_SERVER_ERROR_STATUS
             record_response(limit, started_at, now, is_failure=is_failure)
@@ -156,6 +216,7 @@
             if not is_failure:
                 record_call_work(ingress, call, seconds, now)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=is_failure)
+            record_size(ingress.response_sizes, call.route, len(response.body))
             add_recent(ingress.completed_fingerprints, call.fingerprint, now)
         case Err(Failure(refusal=Refusal.CANCELLED)):
             pass
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from comfreyhitch.admission.limiter import reset_baseline, set_fixed_limit
+from comfreyhitch.admission.limiter import reset_baseline, set_fixed_limit, set_learned_limit
 from comfreyhitch.admission.pacing import PaceReading
 from comfreyhitch.admission.queue import AdmissionQueue
 from comfreyhitch.admission.rate_limit import (
@@ -17,6 +17,12 @@
 )
 from comfreyhitch.admission.schedule import Schedule, reset_measurements
 from comfreyhitch.admission.scheduling import estimate_wait
+from comfreyhitch.admission.throughput import (
+    ThroughputLimit,
+    change_slots,
+    get_applied_limit,
+    reset_throughput,
+)
 from comfreyhitch.admission.warm_up import WarmUpLimiter, set_warm_up_rate
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
@@ -24,22 +30,27 @@
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
 from comfreyhitch.core.verdicts import Response
 from comfreyhitch.idempotency.claims import ClaimClient
+from comfreyhitch.ingress.confirmation import HeldHeartbeat
 from comfreyhitch.ingress.lifecycle import (
+    Heartbeat,
     TargetLifecycle,
     TargetState,
     mark_leaving,
     mark_suspected,
 )
 from comfreyhitch.ingress.records import RecordStore
+from comfreyhitch.ingress.response_sizes import ResponseSizes, get_link_wait_seconds
 from comfreyhitch.ingress.target import TargetConnectionPool, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.rollouts.exposure import TrialCounter
 from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.usage.recorder import NO_USAGE_RECORDER, UsageRecorder
 from comfreyhitch.utils.recent_set import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.generated.ttypes import LoadReport
+from comfreyhitch.wire.pacing import LinkPacer
 
 logger = logging.getLogger(__name__)
 
@@ -77,14 +88,30 @@
     rate_limit: NamedRateLimit = field(default_factory=NamedRateLimit)
     # Called when the target says in a response, for the first time, that it is leaving.
     on_leaving: Callable[[], None] = lambda: None
+    usage: UsageRecorder = NO_USAGE_RECORDER
     connections: TargetConnectionPool | None = None
     last_probed_at: float = 0.0
+    # Whether the last health response named its instance.
+    names_instance: bool = True
+    # The first heartbeat of an incarnation, until the health path confirms that it has not left.
+    held_heartbeat: HeldHeartbeat | None = None
+    # Called with a held heartbeat that was confirmed.
+    on_confirmed: Callable[[Heartbeat], None] = lambda heartbeat: None
     # Whether the target's health path was probed since the target was attached.
     is_probed: bool = False
+    # Requests sent to the target since its health path was last asked, and the reading that they
+    # caused.
+    requests_since_reading: int = 0
+    cold_check: gevent.Greenlet | None = None
     pace: PaceReading | None = None
     pace_probe: gevent.Greenlet | None = None
     latency_seconds: float = 0.0
     calls_in_progress: int = 0
+    # None unless the concurrency limit is learned by throughput.
+    throughput: ThroughputLimit | None = None
+    # Paces large responses to other daemons; None if they are sent at once.
+    link: LinkPacer | None = None
+    response_sizes: ResponseSizes = field(default_factory=ResponseSizes)
 
     @classmethod
     def from_settings(
@@ -116,6 +143,12 @@
                 max(1.0, PROBE_BURST_SECONDS * settings.target_probe_rate),
                 blackboard.clock.monotonic(),
             ),
+            throughput=(
+                ThroughputLimit.from_slots(settings.slots)
+                if settings.limit_rule == "throughput"
+                else None
+            ),
+            link=_make_link_pacer(settings, blackboard.clock.monotonic()),
         )
 
 
@@ -126,6 +159,12 @@
     return queue
 
 
+def _make_link_pacer(settings: Settings, now: float) -> LinkPacer | None:
+    if settings.overload_control != "cost" or settings.link_bandwidth is None:
+        return None
+    return LinkPacer.from_bandwidth(settings.link_bandwidth, now)
+
+
 def reports_pace(ingress: Ingress) -> bool:
     """Return whether the target has reported its pace."""
     return ingress.pace is not None
@@ -139,8 +178,11 @@
     ingress.connections = TargetConnectionPool.from_address(host, port, clock, ingress.header_names)
     ingress.connections.on_unexpected_close = lambda: mark_suspected(ingress.lifecycle)
     ingress.connections.on_response = lambda response: apply_target_notices(ingress, response)
+    ingress.connections.on_unbounded = lambda part: _record_unbounded(ingress, part)
     ingress.rate_limit = NamedRateLimit()
     ingress.is_probed = False
+    if ingress.throughput is not None:
+        reset_throughput(ingress.throughput, slots)
     set_slots(ingress, slots)
     reset_learned_limit(ingress)
     if ingress.queue.schedule is not None:
@@ -165,14 +207,29 @@
             ingress.on_leaving()
 
 
+def _record_unbounded(ingress: Ingress, part: str) -> None:
+    ingress.metrics.ingress.unbounded_responses.inc({"part": part})
+    logger.warning("response of the target was given up", extra={"too_many": part})
+
+
 def set_slots(ingress: Ingress, slots: int) -> None:
     """Set how many requests the target can run at a time."""
-    if ingress.settings.limit_rule == "slots":
+    if ingress.throughput is not None:
+        change_slots(ingress.throughput, slots)
+        apply_throughput_limit(ingress)
+    elif ingress.settings.limit_rule == "slots":
         set_fixed_limit(ingress.queue.limit, slots)
     else:
         ingress.queue.limit.slots = slots
 
 
+def apply_throughput_limit(ingress: Ingress) -> None:
+    """Admit requests by the limit that is learned by throughput, if one is."""
+    state = ingress.throughput
+    if state is not None:
+        set_learned_limit(ingress.queue.limit, state.slots, get_applied_limit(state))
+
+
 def apply_service_profile(ingress: Ingress) -> None:
     """Apply the configured request rate for cold targets of this daemon's service."""
     table = ingress.blackboard.route_table
@@ -201,19 +258,37 @@
     return LoadReport(
         in_flight=queue.running,
         queued=len(queue.waiting),
-        limit=queue.limit.limit,
+        # A limit that is only tried for some requests is not reported.
+        limit=queue.limit.limit if ingress.throughput is None else ingress.throughput.limit,
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
         slowness=None if ingress.pace is None else ingress.pace.slowness,
-        wait_seconds=_estimate_wait(queue, ingress.blackboard.clock.monotonic()),
+        wait_seconds=_estimate_wait(ingress),
     )
 
 
-def _estimate_wait(queue: AdmissionQueue, now: float) -> float | None:
-    """Return the expected wait of a least urgent call, or None without a schedule."""
+def _estimate_wait(ingress: Ingress) -> float | None:
+    """Return the expected wait of a least urgent call, or None if it is not known."""
+    queue = ingress.queue
+    backlog_seconds = get_backlog_wait_seconds(ingress)
     if queue.schedule is None:
+        return backlog_seconds
+    now = ingress.blackboard.clock.monotonic()
+    queue_seconds = estimate_wait(queue.schedule, queue.waiting, queue.limit.limit, now)
+    return max(queue_seconds, backlog_seconds or 0.0)
+
+
+def get_backlog_wait_seconds(ingress: Ingress) -> float | None:
+    """Return the seconds for which a large response waits for the link, None if it is not paced."""
+    if ingress.link is None:
         return None
-    return estimate_wait(queue.schedule, queue.waiting, queue.limit.limit, now)
+    return get_link_wait_seconds(ingress.response_sizes, ingress.link)
+
+
+def count_calls_in_progress(ingress: Ingress) -> int:
+    """Return the number of calls that run or whose large response is not sent completely."""
+    sending = 0 if ingress.link is None else len(ingress.link.frames)
+    return ingress.calls_in_progress + sending
 
 
 def is_accepting(ingress: Ingress) -> bool:
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -35,8 +35,11 @@
     hedges: Counter
     fences: Counter
     probes: Counter
+    attempts: Counter
+    targets_avoided: Gauge
     connections_ended: Counter
     nested_calls: Counter
+    key_faults: Counter
 
 
 @dataclass(slots=True)
@@ -45,13 +48,19 @@
 
     call_seconds: Histogram
     refusals: Counter
+    response_refusals: Counter
+    bytes_held: Gauge
+    link_backlog_bytes: Gauge
+    link_backlog_seconds: Gauge
     limit: Gauge
+    relative_time: Gauge
     in_flight: Gauge
     queued: Gauge
     target_probes: Counter
     target_probe_seconds: Counter
     scheduling_refusals: Counter
     wait_seconds: Histogram
+    unbounded_responses: Counter
 
 
 @dataclass(slots=True)
@@ -67,6 +76,19 @@
     vetoes: Gauge
     probe_budget: Gauge
     routes_of_unknown_kind: Gauge
+    accounts_in_force: Gauge
+    accounts: Gauge
+    account_keys: Gauge
+
+
+@dataclass(slots=True)
+class UsageMetrics:
+    """Hold the metrics of usage reports."""
+
+    events: Counter
+    is_holder: Gauge
+    token: Gauge
+    last_window_age_seconds: Gauge
 
 
 @dataclass(slots=True)
@@ -77,8 +99,9 @@
     egress: EgressMetrics
     ingress: IngressMetrics
     control: ControlMetrics
+    usage: UsageMetrics
     label_sets_by_key: dict[tuple[str, ...], dict[str, str]]
-    known_tenants: set[str]
+    tenant_labels_by_name: dict[str, str]
 
     @classmethod
     def create(cls) -> "Metrics":
@@ -89,8 +112,9 @@
             egress=_make_egress_metrics(registry),
             ingress=_make_ingress_metrics(registry),
             control=_make_control_metrics(registry),
+            usage=_make_usage_metrics(registry),
             label_sets_by_key={},
-            known_tenants=set(),
+            tenant_labels_by_name={},
         )
 
 
@@ -131,13 +155,16 @@
 
 
 def _limit_tenant_label(metrics: Metrics, tenant: str) -> str:
-    if tenant in metrics.known_tenants:
-        return tenant
+    label = metrics.tenant_labels_by_name.get(tenant)
+    if label is not None:
+        return label
     # Callers choose the names of tenants, so the number of label values has to be limited.
-    if len(metrics.known_tenants) >= MAX_TENANT_LABELS:
+    if len(metrics.tenant_labels_by_name) >= MAX_TENANT_LABELS:
         return OTHER_TENANT
-    metrics.known_tenants.add(tenant)
-    return tenant
+    # The library writes label values unescaped, and a quote would make all metrics unreadable.
+    label = tenant.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+    metrics.tenant_labels_by_name[tenant] = label
+    return label
 
 
 def _make_egress_metrics(registry: Registry) -> EgressMetrics:
@@ -152,6 +179,12 @@
         hedges=_make_counter(registry, "hedges_total", "Hedged requests, by result."),
         fences=_make_counter(registry, "fences_total", "Fences, by result."),
         probes=_make_counter(registry, "probes_total", "Load probes to other daemons."),
+        attempts=_make_counter(
+            registry, "attempts_total", "Requests sent to targets, by whether in the own zone."
+        ),
+        targets_avoided=_make_gauge(
+            registry, "targets_avoided", "Targets to which others are preferred, by cause."
+        ),
         connections_ended=_make_counter(
             registry,
             "caller_connections_ended_total",
@@ -162,6 +195,9 @@
             "nested_calls_total",
             "Requests that the target made while it ran another one, by service and route.",
         ),
+        key_faults=_make_counter(
+            registry, "key_faults_total", "Requests refused for their account key, by cause."
+        ),
     )
 
 
@@ -174,7 +210,30 @@
             registry=registry,
         ),
         refusals=_make_counter(registry, "refusals_total", "Calls refused as not run, by cause."),
+        response_refusals=_make_counter(
+            registry,
+            "response_refusals_total",
+            "Requests refused as not run for the bytes of request or response, by cause.",
+        ),
+        bytes_held=_make_gauge(
+            registry,
+            "bytes_held",
+            "Bytes of requests and responses held, and expected from calls that run.",
+        ),
+        link_backlog_bytes=_make_gauge(
+            registry, "link_backlog_bytes", "Bytes of large responses that wait for the link."
+        ),
+        link_backlog_seconds=_make_gauge(
+            registry,
+            "link_backlog_seconds",
+            "Time to send them, and the expected responses of running calls.",
+        ),
         limit=_make_gauge(registry, "concurrency_limit", "Concurrency limit of the target."),
+        relative_time=_make_gauge(
+            registry,
+            "relative_time",
+            "Response time by concurrency at the start, relative to the lowest one measured.",
+        ),
         in_flight=_make_gauge(registry, "in_flight", "Calls that run at the target."),
         queued=_make_gauge(registry, "queued", "Calls that wait for the target."),
         target_probes=_make_counter(
@@ -194,6 +253,11 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=registry,
         ),
+        unbounded_responses=_make_counter(
+            registry,
+            "unbounded_responses_total",
+            "Responses of the target given up for their headers, interim responses or chunks.",
+        ),
     )
 
 
@@ -222,6 +286,26 @@
             "routes_of_unknown_kind",
             "Routes whose kind is unknown, so that their requests run at most once.",
         ),
+        accounts_in_force=_make_gauge(
+            registry, "accounts_in_force", "Whether requests need the key of a client account."
+        ),
+        accounts=_make_gauge(registry, "accounts", "Client accounts in force."),
+        account_keys=_make_gauge(registry, "account_keys", "Keys of client accounts in force."),
+    )
+
+
+def _make_usage_metrics(registry: Registry) -> UsageMetrics:
+    return UsageMetrics(
+        events=_make_counter(
+            registry, "usage_duty_events_total", "Writes, reports and changes of the usage duty."
+        ),
+        is_holder=_make_gauge(
+            registry, "usage_duty_is_held", "Whether this daemon holds the usage duty."
+        ),
+        token=_make_gauge(registry, "usage_duty_token", "Latest known token of the usage duty."),
+        last_window_age_seconds=_make_gauge(
+            registry, "usage_last_window_age_seconds", "Time since the last window that is decided."
+        ),
     )
 
 
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -144,6 +144,15 @@
     assert settings.platform_url == "http://10.200.1.7:8309"
     assert get_addresses(SETTINGS)["Listen.Control"] == ("10.1.0.8", 8306)
     assert make_settings(SETTINGS, {"COMFREYHITCH_ZONE": "zx"}).zone == "zx"
+    # Without this selection, the limit of a target that saturates below its slots is never learned.
+    expected_by_contracts = {
+        "pool": ("throughput", "cost"),
+        "pool,rollout": ("slots", "class"),
+        "": ("slots", "class"),
+    }
+    for contracts, expected in expected_by_contracts.items():
+        settings = make_settings({**SETTINGS, "Contracts": contracts}, {})
+        assert (settings.limit_rule, settings.overload_control) == expected, contracts
     check_error_names(SETTINGS, "no_such", {"COMFREYHITCH_NO_SUCH": "1"})
     for name in REQUIRED_SETTINGS:
         check_error_names({key: value for key, value in SETTINGS.items() if key != name}, name)
@@ -258,3 +267,20 @@
         assert 0.0 < linger_seconds < 3.0, (grace_seconds, linger_seconds)
         stop_seconds = linger_seconds + settings.drain_timeout.total_seconds()
         assert linger_seconds < stop_seconds < grace_seconds, (grace_seconds, stop_seconds)
+
+
+@then("the bandwidth and memory of the platform are used only where requests are scheduled by cost")
+def check_link_bandwidth(context):
+    # Guards against a deployment without overload control whose responses are paced.
+    with_link = {**SETTINGS, "Limits.LinkMbps": "8.5"}
+    shared = {"Contracts": "pool, tenants"}
+    assert make_settings(with_link, {}).link_bandwidth is None
+    assert make_settings({**with_link, **shared}, {}).link_bandwidth == 8.5
+    assert make_settings({**SETTINGS, **shared}, {}).link_bandwidth is None
+    excluded = {"Contracts": "pool,rollout"}
+    assert make_settings({**with_link, **excluded}, {}).link_bandwidth is None
+    with_memory = {**SETTINGS, "Limits.MemoryMb": "200"}
+    assert make_settings(with_memory, {}).memory_limit is None
+    assert make_settings({**with_memory, **shared}, {}).memory_limit == 200
+    check_error_names({**with_link, **shared, "Limits.LinkMbps": "0"}, "link_bandwidth")
+    check_error_names({**with_link, **shared, "Limits.LinkMbps": "fast"}, "link_bandwidth")
