Let requests wait for a part of their slack only, and keep short queues filled

A few test requests of an urgent rank counted as a rank that is served less.

Change: a request may be expected to wait for half of the time until its latest timely start; the first two waiting requests are kept unless their deadlines would be missed; a rank needs five decided requests to be compared.

The features scheduling and request_life pass, 11 scenarios.

--- a/comfreyhitch/admission/scheduling.py
+++ b/comfreyhitch/admission/scheduling.py
@@ -23,6 +23,13 @@
 # Share of its time at this ingress for which a request that misses its objective may wait. It must
 # not be held for most of its deadline only to be refused.
 MAX_HOLD_SHARE = 0.5
+# Share of the time until its latest timely start for which a request may be expected to wait. Work
+# varies, so that of requests that may wait for all of it about half miss their objectives.
+MAX_WAIT_SHARE = 0.5
+# As many waiting requests as this are kept unless their deadlines would be missed. A slot that
+# becomes free would else stay unused until the next request arrives.
+MIN_KEPT_REQUESTS = 2
+SLOTS_PER_KEPT_REQUEST = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +54,8 @@
     terms.give_up_at = _get_latest_start(entry)
     objective_start_at = terms.objective_at - terms.known_work_seconds
     if not terms.is_nested and not terms.has_returned and now <= objective_start_at:
-        terms.give_up_at = min(objective_start_at, terms.give_up_at)
+        wait_seconds = MAX_WAIT_SHARE * (objective_start_at - now)
+        terms.give_up_at = min(now + wait_seconds, terms.give_up_at)
         if is_served_before_others(schedule.shares_by_rank, terms.rank, now):
             terms.give_up_at = now
 
@@ -111,6 +119,8 @@
     """
     too_late = []
     share_by_key: dict[int, float] = {}
+    kept = 0
+    min_kept = max(MIN_KEPT_REQUESTS, limit // SLOTS_PER_KEPT_REQUEST)
     for entry in ordered:
         terms = entry.terms
         key = 0 if entry in advanced else get_rank_key(terms)
@@ -119,9 +129,13 @@
         if key not in share_by_key:
             share_by_key[key] = get_overtaking_share(schedule, key, limit, now)
         terms.expected_start_at = now + (free_at[0] - now) / (1.0 - share_by_key[key])
-        if terms.expected_start_at > terms.give_up_at:
+        latest_start_at = terms.give_up_at
+        if kept < min_kept:
+            latest_start_at = max(latest_start_at, entry.deadline - terms.known_work_seconds)
+        if terms.expected_start_at > latest_start_at:
             too_late.append(entry)
         else:
+            kept += 1
             heapreplace(free_at, free_at[0] + get_slot_seconds(schedule, entry))
     return too_late
 
--- a/comfreyhitch/admission/service_shares.py
+++ b/comfreyhitch/admission/service_shares.py
@@ -10,7 +10,7 @@
 # count less than a quarter as a fault.
 STARVED_SHARE_RATIO = 0.4
 # Fewer decided requests say too little about the share of a rank.
-MIN_DECIDED_REQUESTS = 2.0
+MIN_DECIDED_REQUESTS = 5.0
 # Lead over a more urgent rank that is not acted on. Callers count 0.05 as a fault.
 MAX_SHARE_LEAD = 0.02
 
