Pass the objective to the choice of a target, and exempt calls without account from shares

Cause: the choice by expected completion allows another zone where the own one would make the caller miss its objective, but nothing passed the objective. With accounts in force, the share of a target that one tenant may hold also bounded the calls that targets make, which have no account. A changed overload control took effect in part until the next start.

Change: `choose_for_call` passes the end of the objective; calls without account have no share; `limit_rule` and `overload_control` change at the next start.

--- a/comfreyhitch/admission/queue.py
+++ b/comfreyhitch/admission/queue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from comfreyhitch.accounts.models import NO_ACCOUNT
 from comfreyhitch.admission.limiter import ConcurrencyLimit
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.sections.models import TrafficClass
@@ -113,6 +114,9 @@
 
 
 def _exceeds_tenant_share(queue: AdmissionQueue, tenant: str, share: float) -> bool:
+    if tenant == NO_ACCOUNT:
+        # Calls that targets make have no account, and belong to requests of many accounts.
+        return False
     held = queue.requests_by_tenant[tenant]
     others = queue.requests_by_tenant.total() - held
     if others == 0:
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -33,6 +33,8 @@
         "usage_call_rate",
         "log_level",
         "link_bandwidth",
+        "limit_rule",
+        "overload_control",
         "memory_limit",
     }
 )
--- a/comfreyhitch/egress/candidates.py
+++ b/comfreyhitch/egress/candidates.py
@@ -4,6 +4,7 @@
 
 from comfreyhitch.core.blackboard import ActiveRollout
 from comfreyhitch.documents.models import ServiceVersion
+from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.models import Candidate
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.views import get_or_create_view, is_full
@@ -18,6 +19,16 @@
 from comfreyhitch.rollouts.stages import Stage
 
 
+def choose_for_call(
+    egress: Egress, call: OutgoingCall, tried_addresses: Collection[str]
+) -> Candidate | None:
+    """Return a target for a call at an address not yet tried, or None if there is none."""
+    objective_at = None
+    if call.latency_objective_seconds is not None:
+        objective_at = call.arrived_at + call.latency_objective_seconds
+    return choose_candidate(egress, call.service, tried_addresses, objective_at)
+
+
 def choose_candidate(
     egress: Egress,
     service: str,
--- a/comfreyhitch/egress/fencing.py
+++ b/comfreyhitch/egress/fencing.py
@@ -19,7 +19,7 @@
     read_outcome,
     wait_for_any,
 )
-from comfreyhitch.egress.candidates import choose_candidate
+from comfreyhitch.egress.candidates import choose_for_call
 from comfreyhitch.egress.retries import RequestProgress
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.stopping import DaemonStoppingError, make_interrupted_failure
@@ -78,7 +78,7 @@
 
 def _may_withdraw(egress: Egress, progress: RequestProgress, now: float) -> bool:
     """Return whether another target has free capacity and a hedge token could be taken."""
-    candidate = choose_candidate(egress, progress.call.service, progress.tried_addresses)
+    candidate = choose_for_call(egress, progress.call, progress.tried_addresses)
     if candidate is None:
         return False
     if is_full(get_or_create_view(egress.blackboard.views_by_address, candidate.address), now):
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -17,7 +17,7 @@
     start_attempt,
     wait_for_any,
 )
-from comfreyhitch.egress.candidates import choose_candidate, count_exposure
+from comfreyhitch.egress.candidates import choose_for_call, count_exposure
 from comfreyhitch.egress.retries import RequestProgress
 from comfreyhitch.egress.state import Egress, get_retry_budget
 from comfreyhitch.utils.token_bucket import take_tokens
@@ -101,7 +101,7 @@
     next_check_at = silent_at if now < silent_at else None
     if progress.attempts >= progress.call.max_attempts:
         return None
-    candidate = choose_candidate(egress, progress.call.service, progress.tried_addresses)
+    candidate = choose_for_call(egress, progress.call, progress.tried_addresses)
     if candidate is None or not take_tokens(budget, now):
         return next_check_at
     progress.attempts += 1
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -4,7 +4,7 @@
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
 from comfreyhitch.egress.attempts import start_attempt
-from comfreyhitch.egress.candidates import choose_candidate, count_exposure, end_trial
+from comfreyhitch.egress.candidates import choose_for_call, count_exposure, end_trial
 from comfreyhitch.egress.classify import AttemptRecord, OutgoingCall
 from comfreyhitch.egress.fencing import await_answer_with_fencing
 from comfreyhitch.egress.hedging import await_answer_with_hedging
@@ -41,9 +41,9 @@
 def _attempt_until_final(egress: Egress, progress: RequestProgress) -> Outcome:
     call = progress.call
     while True:
-        candidate = choose_candidate(egress, call.service, progress.tried_addresses)
+        candidate = choose_for_call(egress, call, progress.tried_addresses)
         if candidate is None and allow_slow_targets(progress):
-            candidate = choose_candidate(egress, call.service, progress.tried_addresses)
+            candidate = choose_for_call(egress, call, progress.tried_addresses)
         if candidate is None:
             return make_final_outcome(progress)
         call.patience_seconds = get_pace_wait_seconds(egress, progress)
