--- a/comfreyhitch/admission/queue.py
+++ b/comfreyhitch/admission/queue.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from comfreyhitch.accounts.models import NO_ACCOUNT
 from comfreyhitch.admission.limiter import ConcurrencyLimit
 from comfreyhitch.admission.models import AdmissionDecision, QueueEntry
 from comfreyhitch.admission.ordering import choose_cheapest
@@ -170,6 +171,9 @@
 
 
 def _exceeds_tenant_share(queue: AdmissionQueue, tenant: str, share: float) -> bool:
+    if tenant == NO_ACCOUNT:
+        # Calls that targets make have no account, and belong to requests of many accounts.
+        return False
     held = queue.requests_by_tenant[tenant]
     others = queue.requests_by_tenant.total() - held
     if others == 0:
