--- a/comfreyhitch/core/blackboard.py
+++ b/comfreyhitch/core/blackboard.py
@@ -6,6 +6,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.held_bytes import HeldBytes
+from comfreyhitch.core.target_activity import TargetActivity
 from comfreyhitch.documents.models import DocumentKind, RolloutOrder, ServiceVersion
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.membership.models import Member
@@ -91,6 +92,8 @@
     is_stale: bool = False
     is_draining: bool = False
     is_target_healthy: bool = True
+    # Recorded only where requests are scheduled by cost.
+    target_activity: TargetActivity = field(default_factory=TargetActivity)
 
 
 QUARANTINE_MIN_CRASHED_TARGETS = 2
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -28,6 +28,7 @@
     make_refusal,
 )
 from comfreyhitch.ingress.response_sizes import expecting_response, record_size
+from comfreyhitch.ingress.scheduling import record_call_work
 from comfreyhitch.ingress.state import (
     Ingress,
     apply_service_profile,
@@ -212,6 +213,8 @@
             is_failure = response.status >= MIN_SERVER_ERROR_STATUS
             record_response(limit, started_at, now, is_failure=is_failure)
             record_latency(ingress, seconds)
+            if not is_failure:
+                record_call_work(ingress, call, seconds, now)
             record_outcome(ingress.evidence, call.route, seconds, is_failure=is_failure)
             record_size(ingress.response_sizes, call.route, len(response.body))
             add_recent(ingress.completed_fingerprints, call.fingerprint, now)
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -15,6 +15,8 @@
     parse_rate_limit,
     set_rate_limit,
 )
+from comfreyhitch.admission.schedule import Schedule, reset_measurements
+from comfreyhitch.admission.scheduling import estimate_wait
 from comfreyhitch.admission.throughput import (
     ThroughputLimit,
     change_slots,
@@ -126,7 +128,7 @@
         return cls(
             settings=settings,
             blackboard=blackboard,
-            queue=AdmissionQueue.from_slots(settings.slots),
+            queue=_make_queue(settings),
             records=RecordStore.from_retention(
                 REQUEST_RECORD_RETENTION_SECONDS, MAX_REQUEST_RECORDS, MAX_RECORD_BYTES
             ),
@@ -150,6 +152,13 @@
         )
 
 
+def _make_queue(settings: Settings) -> AdmissionQueue:
+    queue = AdmissionQueue.from_slots(settings.slots)
+    if settings.overload_control == "cost":
+        queue.schedule = Schedule()
+    return queue
+
+
 def _make_link_pacer(settings: Settings, now: float) -> LinkPacer | None:
     if settings.overload_control != "cost" or settings.link_bandwidth is None:
         return None
@@ -176,6 +185,8 @@
         reset_throughput(ingress.throughput, slots)
     set_slots(ingress, slots)
     reset_learned_limit(ingress)
+    if ingress.queue.schedule is not None:
+        reset_measurements(ingress.queue.schedule)
 
 
 def apply_target_notices(ingress: Ingress, response: Response) -> None:
@@ -252,10 +263,21 @@
         latency_seconds=ingress.latency_seconds,
         accepting=is_accepting(ingress),
         slowness=None if ingress.pace is None else ingress.pace.slowness,
-        wait_seconds=get_backlog_wait_seconds(ingress),
+        wait_seconds=_estimate_wait(ingress),
     )
 
 
+def _estimate_wait(ingress: Ingress) -> float | None:
+    """Return the expected wait of a least urgent call, or None if it is not known."""
+    queue = ingress.queue
+    backlog_seconds = get_backlog_wait_seconds(ingress)
+    if queue.schedule is None:
+        return backlog_seconds
+    now = ingress.blackboard.clock.monotonic()
+    queue_seconds = estimate_wait(queue.schedule, queue.waiting, queue.limit.limit, now)
+    return max(queue_seconds, backlog_seconds or 0.0)
+
+
 def get_backlog_wait_seconds(ingress: Ingress) -> float | None:
     """Return the seconds for which a large response waits for the link, None if it is not paced."""
     if ingress.link is None:
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -38,6 +38,7 @@
     attempts: Counter
     targets_avoided: Gauge
     connections_ended: Counter
+    nested_calls: Counter
     key_faults: Counter
 
 
@@ -57,6 +58,8 @@
     queued: Gauge
     target_probes: Counter
     target_probe_seconds: Counter
+    scheduling_refusals: Counter
+    wait_seconds: Histogram
     unbounded_responses: Counter
 
 
@@ -187,6 +190,11 @@
             "caller_connections_ended_total",
             "Connections of callers that ended, by reason and whether bytes were unread.",
         ),
+        nested_calls=_make_counter(
+            registry,
+            "nested_calls_total",
+            "Requests that the target made while it ran another one, by service and route.",
+        ),
         key_faults=_make_counter(
             registry, "key_faults_total", "Requests refused for their account key, by cause."
         ),
@@ -234,6 +242,17 @@
         target_probe_seconds=_make_counter(
             registry, "target_probe_seconds_total", "Time spent on reading the health endpoint."
         ),
+        scheduling_refusals=_make_counter(
+            registry,
+            "scheduling_refusals_total",
+            "Calls that the scheduler refused, by cause, rank and whether they were nested.",
+        ),
+        wait_seconds=Histogram(
+            "comfreyhitch_wait_seconds",
+            "Time that started calls waited in the queue of the scheduler, by rank.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        ),
         unbounded_responses=_make_counter(
             registry,
             "unbounded_responses_total",
