Refuse large responses that the link can't send within their objective

A download ran if it could be sent before its deadline of 4.6 s, so the backlog of the link grew until almost all of them were late.

Change: while the objective can be met, the backlog has to be sent within it. A request that misses it anyway runs only with a backlog below 0.5 s.

--- a/comfreyhitch/ingress/response_limits.py
+++ b/comfreyhitch/ingress/response_limits.py
@@ -10,6 +10,9 @@
 )
 from comfreyhitch.ingress.state import Ingress
 
+# Backlog in seconds up to which a request runs that misses its latency objective in any case. Such
+# requests would otherwise delay those that can still be answered in time.
+MAX_LATE_BACKLOG_SECONDS = 0.5
 CAUSE_LINK = "link"
 CAUSE_MEMORY = "memory"
 
@@ -26,14 +29,29 @@
     # A nested call belongs to work that is partly done, which its refusal would waste.
     if link is None or call.is_nested:
         return None
-    if can_send_in_time(sizes, link, call.route, call.deadline - now):
+    useful_seconds = get_useful_seconds(call, now)
+    if can_send_in_time(sizes, link, call.route, useful_seconds):
         return None
     ingress.metrics.ingress.response_refusals.inc({"cause": CAUSE_LINK})
     backlog_ms = round(get_link_wait_seconds(sizes, link) * 1000)
-    left_ms = round((call.deadline - now) * 1000)
+    left_ms = round(useful_seconds * 1000)
     kilobytes = round(large_bytes / 1000)
     detail = (
-        f"a response of about {kilobytes} KB can't be sent before the deadline: "
+        f"a response of about {kilobytes} KB can't be sent in time: "
         f"backlog of the link {backlog_ms} ms, time left {left_ms} ms"
     )
     return Failure(Verdict.NOT_RUN, Refusal.OVERLOADED, detail)
+
+
+def get_useful_seconds(call: IncomingCall, now: float) -> float:
+    """Return the seconds within which a response is of use to the caller.
+
+    Handles a burst of downloads that lasts: if each runs that can be sent before its deadline, the
+    backlog grows until almost all miss their objectives.
+    """
+    left_seconds = call.deadline - now
+    if call.objective_at is None:
+        return left_seconds
+    if now < call.objective_at:
+        return min(left_seconds, call.objective_at - now)
+    return min(left_seconds, MAX_LATE_BACKLOG_SECONDS)
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -9,6 +9,8 @@
 
   Scenario: Downloads beyond the bandwidth of a link
     Then of downloads at 2.2 times the load, those that run are answered before their deadline, and the link stays in use
+    And of downloads at 2.2 times the load, as many are answered within their objective as the link can send
+    And a request that misses its objective anyway runs only while the backlog is short
     And nested calls and responses of small or unknown size are never refused for the backlog, and a refused one has not run
     And a load report names the backlog only if responses are paced
     And sizes are measured for a bounded number of routes
--- a/features/steps/large_response_steps.py
+++ b/features/steps/large_response_steps.py
@@ -10,7 +10,11 @@
 
 from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.core.verdicts import Refusal, Verdict
-from comfreyhitch.ingress.response_limits import find_response_refusal
+from comfreyhitch.ingress.response_limits import (
+    MAX_LATE_BACKLOG_SECONDS,
+    find_response_refusal,
+    get_useful_seconds,
+)
 from comfreyhitch.ingress.response_sizes import (
     MAX_ROUTES,
     ResponseSizes,
@@ -28,6 +32,7 @@
 from features.link_emulation import (
     BURST_FACTOR,
     DOWNLOAD_DEADLINE_SECONDS,
+    DOWNLOAD_OBJECTIVE_SECONDS,
     DOWNLOADS_PER_SECOND,
     LINK_BYTES_PER_SECOND,
     LINK_MEGABITS,
@@ -180,7 +185,11 @@
     ):
         ingress = make_busy_ingress(route_bytes)
         call = SimpleNamespace(
-            route="r", body=b"", is_nested=is_nested, deadline=5.0 + seconds_left
+            route="r",
+            body=b"",
+            is_nested=is_nested,
+            deadline=5.0 + seconds_left,
+            objective_at=None,
         )
         failure = find_response_refusal(ingress, call, 5.0)
         assert (failure is not None) is is_refused, (route_bytes, is_nested, seconds_left)
@@ -189,11 +198,52 @@
             assert "90 KB" in failure.detail and "3000 ms" in failure.detail, failure.detail
     ingress = make_busy_ingress(10 * LINK_BYTES_PER_SECOND)
     ingress.link.backlog_bytes = 0
-    call = SimpleNamespace(route="r", body=b"", is_nested=False, deadline=1.0)
+    call = SimpleNamespace(route="r", body=b"", is_nested=False, deadline=1.0, objective_at=None)
     # Otherwise the route would be refused forever, also after its responses became smaller.
     assert find_response_refusal(ingress, call, 0.0) is None
 
 
+@then(
+    "of downloads at 2.2 times the load, as many are answered within their objective as the link "
+    "can send"
+)
+def check_timely_downloads(context):
+    # Guards against a backlog that grows up to the deadline, so that almost all downloads are late.
+    random = Random(context.seed)
+    rate = BURST_FACTOR * DOWNLOADS_PER_SECOND / MACHINES
+    downloads = make_arrivals(random, rate, 1.0, lambda: draw_download_bytes(random))
+    sizes = ResponseSizes()
+
+    def can_start(link, frame):
+        call = SimpleNamespace(
+            deadline=DOWNLOAD_DEADLINE_SECONDS, objective_at=DOWNLOAD_OBJECTIVE_SECONDS
+        )
+        if not can_send_in_time(sizes, link.pacer, "download", get_useful_seconds(call, 0.0)):
+            return False
+        record_size(sizes, "download", frame.size)
+        return True
+
+    simulate(downloads, is_paced=True, may_start=can_start)
+    timely = [
+        frame
+        for frame in downloads
+        if frame.sent_bytes and frame.seconds <= DOWNLOAD_OBJECTIVE_SECONDS
+    ]
+    duration = max(frame.done_at for frame in downloads if frame.sent_bytes)
+    assert sum(frame.size for frame in timely) > 0.75 * LINK_BYTES_PER_SECOND * duration
+
+
+@then("a request that misses its objective anyway runs only while the backlog is short")
+def check_late_downloads(context):
+    # Guards against late requests whose responses delay those of timely ones.
+    call = SimpleNamespace(deadline=10.0, objective_at=2.0)
+    assert get_useful_seconds(call, 1.5) == 0.5
+    assert get_useful_seconds(call, 3.0) == MAX_LATE_BACKLOG_SECONDS
+    assert get_useful_seconds(call, 9.9) < 0.2
+    call.objective_at = None
+    assert get_useful_seconds(call, 3.0) == 7.0
+
+
 @then("a load report names the backlog only if responses are paced")
 def check_load_report(context):
     # Guards against bytes on the wire that a deployment without overload control did not have.
