Move load reports to a module of their own, and share the check for overdue attempts

Change: `ingress/load_reports.py` holds what is reported of a target; `is_mostly_overdue` is in `egress/views.py`. No behaviour changes.

--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -15,12 +15,12 @@
 from comfreyhitch.conf.models import Name, Port, Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.egress.views import AVOIDANCE_CAUSES, get_avoidance_cause
-from comfreyhitch.ingress.state import (
-    Ingress,
+from comfreyhitch.ingress.load_reports import (
     get_backlog_wait_seconds,
     is_accepting,
     make_load_report,
 )
+from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
 
--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -14,8 +14,9 @@
 from comfreyhitch.idempotency.registry import remove_claim
 from comfreyhitch.ingress.call_handler import handle_call
 from comfreyhitch.ingress.fence import handle_fence_query
+from comfreyhitch.ingress.load_reports import make_load_report
 from comfreyhitch.ingress.models import IncomingCall, make_answer
-from comfreyhitch.ingress.state import Ingress, make_load_report
+from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.replication.facts import (
     FactStore,
     find_differing_buckets,
--- a/comfreyhitch/egress/choice.py
+++ b/comfreyhitch/egress/choice.py
@@ -10,7 +10,12 @@
 
 from comfreyhitch.egress.completion import make_completion_selector
 from comfreyhitch.egress.models import Candidate, TargetView
-from comfreyhitch.egress.views import estimate_in_flight, get_or_create_view, is_slow
+from comfreyhitch.egress.views import (
+    estimate_in_flight,
+    get_or_create_view,
+    is_mostly_overdue,
+    is_slow,
+)
 
 # Candidates sampled from the daemon's zone; the rest of the sample is drawn from any zone, in case
 # the targets in the daemon's zone are hot.
@@ -40,7 +45,7 @@
         utilization = estimate_in_flight(view, now) / limit
         is_avoided = now < view.avoid_until or candidate.is_suspect
         is_hot = utilization >= HOT_UTILIZATION or view.error_rate > HOT_ERROR_RATE
-        is_hot = is_hot or _is_mostly_overdue(view)
+        is_hot = is_hot or is_mostly_overdue(view)
         # The zone ranks before slowness, since it costs less to wait a moment at the ingress
         # until a slow instance is back at its usual pace than to go to another zone.
         is_other_zone = candidate.zone != own_zone
@@ -58,11 +63,6 @@
     return select_target
 
 
-def _is_mostly_overdue(view: TargetView) -> bool:
-    """Return whether more than half of the pending attempts at a target are overdue."""
-    return view.overdue_attempts > 0 and 2 * view.overdue_attempts > view.own_in_flight
-
-
 def make_random_selector(random: Random) -> TargetSelector:
     """Return a selector of a uniformly random target, a baseline for benchmarks."""
 
--- a/comfreyhitch/egress/completion.py
+++ b/comfreyhitch/egress/completion.py
@@ -15,6 +15,7 @@
     get_avoidance_cause,
     get_freshness,
     get_or_create_view,
+    is_mostly_overdue,
     is_slow,
 )
 
@@ -80,7 +81,7 @@
         ranks = [
             (
                 get_avoidance_cause(view, now) is not None or candidate.is_suspect,
-                view.error_rate > FAILING_ERROR_RATE or _is_mostly_overdue(view),
+                view.error_rate > FAILING_ERROR_RATE or is_mostly_overdue(view),
             )
             for view, candidate in zip(views, sample, strict=True)
         ]
@@ -189,8 +190,3 @@
     if view.latency_reports:
         known = pool.mean_work_seconds or view.mean_latency_seconds
         pool.mean_work_seconds = known + MEAN_WEIGHT * (view.mean_latency_seconds - known)
-
-
-def _is_mostly_overdue(view: TargetView) -> bool:
-    """Return whether more than half of the pending attempts at a target are overdue."""
-    return view.overdue_attempts > 0 and 2 * view.overdue_attempts > view.own_in_flight
--- a/comfreyhitch/egress/views.py
+++ b/comfreyhitch/egress/views.py
@@ -135,6 +135,11 @@
         )
 
 
+def is_mostly_overdue(view: TargetView) -> bool:
+    """Return whether more than half of the pending attempts at a target are overdue."""
+    return view.overdue_attempts > 0 and 2 * view.overdue_attempts > view.own_in_flight
+
+
 def is_full(view: TargetView, now: float) -> bool:
     """Return whether a target's estimated load has reached its concurrency limit."""
     return estimate_in_flight(view, now) >= view.reported_limit
--- a/comfreyhitch/ingress/fence.py
+++ b/comfreyhitch/ingress/fence.py
@@ -1,8 +1,9 @@
 """Handle fence queries, which get a request's state and stop it if it has not started."""
 
+from comfreyhitch.ingress.load_reports import make_load_report
 from comfreyhitch.ingress.models import make_answer
 from comfreyhitch.ingress.records import RecordState, RequestRecord, add_record, get_record
-from comfreyhitch.ingress.state import REQUEST_RECORD_RETENTION_SECONDS, Ingress, make_load_report
+from comfreyhitch.ingress.state import REQUEST_RECORD_RETENTION_SECONDS, Ingress
 from comfreyhitch.wire.generated.ttypes import FenceAnswer, FenceQuery, FenceState
 
 # The record of an older request may have expired, so its absence proves nothing.
--- a/comfreyhitch/ingress/state.py
+++ b/comfreyhitch/ingress/state.py
@@ -11,12 +11,10 @@
 from comfreyhitch.admission.queue import AdmissionQueue
 from comfreyhitch.admission.rate_limit import (
     NamedRateLimit,
-    has_free_request,
     parse_rate_limit,
     set_rate_limit,
 )
 from comfreyhitch.admission.schedule import Schedule, reset_measurements
-from comfreyhitch.admission.scheduling import estimate_wait
 from comfreyhitch.admission.throughput import (
     ThroughputLimit,
     change_slots,
@@ -34,22 +32,19 @@
 from comfreyhitch.ingress.lifecycle import (
     Heartbeat,
     TargetLifecycle,
-    TargetState,
     mark_leaving,
     mark_suspected,
 )
 from comfreyhitch.ingress.records import RecordStore
-from comfreyhitch.ingress.response_sizes import ResponseSizes, get_link_wait_seconds
+from comfreyhitch.ingress.response_sizes import ResponseSizes
 from comfreyhitch.ingress.target import TargetConnectionPool, close_connections
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.rollouts.exposure import TrialCounter
-from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.usage.recorder import NO_USAGE_RECORDER, UsageRecorder
 from comfreyhitch.utils.recent_set import RecentSet
 from comfreyhitch.utils.token_bucket import TokenBucket
-from comfreyhitch.wire.generated.ttypes import LoadReport
 from comfreyhitch.wire.pacing import LinkPacer
 
 logger = logging.getLogger(__name__)
@@ -252,60 +247,12 @@
     reset_baseline(ingress.queue.limit, ingress.blackboard.clock.monotonic())
 
 
-def make_load_report(ingress: Ingress) -> LoadReport:
-    """Return the load report that is sent with every answer."""
-    queue = ingress.queue
-    return LoadReport(
-        in_flight=queue.running,
-        queued=len(queue.waiting),
-        # A limit that is only tried for some requests is not reported.
-        limit=queue.limit.limit if ingress.throughput is None else ingress.throughput.limit,
-        latency_seconds=ingress.latency_seconds,
-        accepting=is_accepting(ingress),
-        slowness=None if ingress.pace is None else ingress.pace.slowness,
-        wait_seconds=_estimate_wait(ingress),
-    )
-
-
-def _estimate_wait(ingress: Ingress) -> float | None:
-    """Return the expected wait of a least urgent call, or None if it is not known."""
-    queue = ingress.queue
-    backlog_seconds = get_backlog_wait_seconds(ingress)
-    if queue.schedule is None:
-        return backlog_seconds
-    now = ingress.blackboard.clock.monotonic()
-    queue_seconds = estimate_wait(queue.schedule, queue.waiting, queue.limit.limit, now)
-    return max(queue_seconds, backlog_seconds or 0.0)
-
-
-def get_backlog_wait_seconds(ingress: Ingress) -> float | None:
-    """Return the seconds for which a large response waits for the link, None if it is not paced."""
-    if ingress.link is None:
-        return None
-    return get_link_wait_seconds(ingress.response_sizes, ingress.link)
-
-
 def count_calls_in_progress(ingress: Ingress) -> int:
     """Return the number of calls that run or whose large response is not sent completely."""
     sending = 0 if ingress.link is None else len(ingress.link.frames)
     return ingress.calls_in_progress + sending
 
 
-def is_accepting(ingress: Ingress) -> bool:
-    """Return whether new calls may be admitted."""
-    blackboard = ingress.blackboard
-    if ingress.connections is None or blackboard.is_draining or blackboard.is_stale:
-        return False
-    if not blackboard.is_target_healthy or blackboard.own_member.draining:
-        return False
-    if ingress.lifecycle.state is not TargetState.READY:
-        return False
-    now = blackboard.clock.monotonic()
-    if not has_free_request(ingress.rate_limit, TrafficClass.BACKGROUND, now):
-        return False
-    return blackboard.own_member.zone not in blackboard.zones_out
-
-
 def record_latency(ingress: Ingress, seconds: float) -> None:
     """Update the moving average of the target's latency."""
     if ingress.latency_seconds == 0.0:
--- a/features/steps/large_response_steps.py
+++ b/features/steps/large_response_steps.py
@@ -10,6 +10,7 @@
 
 from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.core.verdicts import Refusal, Verdict
+from comfreyhitch.ingress.load_reports import get_backlog_wait_seconds
 from comfreyhitch.ingress.response_limits import (
     MAX_LATE_BACKLOG_SECONDS,
     find_response_refusal,
@@ -23,7 +24,6 @@
     get_large_bytes,
     record_size,
 )
-from comfreyhitch.ingress.state import get_backlog_wait_seconds
 from comfreyhitch.telemetry.metrics import Metrics
 from comfreyhitch.wire.pacing import (
     MIN_LARGE_SHARE,
--- a/features/steps/request_life_steps.py
+++ b/features/steps/request_life_steps.py
@@ -18,8 +18,9 @@
 from comfreyhitch.ingress.call_handler import handle_call
 from comfreyhitch.ingress.fence import handle_fence_query
 from comfreyhitch.ingress.lifecycle import TargetState
+from comfreyhitch.ingress.load_reports import make_load_report
 from comfreyhitch.ingress.models import MAX_TIMEOUT_SECONDS, IncomingCall
-from comfreyhitch.ingress.state import Ingress, attach_target, make_load_report
+from comfreyhitch.ingress.state import Ingress, attach_target
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
--- a/features/steps/throughput_limit_steps.py
+++ b/features/steps/throughput_limit_steps.py
@@ -25,8 +25,9 @@
 from comfreyhitch.core.verdicts import Failure, Refusal, Response, Verdict
 from comfreyhitch.ingress.execution import send_to_target
 from comfreyhitch.ingress.lifecycle import TargetState
+from comfreyhitch.ingress.load_reports import make_load_report
 from comfreyhitch.ingress.models import IncomingCall
-from comfreyhitch.ingress.state import Ingress, attach_target, make_load_report, set_slots
+from comfreyhitch.ingress.state import Ingress, attach_target, set_slots
 from comfreyhitch.platform.names import PLATFORM_TARGET_HEADERS
 from comfreyhitch.rollouts.evidence import EvidenceLog
 from comfreyhitch.sections.models import TrafficClass
