Let many long responses of a target take turns, and end oversized ones at their head

What callers saw: nothing yet.

Cause: each loop paused by itself after four blocks, so that in each round of the event loop all of them went on, for up to 32 ms each. The first block of a response alone could take 15 ms. A response that declared too long a body was read up to the limit before it was refused.

Heads are read in smaller blocks. A declared length beyond the limit ends the exchange when the head is complete. The reader moves to wire/, since the client of the store will use it too.

The new step fails on the code before.

--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -15,7 +15,7 @@
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
 from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.ingress.response_checks import validate_response
-from comfreyhitch.ingress.responses import (
+from comfreyhitch.wire.responses import (
     ResponseReader,
     ResponseTooLargeError,
     UnboundedResponseError,
--- a/comfreyhitch/testing/soak/callers.py
+++ b/comfreyhitch/testing/soak/callers.py
@@ -9,7 +9,6 @@
 from geventhttpclient.response import HTTPParseError
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.ingress.responses import ResponseReader, read_response
 from comfreyhitch.platform.names import (
     HEADER_DEADLINE_MS,
     HEADER_REQUEST_ID,
@@ -20,6 +19,7 @@
     OUTBOUND_PORT,
     PlatformInstance,
 )
+from comfreyhitch.wire.responses import ResponseReader, read_response
 from comfreyhitch.wire.sockets import connect
 
 REQUEST_PAUSE_SECONDS = 0.03
--- a/comfreyhitch/ingress/responses.py
+++ b/comfreyhitch/wire/responses.py
@@ -1,21 +1,22 @@
-"""Read HTTP responses of a target as strictly as a gateway must."""
+"""Read HTTP responses as strictly as a gateway must."""
 
+import math
 from datetime import timedelta
 
-import gevent
 import gevent.socket
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
 from comfreyhitch.core.verdicts import Response
-from comfreyhitch.wire.sockets import SHORTEST_PAUSE_SECONDS
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.sockets import describe_peer
 
 READ_BLOCK_BYTES = 65_536
+# Until the head is complete, blocks are smaller, since a block may hold hundreds of headers.
+HEAD_BLOCK_BYTES = 16_384
 FIRST_FINAL_STATUS = 200
-# Parsing one block takes up to 8 ms, if it holds chunks of one byte.
-BLOCKS_BETWEEN_PAUSES = 4
-# Bounds on what belongs to no body. Responses of targets have heads of less than 2 KiB.
+# Bounds on what belongs to no body. Responses have heads of less than 2 KiB.
 MAX_HEAD_BYTES = 65_536
 MAX_HEADERS = 256
 MAX_INTERIM_RESPONSES = 16
@@ -84,6 +85,16 @@
             return ""
         return "bytes around its chunks" if self.headers_complete else "bytes in its head"
 
+    @property
+    def declared_bytes(self) -> int:
+        """Return the length that the head of the response declares for its body, or 0."""
+        if not self.headers_complete or self.get_code() < FIRST_FINAL_STATUS:
+            return 0
+        length = self.get("content-length", "")
+        return (
+            int(length) if isinstance(length, str) and length.isascii() and length.isdigit() else 0
+        )
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request."""
@@ -105,33 +116,45 @@
     deadline: float,
     limit_bytes: int,
     clock: Clock,
+    source: ReadSource = ReadSource.TARGET,
+    silence_seconds: float = math.inf,
 ) -> None:
-    """Read a complete response.
+    """Read a complete response; `deadline` is in monotonic seconds.
 
-    Raise `TimeoutError` at the deadline, `HTTPParseError` for an invalid or incomplete
-    response, `OSError` for a connection reset, `ResponseTooLargeError` beyond the limit, and
-    `UnboundedResponseError` for too much beside the body.
+    Raise `TimeoutError` at the deadline or if nothing arrives for `silence_seconds`,
+    `HTTPParseError` for an invalid or incomplete response, `OSError` for a connection reset,
+    `ResponseTooLargeError` beyond the limit, and `UnboundedResponseError` for too much beside the
+    body.
     """
-    blocks = 0
+    loop = ReadLoop(source, describe_peer(sock))
     while not reader.is_final:
-        blocks += 1
-        if blocks % BLOCKS_BETWEEN_PAUSES == 0:
-            # While bytes are there, receiving them does not let other greenlets run.
-            gevent.sleep(SHORTEST_PAUSE_SECONDS)
-        remaining_seconds = deadline - clock.monotonic()
-        if remaining_seconds <= 0:
+        now = clock.monotonic()
+        if now >= deadline:
             raise TimeoutError
-        sock.settimeout(remaining_seconds)
-        data = sock.recv(READ_BLOCK_BYTES)
+        sock.settimeout(min(deadline - now, silence_seconds))
+        block_bytes = READ_BLOCK_BYTES if reader.headers_complete else HEAD_BLOCK_BYTES
+        data = sock.recv(block_bytes)
+        received_at = clock.monotonic()
         reader.received_bytes += len(data)
         reader.feed(data)
-        excess = "" if reader.is_final else reader.find_excess()
-        if excess:
-            raise UnboundedResponseError(excess)
-        if len(reader._body_buffer) > limit_bytes:
-            raise ResponseTooLargeError(f"response body exceeds {limit_bytes} bytes")
-        if not data and not reader.is_final:
+        _check_size(reader, limit_bytes)
+        if reader.is_final:
+            return
+        if not data:
             raise HTTPParseError("response ended early")
+        record_read(loop, len(data), clock.monotonic() - received_at)
+
+
+def _check_size(reader: ResponseReader, limit_bytes: int) -> None:
+    """Raise an error if a response is larger than allowed, or says that it will be."""
+    excess = "" if reader.is_final else reader.find_excess()
+    if excess:
+        raise UnboundedResponseError(excess)
+    body_bytes = len(reader._body_buffer)
+    if not reader.is_final:
+        body_bytes = max(body_bytes, reader.declared_bytes)
+    if body_bytes > limit_bytes:
+        raise ResponseTooLargeError(f"response body exceeds {limit_bytes} bytes")
 
 
 def get_idle_timeout_seconds(reader: ResponseReader, default: timedelta) -> float:
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -9,12 +9,13 @@
 from datetime import timedelta
 from ipaddress import IPv4Address
 
-import gevent
 import gevent.socket
 from gevent import Timeout
 from gevent.hub import get_hub
 from gevent.socket import wait_read
 
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+
 # The kernel closes a connection when the other end leaves sent data unacknowledged for this
 # long, even if no reset arrives.
 USER_TIMEOUT = timedelta(seconds=5)
@@ -22,9 +23,6 @@
 _IP_BIND_ADDRESS_NO_PORT = 24
 _READ_EVENT = 1
 DISCARD_BYTES = 64 * 1024
-# A pause of 0 lets neither timers nor sockets run if the greenlet is busy between its pauses; this
-# one does, and takes about 1 ms.
-SHORTEST_PAUSE_SECONDS = 0.00001
 # How often progress is checked within the time after which a connection counts as stalled.
 STALL_CHECKS = 5
 
@@ -73,6 +71,15 @@
     return port.isascii() and port.isdigit() and 0 < int(port) < 65_536
 
 
+def describe_peer(sock: gevent.socket.socket) -> str:
+    """Return the address of the other end of a connection, or an empty string if it is gone."""
+    try:
+        host, port = sock.getpeername()[:2]
+    except OSError:
+        return ""
+    return f"{host}:{port}"
+
+
 def is_disconnected(sock: gevent.socket.socket) -> bool:
     """Return whether the other end has closed the connection."""
     try:
@@ -146,11 +153,11 @@
 
     Closing a connection with unread bytes resets it, and the other end may lose what was sent.
     """
+    loop = ReadLoop(ReadSource.CALLER, describe_peer(sock))
     with suppress(OSError), Timeout(timeout_seconds, False):
         sock.shutdown(socket.SHUT_WR)
-        while sock.recv(DISCARD_BYTES):
-            # While bytes are there, the timeout could not end this loop otherwise.
-            gevent.sleep(SHORTEST_PAUSE_SECONDS)
+        while discarded := sock.recv(DISCARD_BYTES):
+            record_read(loop, len(discarded))
 
 
 def watch_disconnect(
--- a/features/steps/endless_response_steps.py
+++ b/features/steps/endless_response_steps.py
@@ -1,7 +1,5 @@
 """Test that bytes without end from a target are given up, and stop nothing else meanwhile."""
 
-import socket
-import threading
 import time
 from contextlib import contextmanager, suppress
 
@@ -15,12 +13,13 @@
 from comfreyhitch.ingress.target import TargetConnectionPool, TargetRequest, call_target
 from comfreyhitch.platform.names import PLATFORM_TARGET_HEADERS
 from comfreyhitch.wire.sockets import end_stream
+from features.flooding import MAX_PAUSE_SECONDS, flooding_server, measure_longest_pause
 from features.steps.response_steps import read_request_head
 
 DEADLINE_SECONDS = 3.0
 # A response that is given up has to be so long before the deadline of its request.
 MAX_SECONDS = 1.5
-MAX_PAUSE_SECONDS = 0.25
+MANY_RESPONSES = 20
 HEAD = b"HTTP/1.1 200 OK\r\nX-Comfreyhitch-Request-Id: r1\r\nX-Comfreyhitch-Server-Stamp: s\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # What comes first, and what is repeated without end.
@@ -97,53 +96,11 @@
     return call_target(connections, request, None, lambda: None)
 
 
-@contextmanager
-def flooding_thread(first, repeated):
-    """Send bytes without end from a thread to whoever connects; yield the port."""
-    listener = socket.create_server(("127.0.0.1", 0))
-    deadline = time.monotonic() + DEADLINE_SECONDS
-
-    def flood():
-        with suppress(OSError):
-            sock, _ = listener.accept()
-            with sock:
-                sock.settimeout(DEADLINE_SECONDS)
-                sock.sendall(first)
-                while time.monotonic() < deadline:
-                    sock.sendall(repeated)
-
-    thread = threading.Thread(target=flood, daemon=True)
-    thread.start()
-    try:
-        yield listener.getsockname()[1]
-    finally:
-        listener.close()
-        thread.join(DEADLINE_SECONDS + 1.0)
-
-
-def measure_longest_pause(action):
-    """Return the longest time in seconds for which no other greenlet ran during an action."""
-    pauses = []
-
-    def tick():
-        while True:
-            started_at = time.monotonic()
-            gevent.sleep(0.005)
-            pauses.append(time.monotonic() - started_at)
-
-    ticker = gevent.spawn(tick)
-    gevent.sleep(0.01)
-    action()
-    gevent.sleep(0.01)
-    ticker.kill()
-    return max(pauses)
-
-
 @then("other greenlets run while such bytes arrive faster than they are read")
 def check_other_greenlets(context):
     small_chunks = (CHUNKED_HEAD, b"1\r\nx\r\n" * 20_000)
     for first, repeated in (*ENDLESS_RESPONSES.values(), small_chunks):
-        with flooding_thread(first, repeated) as port:
+        with flooding_server(first, repeated) as port:
             connections = TargetConnectionPool.from_address(
                 "127.0.0.1", port, Clock.from_system(), PLATFORM_TARGET_HEADERS
             )
@@ -153,9 +110,28 @@
         assert pause < MAX_PAUSE_SECONDS, (first, repeated[:20], pause)
 
 
+@then("other greenlets run while many such responses arrive at once")
+def check_many_responses(context):
+    small_chunks = (CHUNKED_HEAD, b"1\r\nx\r\n" * 20_000)
+    for first, repeated in (*ENDLESS_RESPONSES.values(), small_chunks):
+        with flooding_server(first, repeated) as port:
+            connections = TargetConnectionPool.from_address(
+                "127.0.0.1", port, Clock.from_system(), PLATFORM_TARGET_HEADERS
+            )
+            pause = measure_longest_pause(
+                lambda connections=connections: gevent.joinall(
+                    [
+                        gevent.spawn(send, connections, body_limit_bytes=500_000)
+                        for _ in range(MANY_RESPONSES)
+                    ]
+                )
+            )
+        assert pause < MAX_PAUSE_SECONDS, (first, repeated[:20], pause)
+
+
 @then("the end of a connection whose other end goes on sending is not awaited for longer than told")
 def check_stream_end(context):
-    with flooding_thread(b"", b"x" * 65_536) as port:
+    with flooding_server(b"", b"x" * 65_536) as port:
         sock = gevent.socket.create_connection(("127.0.0.1", port))
         started_at = time.monotonic()
         pause = measure_longest_pause(lambda: end_stream(sock, 0.3))
--- a/features/steps/response_steps.py
+++ b/features/steps/response_steps.py
@@ -16,10 +16,10 @@
 from comfreyhitch.core.verdicts import Refusal, Response, Verdict
 from comfreyhitch.ingress.models import parse_answer
 from comfreyhitch.ingress.response_checks import validate_response
-from comfreyhitch.ingress.responses import ResponseReader
 from comfreyhitch.ingress.target import TargetConnectionPool, TargetRequest, call_target
 from comfreyhitch.platform.names import PLATFORM_TARGET_HEADERS
 from comfreyhitch.wire.generated.ttypes import CallAnswer, LoadReport
+from comfreyhitch.wire.responses import ResponseReader
 
 SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: 1\r\n\r\nhello"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
--- a/features/target_responses.feature
+++ b/features/target_responses.feature
@@ -37,4 +37,5 @@
   Scenario: Responses without end
     Then each is given up long before the deadline, as one that may have run, and is counted
     And other greenlets run while such bytes arrive faster than they are read
+    And other greenlets run while many such responses arrive at once
     And the end of a connection whose other end goes on sending is not awaited for longer than told
