Log and count the times in which a daemon runs no greenlets

Two hypotheses could not be told apart: a loop of the daemon itself, and a machine that gave the process no turn.

--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -41,6 +41,7 @@
 from comfreyhitch.rollouts.controller import RolloutController, choose_analyzers, run_rollouts
 from comfreyhitch.rollouts.order_recorder import RolloutOrderRecorder, run_rollout_order_recorder
 from comfreyhitch.rollouts.orders import RolloutOrderController, run_rollout_orders
+from comfreyhitch.telemetry.stalls import watch_for_stalls
 from comfreyhitch.watching.follower import follow, renew_together, set_watch_timeout
 from comfreyhitch.watching.outages import Outage
 from comfreyhitch.watching.waits import (
@@ -84,6 +85,7 @@
         _start_platform_controllers(daemon, daemon.platform)
     daemon.greenlets.append(gevent.spawn(join_cluster, daemon))
     daemon.greenlets.append(gevent.spawn(_watch_for_pauses, daemon))
+    daemon.greenlets.append(gevent.spawn(watch_for_stalls, daemon.clock, daemon.metrics.control))
 
 
 def _start_rollouts(daemon: Daemon) -> None:
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -67,6 +67,8 @@
 class ControlMetrics:
     """Hold the metrics of membership, configuration and rollouts."""
 
+    stalls: Counter
+    stall_seconds: Counter
     members: Gauge
     section_generation: Gauge
     platform_calls: Counter
@@ -263,6 +265,10 @@
 
 def _make_control_metrics(registry: Registry) -> ControlMetrics:
     return ControlMetrics(
+        stalls=_make_counter(
+            registry, "stalls_total", "Times during which the daemon did not run its greenlets."
+        ),
+        stall_seconds=_make_counter(registry, "stall_seconds_total", "Sum of these times."),
         members=_make_gauge(registry, "members", "Known daemons, by status."),
         section_generation=_make_gauge(
             registry, "section_generation", "Generation in force, by section."
