Bound what is read of requests and heartbeats whose bodies do not end

What callers would see: a daemon that answers nothing any more, to anybody, for as long as one request goes on. Requests of callers are read by the same code.

Cause: gevent's WSGI server reads trailers, and discards what the application left of a body, without a bound and without letting other greenlets run.

Change: the servers for callers, readiness, heartbeats and operators read bodies through a reader that counts all bytes, those around chunks included: 64 KiB and 8 for each byte of the body at most. It lets other greenlets run as the loops over responses do. What is left after the response is discarded for 2 s at most; then the connection is closed. A log line and comfreyhitch_caller_bodies_cut_off_total tell of it.

features/endless_input.feature: six forms, one and ten at a time, while other requests are answered within 0.5 s.

--- a/comfreyhitch/daemon/admin.py
+++ b/comfreyhitch/daemon/admin.py
@@ -23,6 +23,7 @@
 from comfreyhitch.ingress.state import Ingress
 from comfreyhitch.replication.facts import FactStore
 from comfreyhitch.telemetry.metrics import Metrics, render_metrics
+from comfreyhitch.wire.request_bodies import BoundedServer
 
 logger = logging.getLogger(__name__)
 
@@ -95,16 +96,23 @@
         return [body]
 
     address = (str(settings.host), settings.admin_port)
-    return WSGIServer(address, application, log=None, error_log=logger)
+    server = BoundedServer(address, application, log=None, error_log=logger)
+    server.get_body_limit = lambda: MAX_ANNOUNCEMENT_BYTES
+    server.record_cut_off = _log_cut_off
+    return server
+
+
+def _log_cut_off(reason: str) -> None:
+    logger.warning("rest of a request was not read", extra={"reason": reason})
 
 
 def _handle_announcement(
     environ: dict[str, object], announce: Callable[[Announcement], None]
 ) -> AdminResponse:
-    body = environ["wsgi.input"].read(MAX_ANNOUNCEMENT_BYTES)
     try:
+        body = environ["wsgi.input"].read(MAX_ANNOUNCEMENT_BYTES)
         announcement = msgspec.json.decode(body, type=Announcement)
-    except msgspec.DecodeError as error:
+    except (OSError, msgspec.DecodeError) as error:
         return _make_json("400 Bad Request", {"errors": [str(error)]})
     announce(announcement)
     return _make_json("200 OK", {"announced": announcement.service})
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -9,7 +9,6 @@
 import gevent
 import gevent.socket
 from gevent import pywsgi
-from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HEADER_VERDICT
@@ -25,6 +24,8 @@
 )
 from comfreyhitch.egress.request_framing import RequestHeadError, check_framing, read_headers
 from comfreyhitch.routing.models import CallerLimits
+from comfreyhitch.wire.read_loops import ReadSource
+from comfreyhitch.wire.request_bodies import BoundedBodyHandler, BoundedServer
 from comfreyhitch.wire.sockets import (
     configure_socket,
     end_stream,
@@ -60,9 +61,11 @@
     status = "408 Request Timeout"
 
 
-class CallerServer(WSGIServer):
+class CallerServer(BoundedServer):
     """Serve callers, and track what their connections do."""
 
+    read_source = ReadSource.CALLER
+
     def __init__(self, *arguments: object, **options: object) -> None:
         super().__init__(*arguments, **options)
         self.connections = CallerConnections(Clock.from_system())
@@ -121,7 +124,7 @@
         return line
 
 
-class CallerHandler(WSGIHandler):
+class CallerHandler(BoundedBodyHandler):
     """Handle one caller's connection, and pass on the headers of its requests unchanged."""
 
     # Monotonic seconds at which reading the current request's head times out.
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -72,6 +72,8 @@
     server.connections = CallerConnections(egress.blackboard.clock)
     server.held_bytes = egress.blackboard.held_bytes
     server.get_limits = interface.get_limits
+    server.get_body_limit = lambda: _get_body_limit(egress, interface)
+    server.record_cut_off = lambda reason: _record_cut_off(egress, reason)
     server.record_unread = lambda reason: _record_unread_request(egress, reason)
     server.record_end = lambda connection, unread: _record_connection_end(
         egress, connection, has_unread_bytes=unread
@@ -105,6 +107,12 @@
         log_decision(egress.decisions, "request was not read", {"reason": reason})
 
 
+def _record_cut_off(egress: Egress, reason: str) -> None:
+    egress.metrics.egress.bodies_cut_off.inc({})
+    if admit_log_line(egress.decisions, is_failure=True):
+        log_decision(egress.decisions, "rest of a request was not read", {"reason": reason})
+
+
 def _handle_request(
     egress: Egress,
     interface: CallerInterface,
--- a/comfreyhitch/platform/servers.py
+++ b/comfreyhitch/platform/servers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from urllib.parse import unquote
 
+import gevent
 from gevent.pywsgi import WSGIServer
 from result import Err, Ok
 
@@ -14,10 +15,13 @@
 from comfreyhitch.ingress.lifecycle import HeartbeatResult
 from comfreyhitch.platform.heartbeats import decode_heartbeat
 from comfreyhitch.platform.names import PATH_INSTANCES, PATH_READY
+from comfreyhitch.wire.request_bodies import BodyOutOfBoundsError, BoundedServer
 
 logger = logging.getLogger(__name__)
 
 MAX_HEARTBEAT_BYTES = 64 * 1024
+# Senders of heartbeats give up after a second.
+BODY_TIMEOUT_SECONDS = 5.0
 OK = "200 OK"
 BAD_REQUEST = "400 Bad Request"
 NOT_FOUND = "404 Not Found"
@@ -83,9 +87,26 @@
 
 def _make_server(address: tuple[str, int], handle: RequestHandler) -> WSGIServer:
     def application(environ: dict[str, object], start_response: StartResponse) -> Iterable[bytes]:
-        body = environ["wsgi.input"].read(MAX_HEARTBEAT_BYTES)
-        status, content = handle(environ["REQUEST_METHOD"], environ["PATH_INFO"], body)
+        try:
+            body = _read_body(environ)
+        except OSError as error:
+            status, content = BAD_REQUEST, {"Error": f"body: {error}"}
+        else:
+            status, content = handle(environ["REQUEST_METHOD"], environ["PATH_INFO"], body)
         start_response(status, [("Content-Type", "application/json")])
         return [json.dumps(content).encode()]
 
-    return WSGIServer(address, application, log=None, error_log=logger)
+    server = BoundedServer(address, application, log=None, error_log=logger)
+    server.get_body_limit = lambda: MAX_HEARTBEAT_BYTES
+    server.record_cut_off = _log_cut_off
+    return server
+
+
+def _read_body(environ: dict[str, object]) -> bytes:
+    """Return the body of a request; raise `OSError` if it does not arrive within bounds."""
+    with gevent.Timeout(BODY_TIMEOUT_SECONDS, BodyOutOfBoundsError("did not arrive in time")):
+        return environ["wsgi.input"].read(MAX_HEARTBEAT_BYTES)
+
+
+def _log_cut_off(reason: str) -> None:
+    logger.warning("rest of a heartbeat was not read", extra={"reason": reason})
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -38,6 +38,7 @@
     attempts: Counter
     targets_avoided: Gauge
     connections_ended: Counter
+    bodies_cut_off: Counter
     nested_calls: Counter
     key_faults: Counter
 
@@ -192,6 +193,11 @@
             "caller_connections_ended_total",
             "Connections of callers that ended, by reason and whether bytes were unread.",
         ),
+        bodies_cut_off=_make_counter(
+            registry,
+            "caller_bodies_cut_off_total",
+            "Requests of callers whose bodies had too much around their chunks, or did not end.",
+        ),
         nested_calls=_make_counter(
             registry,
             "nested_calls_total",
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -1,5 +1,18 @@
 Feature: Bytes without end stop nothing but the exchange that they belong to
 
+  # Guards against a daemon that serves nothing else while it reads or discards a request that does
+  # not end (review, case 4).
+  Scenario: Requests without end
+    Given a server that reads 10000 bytes of a body
+    Then requests whose bodies do not end are cut off, while other requests are answered at once
+    And so are many of them at once
+    And each is counted once, and one that ends within the bounds is not
+
+  # Guards against a heartbeat or an announcement that keeps a daemon from doing anything else.
+  Scenario: Heartbeats without end
+    Given a control server of a daemon
+    Then heartbeats that do not end are refused and cut off, while readiness is answered at once
+
   # Guards against a stall of a daemon that leaves no trace in its log and metrics.
   Scenario: A daemon that does not run its greenlets
     Then a stall is logged and counted with its processor time and the longest read
