Bound the time and the size of the store's responses

What callers would see: a daemon that answers nothing any more once a response of the store does not end.

Cause: the library's client reads a response without a bound on its head, its body or its time, and does not let other greenlets run while bytes are there.

Change: the client of the store reads responses as those of targets are read, with 32 MiB for the body, and 30 s beyond the time without a byte. As before, a GET, PUT or DELETE whose connection ends unanswered is sent again, twice at most; now the code says so itself.

--- a/comfreyhitch/platform/client.py
+++ b/comfreyhitch/platform/client.py
@@ -1,17 +1,17 @@
-"""Client of the platform's store, which makes one attempt on a new connection for each call."""
+"""Client of the platform's store, which opens a connection for each call."""
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.url import URL
 from result import Err, Ok, Result
 
+from comfreyhitch.core.clock import Clock
 from comfreyhitch.platform.decoding import (
     decode_json,
     has_unreadable_text,
@@ -28,12 +28,22 @@
     dump_object,
 )
 from comfreyhitch.platform.names import HEADER_STORE_ERA
+from comfreyhitch.wire.read_loops import ReadSource
+from comfreyhitch.wire.responses import ResponseReader, ResponseTooLargeError, read_response
+from comfreyhitch.wire.sockets import connect
 
 API_PREFIX = "/v1/objects"
+METHODS_WITH_BODY = frozenset({"POST", "PUT"})
+IDEMPOTENT_METHODS = frozenset({"GET", "PUT", "DELETE"})
+MAX_ATTEMPTS = 3
 SECTIONS = "sections"
 DAEMONS = "daemons"
 CONNECT_TIMEOUT_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 2.5
+# How long a response may take after its first bytes. A full page takes seconds on a narrow link.
+MAX_RESPONSE_SECONDS = 30.0
+# Pages of a list hold about a megabyte; what a watch returns at once may be larger.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 # Added to the wait time of a watch, because the store may respond only when that is over.
 WATCH_TIMEOUT_MARGIN_SECONDS = 1.0
 
@@ -54,6 +64,7 @@
     host: str
     port: int
     count_call: Callable[[str], None]
+    clock: Clock = field(default_factory=Clock.from_system)
 
     @classmethod
     def from_url(
@@ -196,35 +207,69 @@
     timeout_seconds: float = CALL_TIMEOUT_SECONDS,
 ) -> Result[StoreAnswer, PlatformError]:
     client.count_call(verb)
-    http = HTTPClient(
-        client.host,
-        client.port,
-        concurrency=1,
-        connection_timeout=CONNECT_TIMEOUT_SECONDS,
-        network_timeout=timeout_seconds,
-    )
     body = b"" if content is None else json.dumps(content).encode()
-    headers = {"Content-Type": "application/json"} if body else {}
+    message = _format_request(client, method, path, body)
+    attempts = MAX_ATTEMPTS if method in IDEMPOTENT_METHODS else 1
     try:
-        response = http.request(method, f"{API_PREFIX}/{path}", body, headers)
-        response_body = response.read()
-        if not response.message_complete:
-            return Err(PlatformError(PlatformFailure.UNAVAILABLE, "response ended early"))
-    except (OSError, HTTPParseError) as error:
+        response = _exchange(client, method, message, attempts, timeout_seconds)
+    except (OSError, HTTPParseError, ResponseTooLargeError) as error:
         return Err(PlatformError(PlatformFailure.UNAVAILABLE, str(error) or repr(error)))
-    finally:
-        http.close()
     if response.status_code >= 300:
-        return Err(_make_status_error(response.status_code, response_body))
+        return Err(_make_status_error(response.status_code, response.body))
     era = _read_era(response.get(HEADER_STORE_ERA))
-    may_be_unreadable = may_have_unreadable_text(response_body)
-    return _decode(response_body).map(
+    may_be_unreadable = may_have_unreadable_text(response.body)
+    return _decode(response.body).map(
         lambda content: StoreAnswer(
             content, era, may_be_unreadable and has_unreadable_text(content)
         )
     )
 
 
+def _format_request(client: PlatformClient, method: str, path: str, body: bytes) -> bytes:
+    lines = [f"{method} {API_PREFIX}/{path} HTTP/1.1", f"Host: {client.host}:{client.port}"]
+    if body:
+        lines.append("Content-Type: application/json")
+    if body or method in METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def _exchange(
+    client: PlatformClient, method: str, message: bytes, attempts: int, timeout_seconds: float
+) -> ResponseReader:
+    """Send a request, and read its response within bounds.
+
+    A request whose connection ends before the first byte of a response is sent again while
+    attempts are left. Raise `OSError`, `HTTPParseError` or `ResponseTooLargeError` without a
+    complete response.
+    """
+    while True:
+        attempts -= 1
+        reader = ResponseReader(method)
+        sock = connect(client.host, client.port, CONNECT_TIMEOUT_SECONDS)
+        try:
+            sock.settimeout(timeout_seconds)
+            sock.sendall(message)
+            deadline = client.clock.monotonic() + timeout_seconds + MAX_RESPONSE_SECONDS
+            read_response(
+                sock,
+                reader,
+                deadline,
+                MAX_RESPONSE_BYTES,
+                client.clock,
+                source=ReadSource.STORE,
+                silence_seconds=timeout_seconds,
+            )
+            return reader
+        except TimeoutError as error:
+            raise TimeoutError("no complete response in time") from error
+        except (ConnectionError, HTTPParseError):
+            if reader.received_bytes or attempts == 0:
+                raise
+        finally:
+            sock.close()
+
+
 def _read_era(text: object) -> int | None:
     return int(text) if isinstance(text, str) and text.isascii() and text.isdigit() else None
 
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -13,6 +13,12 @@
     Given a control server of a daemon
     Then heartbeats that do not end are refused and cut off, while readiness is answered at once
 
+  # Guards against a store that keeps a daemon from doing anything else, or a call from ending.
+  Scenario: Responses of the store without end
+    Then each call of the store ends as one that failed, while other greenlets run
+    And a response that arrives slowly is read to its end, and one that stops arriving is given up
+    And a call whose connection ends unanswered is sent again only if it may be repeated
+
   # Guards against a stall of a daemon that leaves no trace in its log and metrics.
   Scenario: A daemon that does not run its greenlets
     Then a stall is logged and counted with its processor time and the longest read
