Give up answers of peers that go on arriving after their deadline

What callers would see: a request that is neither answered nor failed long after its route's timeout, while the answer of another daemon arrives byte by byte.

Cause: the timeout of 5 s bounded each part of an answer, and nothing the whole. The server for peers handled messages that had arrived already without letting other greenlets run.

Change: an answer that has begun to arrive is read until 0.2 s after the deadline of its call, facts for 30 s.

Without the deadline, the step on slow answers does not end: the stand-in sends one byte each 50 ms.

--- a/.ci/show_red.py
+++ b/.ci/show_red.py
@@ -120,8 +120,8 @@
         (
             (
                 "egress/fencing.py",
-                "    answer = _fence_attempt(egress, attempt, withdraw=withdraw, seconds=seconds)",
-                "    answer = None",
+                "    if answer is None:\n        return None\n    outcome = _read_fence",
+                "    return None\n    outcome = _read_fence",
             ),
         ),
     ),
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -41,6 +41,7 @@
             str(settings.host),
             settings.peer_port,
             make_handler_factory(services),
+            daemon.clock,
             _make_send(daemon),
         ),
         make_caller_server(daemon.egress, daemon.adapter.make_caller_interface(daemon.egress)),
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -40,6 +40,8 @@
 # Once the first bytes of an answer arrive, each further part has to arrive within this time. The
 # whole answer may take longer, since the daemon that sends it may pace it.
 READ_TIMEOUT_SECONDS = 5.0
+# An answer that has begun to arrive at the deadline of its call is read for this long.
+MAX_LATE_READ_SECONDS = 0.2
 # The load report of an answer that arrives for longer than this is as old as its first bytes.
 SLOW_READ_SECONDS = 0.02
 MIN_SERVER_ERROR_STATUS = 500
@@ -94,7 +96,10 @@
     clock = egress.blackboard.clock
     began_at = clock.monotonic()
     sent_before = attempt.view.sent_total
-    answer = receive_call(attempt.connection, attempt.request_id, READ_TIMEOUT_SECONDS)
+    read_deadline = get_read_deadline(call, began_at)
+    answer = receive_call(
+        attempt.connection, attempt.request_id, READ_TIMEOUT_SECONDS, read_deadline
+    )
     egress.pool.release(attempt.connection)
     end_attempt(attempt)
     now = clock.monotonic()
@@ -107,6 +112,11 @@
     return _record_answer(egress, attempt, call, answer, now)
 
 
+def get_read_deadline(call: OutgoingCall, now: float) -> float:
+    """Return until when an answer that begins to arrive now is read, in monotonic seconds."""
+    return max(call.deadline, now) + MAX_LATE_READ_SECONDS
+
+
 def end_attempt(attempt: Attempt) -> None:
     """Remove an attempt from the counts in its target's load view."""
     if attempt.is_ended:
--- a/comfreyhitch/egress/fencing.py
+++ b/comfreyhitch/egress/fencing.py
@@ -15,11 +15,13 @@
     Attempt,
     abandon_attempt,
     get_late_after_seconds,
+    get_read_deadline,
     mark_overdue,
     read_outcome,
     wait_for_any,
 )
 from comfreyhitch.egress.candidates import choose_for_call
+from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.retries import RequestProgress
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.stopping import DaemonStoppingError, make_interrupted_failure
@@ -59,13 +61,15 @@
             is_silent = not is_connected or now >= silent_at
             if is_silent or _may_withdraw(egress, progress, now):
                 mark_overdue(attempt)
-                outcome = _resolve_by_fence(egress, attempt, withdraw=not is_silent)
+                outcome = _resolve_by_fence(egress, call, attempt, withdraw=not is_silent)
                 if outcome is not None:
                     return outcome
             next_check_at = clock.monotonic() + FENCE_RETRY_SECONDS if is_silent else silent_at
-        return _resolve_by_fence(egress, attempt, withdraw=True) or _make_deadline_failure()
+        return _resolve_by_fence(egress, call, attempt, withdraw=True) or _make_deadline_failure()
     except DaemonStoppingError:
-        outcome = _resolve_by_fence(egress, attempt, withdraw=True, seconds=LAST_FENCE_SECONDS)
+        outcome = _resolve_by_fence(
+            egress, call, attempt, withdraw=True, seconds=LAST_FENCE_SECONDS
+        )
         return outcome or Err(make_interrupted_failure(may_have_run=True))
     finally:
         abandon_attempt(attempt)
@@ -87,9 +91,14 @@
 
 
 def _resolve_by_fence(
-    egress: Egress, attempt: Attempt, *, withdraw: bool, seconds: float = FENCE_TIMEOUT_SECONDS
+    egress: Egress,
+    call: OutgoingCall,
+    attempt: Attempt,
+    *,
+    withdraw: bool,
+    seconds: float = FENCE_TIMEOUT_SECONDS,
 ) -> Outcome | None:
-    answer = _fence_attempt(egress, attempt, withdraw=withdraw, seconds=seconds)
+    answer = _fence_attempt(egress, call, attempt, withdraw=withdraw, seconds=seconds)
     if answer is None:
         return None
     outcome = _read_fence_answer(answer)
@@ -103,7 +112,7 @@
 
 
 def _fence_attempt(
-    egress: Egress, attempt: Attempt, *, withdraw: bool, seconds: float
+    egress: Egress, call: OutgoingCall, attempt: Attempt, *, withdraw: bool, seconds: float
 ) -> FenceAnswer | None:
     """Send a fence query on a new connection, and return None if no answer comes."""
     greeting = attempt.connection.greeting
@@ -124,7 +133,8 @@
             if not wait_for_answer(connection, seconds):
                 raise TimeoutError("no answer to the fence query")
             # The answer may contain a large response, which is paced.
-            connection.set_timeout(READ_TIMEOUT_SECONDS)
+            now = egress.blackboard.clock.monotonic()
+            connection.set_timeout(READ_TIMEOUT_SECONDS, get_read_deadline(call, now))
         answer = connection.client.recv_fence()
     except (OSError, TException, EOFError):
         connection.close()
--- a/comfreyhitch/wire/connections.py
+++ b/comfreyhitch/wire/connections.py
@@ -8,7 +8,6 @@
 
 import gevent.socket
 from thrift.Thrift import TException
-from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport
 
 from comfreyhitch.core.clock import Clock
@@ -17,9 +16,13 @@
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Greeting
 from comfreyhitch.wire.sockets import connect, is_disconnected, split_address, wait_readable
+from comfreyhitch.wire.transports import PeerTransport
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT = timedelta(milliseconds=200)
+# How long an answer may take after its first bytes. The facts of a large fleet take seconds on a
+# narrow link.
+MAX_ANSWER_SECONDS = 30.0
 MAX_IDLE_TIME = timedelta(seconds=20)
 MAX_IDLE_CONNECTIONS = 64
 
@@ -32,6 +35,7 @@
 
     address: str
     sock: gevent.socket.socket
+    transport: PeerTransport
     client: Peer.Client
     opened_at: float
     idle_since: float
@@ -48,19 +52,21 @@
             sock = connect(host, port, timeout_seconds, source_host)
         except OSError as error:
             raise PeerError(f"connect to {address}: {error}", may_be_sent=False) from error
-        transport = TSocket()
-        transport.setHandle(sock)
+        transport = PeerTransport(sock, clock)
         protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
         now = clock.monotonic()
-        return cls(address, sock, Peer.Client(protocol), opened_at=now, idle_since=now)
+        return cls(address, sock, transport, Peer.Client(protocol), opened_at=now, idle_since=now)
 
     def close(self) -> None:
         """Close the connection, so that no later call reads a late answer."""
         self.sock.close()
 
-    def set_timeout(self, seconds: float) -> None:
-        """Set the timeout of each blocking operation on the socket, in seconds."""
-        self.sock.settimeout(max(0.001, seconds))
+    def set_timeout(self, seconds: float, deadline: float | None = None) -> None:
+        """Set the timeout of each blocking operation on the socket, in seconds.
+
+        If a deadline in monotonic seconds is given, reads fail after it.
+        """
+        self.transport.limit_reads(max(0.001, seconds), deadline)
 
 
 def send_call(connection: PeerConnection, request: CallRequest, timeout_seconds: float) -> None:
@@ -75,9 +81,15 @@
         raise PeerError(f"send to {connection.address}: {error}", may_be_sent=False) from error
 
 
-def receive_call(connection: PeerConnection, request_id: str, timeout_seconds: float) -> CallAnswer:
-    """Return the answer to the last call that was sent; raise `PeerError` if none arrives."""
-    connection.set_timeout(timeout_seconds)
+def receive_call(
+    connection: PeerConnection, request_id: str, timeout_seconds: float, deadline: float
+) -> CallAnswer:
+    """Return the answer to the last call that was sent; raise `PeerError` if none arrives.
+
+    Each part of it has to arrive within the timeout, and the last one before the deadline, which
+    is in monotonic seconds.
+    """
+    connection.set_timeout(timeout_seconds, deadline)
     try:
         answer = connection.client.recv_call()
     except TimeoutError as error:
@@ -124,7 +136,7 @@
         limit = min(timeout_seconds, CONNECT_TIMEOUT.total_seconds())
         connection = PeerConnection.from_address(address, self.source_host, self.clock, limit)
         try:
-            connection.set_timeout(limit)
+            connection.set_timeout(limit, self.clock.monotonic() + limit)
             connection.greeting = connection.client.greet(self.own_address)
         except (OSError, TException, EOFError) as error:
             connection.close()
@@ -178,21 +190,25 @@
     connection = pool.acquire(address, timeout_seconds)
     is_reused = connection.is_used
     try:
-        answer = _call_once(connection, timeout_seconds, call)
+        answer = _call_once(pool, connection, timeout_seconds, call)
     except PeerError:
         if not is_reused:
             raise
         pool.invalidate_older(address)
         connection = pool.open(address, timeout_seconds)
-        answer = _call_once(connection, timeout_seconds, call)
+        answer = _call_once(pool, connection, timeout_seconds, call)
     pool.release(connection)
     return answer
 
 
 def _call_once(
-    connection: PeerConnection, timeout_seconds: float, call: Callable[[Peer.Client], Answer]
+    pool: PeerPool,
+    connection: PeerConnection,
+    timeout_seconds: float,
+    call: Callable[[Peer.Client], Answer],
 ) -> Answer:
-    connection.set_timeout(timeout_seconds)
+    deadline = pool.clock.monotonic() + timeout_seconds + MAX_ANSWER_SECONDS
+    connection.set_timeout(timeout_seconds, deadline)
     connection.is_used = True
     try:
         return call(connection.client)
--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -8,12 +8,12 @@
 import gevent
 import gevent.socket
 from gevent.event import Event
-from thrift.transport.TSocket import TSocket
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.held_bytes import HeldBytes, holding
 from comfreyhitch.utils.token_bucket import TokenBucket, refill
 from comfreyhitch.wire.sockets import send_while_read
+from comfreyhitch.wire.transports import PeerTransport
 
 logger = logging.getLogger(__name__)
 
@@ -236,11 +236,11 @@
     return send_counted
 
 
-class PacedTransport(TSocket):
+class PacedTransport(PeerTransport):
     """Write each frame that may contain a response with a function that paces or counts it."""
 
-    def __init__(self, send: SendFrame) -> None:
-        super().__init__()
+    def __init__(self, sock: gevent.socket.socket, clock: Clock, send: SendFrame) -> None:
+        super().__init__(sock, clock)
         self._send = send
         self._has_response = False
 
--- a/comfreyhitch/wire/server.py
+++ b/comfreyhitch/wire/server.py
@@ -6,14 +6,15 @@
 import gevent.socket
 from gevent.server import StreamServer
 from thrift.Thrift import TException
-from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
+from comfreyhitch.core.clock import Clock
 from comfreyhitch.wire.codec import make_protocol
 from comfreyhitch.wire.connections import MAX_FRAME_BYTES
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.pacing import PacedTransport, SendFrame
 from comfreyhitch.wire.sockets import configure_socket
+from comfreyhitch.wire.transports import PeerTransport
 
 logger = logging.getLogger(__name__)
 
@@ -21,7 +22,11 @@
 
 
 def make_peer_server(
-    host: str, port: int, make_handler: HandlerFactory, send: SendFrame | None = None
+    host: str,
+    port: int,
+    make_handler: HandlerFactory,
+    clock: Clock,
+    send: SendFrame | None = None,
 ) -> StreamServer:
     """Return a server that creates a handler for each connection.
 
@@ -30,8 +35,10 @@
 
     def serve(sock: gevent.socket.socket, peer_address: tuple[str, int]) -> None:
         configure_socket(sock)
-        transport = TSocket() if send is None else PacedTransport(send)
-        transport.setHandle(sock)
+        if send is None:
+            transport = PeerTransport(sock, clock)
+        else:
+            transport = PacedTransport(sock, clock, send)
         protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
         processor = Peer.Processor(make_handler(sock))
         if isinstance(transport, PacedTransport):
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -19,6 +19,11 @@
     And a response that arrives slowly is read to its end, and one that stops arriving is given up
     And a call whose connection ends unanswered is sent again only if it may be repeated
 
+  # Guards against a caller that waits beyond its deadline for an answer that arrives byte by byte.
+  Scenario: Answers of a peer without end
+    Then an answer that arrives slowly is given up shortly after the deadline of its call
+    And many messages of a peer at once let other greenlets run
+
   # Guards against a stall of a daemon that leaves no trace in its log and metrics.
   Scenario: A daemon that does not run its greenlets
     Then a stall is logged and counted with its processor time and the longest read
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -57,7 +57,9 @@
     clock = Clock.from_system()
     context.pacer = LinkPacer.from_bandwidth(LINK_MEGABITS, clock.monotonic())
     send = make_paced_send(context.pacer, clock)
-    context.server = make_peer_server("127.0.0.1", 0, lambda sock: SizedHandler(), send)
+    context.server = make_peer_server(
+        "127.0.0.1", 0, lambda sock: SizedHandler(), Clock.from_system(), send
+    )
     context.server.start()
     context.add_cleanup(context.server.stop, timeout=0)
 
