Let answers end that are on their way at the end of a stop

A caller that read a long response slowly was cut 0.2 s after the end of the drain timeout.

Cause: the end of the drain timeout interrupted a request whose answer was being received like one that waits, and the process ended 0.2 s later. 0.7 s of the grace period were not used.

Change: the setting send_timeout, 0.1 of the platform's grace period. Requests that wait are interrupted as before; answers that are being received or sent have this long in addition. What is left then is answered as before.

Two scenarios of features/graceful_shutdown.feature. On the code before, the first got 504 for a POST, and the second ended its stop after 0.71 s. Both pass now. The times with any grace period are checked in platform_input.feature.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -141,6 +141,13 @@
         timedelta,
         Meta(description="time during a shutdown for callers to switch to another daemon"),
     ] = timedelta(milliseconds=500)
+    send_timeout: Annotated[
+        timedelta,
+        Meta(
+            description="longest wait during a shutdown, after drain_timeout, for answers that "
+            "are being received or sent"
+        ),
+    ] = timedelta(seconds=1)
     registration: Annotated[
         Literal["readers", "all"],
         Meta(description="which daemons register in the platform so that others find them"),
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -16,6 +16,8 @@
     ConnectionPhase,
     describe_request,
     interrupt_requests,
+    is_idempotent,
+    is_receiving,
 )
 from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.egress.stopping import StopPlan
@@ -62,12 +64,10 @@
     peer_server, caller_server, *other_servers = daemon.servers
     unregistering = gevent.spawn(_unregister, daemon)
     _serve_callers(daemon, caller_server, plan)
-    interrupted_count = _answer_interrupted(daemon, caller_server)
+    interrupted_count = _interrupt_waiting(daemon, caller_server)
     handed_over = _leave_cluster(daemon)
-    last_read_at = max(plan.answers_until, daemon.clock.monotonic() + LAST_READS_SECONDS)
-    is_drained = _wait_until(
-        lambda: _is_finished(daemon, caller_server), daemon.clock, last_read_at
-    )
+    interrupted_count += _finish_sending(daemon, caller_server, plan)
+    is_drained = _is_finished(daemon, caller_server)
     _log_cut_requests(daemon, caller_server, started_at)
     for server in (caller_server, peer_server, *other_servers):
         server.stop(timeout=0)
@@ -86,7 +86,8 @@
 def _make_plan(daemon: Daemon, started_at: float) -> StopPlan:
     serves_until = started_at + daemon.settings.stop_linger.total_seconds()
     answers_until = serves_until + daemon.settings.drain_timeout.total_seconds()
-    return StopPlan(serves_until, answers_until)
+    ends_at = answers_until + daemon.settings.send_timeout.total_seconds()
+    return StopPlan(serves_until, answers_until, ends_at)
 
 
 def _unregister(daemon: Daemon) -> None:
@@ -129,24 +130,41 @@
     return busy == 0
 
 
-def _answer_interrupted(daemon: Daemon, caller_server: CallerServer) -> int:
-    """Answer the requests without a response, as the time to wait is over; return their number."""
-    connections = caller_server.connections
+def _interrupt_waiting(daemon: Daemon, caller_server: CallerServer) -> int:
+    """Answer the requests that still wait for a response with a failure; return their number."""
     count = 0
     # Requests that may run only once are withdrawn first: the end of another request may free
     # the slot that they wait for.
-    for is_idempotent in (False, True):
-        interrupted = connections.list_interruptible(is_idempotent=is_idempotent)
-        count += len(interrupted)
-        interrupt_requests(interrupted)
+    for may_repeat in (False, True):
+        waiting = [
+            connection
+            for connection in caller_server.connections.list_interruptible()
+            if is_idempotent(connection) is may_repeat and not is_receiving(connection)
+        ]
+        count += len(waiting)
+        interrupt_requests(waiting)
         _wait_until(
-            lambda interrupted=interrupted: _are_answered(interrupted),
+            lambda waiting=waiting: _are_answered(waiting),
             daemon.clock,
             daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
         )
     return count
 
 
+def _finish_sending(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> int:
+    """Wait for the responses that are being received or sent; return how many are interrupted."""
+    clock = daemon.clock
+    last_received_at = max(
+        plan.ends_at - LAST_ANSWERS_SECONDS, clock.monotonic() + LAST_READS_SECONDS
+    )
+    _wait_until(lambda: _is_finished(daemon, caller_server), clock, last_received_at)
+    late = caller_server.connections.list_interruptible()
+    interrupt_requests(late)
+    last_sent_at = clock.monotonic() + LAST_ANSWERS_SECONDS if late else plan.ends_at
+    _wait_until(lambda: _is_finished(daemon, caller_server), clock, last_sent_at)
+    return len(late)
+
+
 def _are_answered(connections: list[CallerConnection]) -> bool:
     return all(connection.phase is not ConnectionPhase.HANDLING for connection in connections)
 
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -96,10 +96,16 @@
     clock = egress.blackboard.clock
     began_at = clock.monotonic()
     sent_before = attempt.view.sent_total
-    read_deadline = get_read_deadline(call, began_at)
-    answer = receive_call(
-        attempt.connection, attempt.request_id, READ_TIMEOUT_SECONDS, read_deadline
-    )
+    call.is_receiving = True
+    try:
+        answer = receive_call(
+            attempt.connection,
+            attempt.request_id,
+            READ_TIMEOUT_SECONDS,
+            get_read_deadline(call, began_at),
+        )
+    finally:
+        call.is_receiving = False
     egress.pool.release(attempt.connection)
     end_attempt(attempt)
     now = clock.monotonic()
@@ -221,18 +227,23 @@
     """Return the fields by which an ingress tells what a delay or refusal costs the caller."""
     if egress.settings.overload_control != "cost":
         return {}
-    objective_seconds = None
-    if call.latency_objective_seconds is not None:
-        elapsed_seconds = egress.blackboard.clock.monotonic() - call.arrived_at
-        objective_seconds = call.latency_objective_seconds - elapsed_seconds
     return {
         "rank": call.rank,
-        "objective_seconds": objective_seconds,
+        "objective_seconds": _get_objective_seconds(egress, call),
         "is_nested": call.is_nested or None,
         "has_returned": call.has_returned or None,
     }
 
 
+def _get_objective_seconds(egress: Egress, call: OutgoingCall) -> float | None:
+    """Return the seconds within which an answer is of most use, or None if nothing tells."""
+    now = egress.blackboard.clock.monotonic()
+    times = []
+    if call.latency_objective_seconds is not None:
+        times.append(call.arrived_at + call.latency_objective_seconds)
+    return min(times) - now if times else None
+
+
 def _record_answer(
     egress: Egress, attempt: Attempt, call: OutgoingCall, answer: CallAnswer, now: float
 ) -> Outcome:
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -66,20 +66,25 @@
     clock: Clock
     by_socket: dict[gevent.socket.socket, CallerConnection] = field(default_factory=dict)
 
-    def list_interruptible(self, *, is_idempotent: bool) -> list[CallerConnection]:
-        """Return the connections whose request waits for a response, or for its body."""
-        return [
-            connection
-            for connection in self.by_socket.values()
-            if connection.interrupt is not None
-            and (connection.call is None or connection.call.is_idempotent) is is_idempotent
-        ]
+    def list_interruptible(self) -> list[CallerConnection]:
+        """Return the connections whose request has no whole response, or no whole body, yet."""
+        return [item for item in self.by_socket.values() if item.interrupt is not None]
 
     def list_in_phase(self, phase: ConnectionPhase) -> list[CallerConnection]:
         """Return the connections in a phase."""
         return [connection for connection in self.by_socket.values() if connection.phase is phase]
 
 
+def is_idempotent(connection: CallerConnection) -> bool:
+    """Return whether the current request may run more than once; one that is not known may."""
+    return connection.call is None or connection.call.is_idempotent
+
+
+def is_receiving(connection: CallerConnection) -> bool:
+    """Return whether the response to the current request is being received."""
+    return connection.call is not None and connection.call.is_receiving
+
+
 def add_connection(connections: CallerConnections, sock: gevent.socket.socket) -> None:
     """Add a connection that has just been accepted."""
     now = connections.clock.monotonic()
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -98,6 +98,8 @@
     is_nested: bool = False
     # Whether the caller sends the request again at the time that an earlier refusal named.
     has_returned: bool = False
+    # Whether the answer to an attempt is being received.
+    is_receiving: bool = False
     attempt_records: list[AttemptRecord] = field(default_factory=list)
     last_request_id: str = ""
     last_version: str = ""
--- a/comfreyhitch/egress/stopping.py
+++ b/comfreyhitch/egress/stopping.py
@@ -13,12 +13,14 @@
 class StopPlan:
     """Hold the times of a stop in monotonic seconds.
 
-    Every request that arrives before `serves_until` is served. Requests that have no response at
-    `answers_until` are answered with a failure.
+    Every request that arrives before `serves_until` is served. Requests that wait for a response
+    at `answers_until` are answered with a failure. Responses that are being received or sent then
+    have until `ends_at`.
     """
 
     serves_until: float
     answers_until: float
+    ends_at: float
 
 
 def find_stop_refusal(plan: StopPlan | None, deadline: float, now: float) -> Failure | None:
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -12,8 +12,11 @@
 CONFIG_PATH_VARIABLE = "COMFREYHITCH_CONFIG"
 # Must be the same as in deploy/system.toml.
 METRICS_PORT = 9464
-# Fraction of the platform's grace period within which a daemon shuts down.
-SHUTDOWN_GRACE_SHARE = 0.85
+# Fraction of the platform's grace period after which requests without an answer are interrupted.
+DRAIN_GRACE_SHARE = 0.85
+# Fraction of it for which answers that are being received or sent are awaited after that. The rest
+# is for the end of the process.
+SEND_GRACE_SHARE = 0.1
 # Fraction of the grace period for which a stopping daemon still serves requests that may outlast
 # the stop, while callers switch to another daemon.
 STOP_LINGER_SHARE = 0.45
@@ -93,7 +96,8 @@
         "overload_control": "cost" if has_overload_control else "class",
         "link_bandwidth": values.get("Limits.LinkMbps") if has_overload_control else None,
         "memory_limit": values.get("Limits.MemoryMb") if has_overload_control else None,
-        "drain_timeout": grace_seconds * SHUTDOWN_GRACE_SHARE - linger_seconds,
+        "drain_timeout": grace_seconds * DRAIN_GRACE_SHARE - linger_seconds,
+        "send_timeout": grace_seconds * SEND_GRACE_SHARE,
         "stop_linger": linger_seconds,
         "retry_budget": float(values["Bounds.BudgetRatio"]) * RETRY_RATIO_SHARE,
         "retry_extra": float(values["Bounds.BudgetExtra"]) * RETRY_EXTRA_SHARE,
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -62,3 +62,20 @@
   # Guards against requests that are cut because a step of the stop fails (issue 23).
   Scenario: Telling peers of the stop fails
     Then a request in progress is answered although the daemon's record can't be published
+
+  # Guards against answers of targets that are replaced by 504 at the end of the drain timeout, or cut
+  # on their way to the caller, although the grace period goes on (issue 37, LOST).
+  Scenario: Large answers are on their way when the drain timeout of a stop ends
+    Given daemons that schedule by cost, with a link of 8.5 Mbit/s and 1000 MB of memory
+    And settings drain_timeout 0.8 and stop_linger 0.4
+    And setting send_timeout 6
+    And a running fleet
+      | service  | zone | count |
+      | shop     | za   | 1     |
+      | payments | za   | 1     |
+    When 8 requests with responses of 300 KB are in flight through shop, whose daemon is asked to stop
+    Then each of them got its whole response, some after the drain timeout
+    And the daemon of shop has exited with code 0 within 8 seconds
+
+  Scenario: A caller still reads its response when the drain timeout of a stop ends
+    Then a caller that reads slowly gets its whole response, and one that does not read ends in time
--- a/features/steps/failing_stop_steps.py
+++ b/features/steps/failing_stop_steps.py
@@ -24,13 +24,10 @@
 INSTANCE_ID = "i-1"
 
 
-def make_daemon(context):
+def make_daemon(context, **settings):
     """Return a daemon whose servers and controllers are not started."""
-    settings = Settings(
-        host=f"127.{os.getpid() % 250 + 1}.7.1",
-        stop_linger=timedelta(seconds=0.1),
-        drain_timeout=timedelta(seconds=2),
-    )
+    times = {"stop_linger": timedelta(seconds=0.1), "drain_timeout": timedelta(seconds=2)}
+    settings = Settings(host=f"127.{os.getpid() % 250 + 1}.7.1", **times | settings)
     daemon = Daemon.from_settings(settings, Clock.from_system())
     context.add_cleanup(daemon.detector.sock.close)
     return daemon
--- a/features/steps/graceful_stop_steps.py
+++ b/features/steps/graceful_stop_steps.py
@@ -69,7 +69,12 @@
 
 @given("settings drain_timeout {drain:g} and stop_linger {linger:g}")
 def set_stop_times(context, drain, linger):
-    context.fleet_settings = {"drain_timeout": str(drain), "stop_linger": str(linger)}
+    context.fleet_settings |= {"drain_timeout": str(drain), "stop_linger": str(linger)}
+
+
+@given("setting send_timeout {seconds:g}")
+def set_send_timeout(context, seconds):
+    context.fleet_settings["send_timeout"] = str(seconds)
 
 
 @when(
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -1,5 +1,6 @@
 """Test large answers between daemons over real sockets."""
 
+import math
 import struct
 from contextlib import suppress
 from types import SimpleNamespace
@@ -191,7 +192,7 @@
         pool=pool,
         latency_seconds_by_route={},
     )
-    call = SimpleNamespace(service="s", route="r")
+    call = SimpleNamespace(service="s", route="r", deadline=math.inf)
     wait_for_any([attempt], 1.0)
     began_at = fake_clock.monotonic()
     outcome = read_outcome(egress, attempt, call)
@@ -221,7 +222,7 @@
     answer = AsyncResult()
     connection = SimpleNamespace(answer=answer, close=lambda: None)
     attempt = Attempt("id", Candidate("a", "za", "v1", 1), view, connection, 0.0)
-    call = SimpleNamespace(service="s", route="r")
+    call = SimpleNamespace(service="s", route="r", deadline=math.inf)
     reading = gevent.spawn(read_outcome, egress, attempt, call)
     gevent.sleep(2 * attempts.SLOW_READ_SECONDS)
 
--- a/features/steps/platform_input_steps.py
+++ b/features/steps/platform_input_steps.py
@@ -267,6 +267,10 @@
         assert 0.0 < linger_seconds < 3.0, (grace_seconds, linger_seconds)
         stop_seconds = linger_seconds + settings.drain_timeout.total_seconds()
         assert linger_seconds < stop_seconds < grace_seconds, (grace_seconds, stop_seconds)
+        send_seconds = settings.send_timeout.total_seconds()
+        # Some of the grace period is left for the end of the process.
+        assert send_seconds > 0.0, (grace_seconds, send_seconds)
+        assert stop_seconds + send_seconds < 0.98 * grace_seconds, (grace_seconds, send_seconds)
 
 
 @then("the bandwidth and memory of the platform are used only where requests are scheduled by cost")
--- a/features/steps/slow_caller_steps.py
+++ b/features/steps/slow_caller_steps.py
@@ -94,11 +94,11 @@
     context.add_cleanup(context.server.stop, timeout=0)
 
 
-def send_request(context):
+def send_request(context, host="127.0.0.1"):
     """Return a connection with a limited receive buffer on which a request was sent."""
     sock = gevent.socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.connect(("127.0.0.1", context.server.server_port))
+    sock.connect((host, context.server.server_port))
     sock.settimeout(5.0)
     sock.sendall(REQUEST)
     return sock
