Tell an ingress by when a stopping daemon can still use an answer

Cause: an ingress refuses a large response that can't be sent in time, but it knew only the caller's deadline and the latency objective.

Change: the calls of a daemon that stops name the end of its drain timeout as their objective, if that is sooner. The ingress refuses what it can't send by then at once, as not run, and the caller can go to another daemon.

The new scenario fails without the change (a PUT got 504).

--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -236,11 +236,17 @@
 
 
 def _get_objective_seconds(egress: Egress, call: OutgoingCall) -> float | None:
-    """Return the seconds within which an answer is of most use, or None if nothing tells."""
+    """Return the seconds within which an answer is of most use, or None if nothing tells.
+
+    While this daemon stops, that is before it ends: an ingress refuses at once what it can't answer
+    by then, and the caller goes to another daemon.
+    """
     now = egress.blackboard.clock.monotonic()
     times = []
     if call.latency_objective_seconds is not None:
         times.append(call.arrived_at + call.latency_objective_seconds)
+    if egress.stop_plan is not None:
+        times.append(egress.stop_plan.answers_until)
     return min(times) - now if times else None
 
 
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -77,5 +77,18 @@
     Then each of them got its whole response, some after the drain timeout
     And the daemon of shop has exited with code 0 within 8 seconds
 
+  # Guards against requests that run although their answers can't be sent before the stop ends, and
+  # get 504 (issue 37, LOST).
+  Scenario: More large answers are asked for during a stop than the link can send
+    Given daemons that schedule by cost, with a link of 8.5 Mbit/s and 1000 MB of memory
+    And settings drain_timeout 1.5 and stop_linger 1
+    And setting send_timeout 0.5
+    And a running fleet
+      | service  | zone | count |
+      | shop     | za   | 1     |
+      | payments | za   | 1     |
+    When 24 requests with responses of 300 KB are sent through shop while its daemon stops
+    Then some get their whole response, and the others are refused as not run
+
   Scenario: A caller still reads its response when the drain timeout of a stop ends
     Then a caller that reads slowly gets its whole response, and one that does not read ends in time
