Send on no request whose caller has left before it was read

What targets saw: requests of callers that had given up while their daemon did not read them, for instance after it was suspended.

Cause: the end of a caller's connection is noticed by a watch that starts with the routing of the request, so that the request had been sent by then.

Change: whether the caller is still there is checked before routing.

The new scenario suspends a daemon while five callers send a request and leave: one of them was sent on before, none now.

--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -43,7 +43,7 @@
 from comfreyhitch.ingress.target import RequestCancelledError
 from comfreyhitch.telemetry.decisions import admit_log_line, log_decision
 from comfreyhitch.telemetry.metrics import observe_request
-from comfreyhitch.wire.sockets import watch_disconnect
+from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
 
 logger = logging.getLogger(__name__)
 
@@ -194,6 +194,9 @@
     refusal = find_stop_refusal(egress.stop_plan, call.deadline, now)
     if refusal is not None:
         return Err(refusal)
+    # The caller may have left while its request waited behind another one, or to be accepted.
+    if is_disconnected(connection.sock):
+        return Err(Failure(Verdict.NOT_RUN, Refusal.CANCELLED, "caller went away"))
     with interruptible(connection):
         return _route_until_disconnect(egress, call, connection.sock)
 
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -92,3 +92,12 @@
 
   Scenario: A caller still reads its response when the drain timeout of a stop ends
     Then a caller that reads slowly gets its whole response, and one that does not read ends in time
+
+  # Guards against a request that is sent to a target after its caller has left (issue 37).
+  Scenario: Callers leave before their daemon reads their requests
+    Given a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 1     | --service-ms 400 |
+      | shop      | za   | 1     |                  |
+    When the daemon of shop is suspended while 5 requests are sent to it, whose callers leave
+    Then shop has sent none of them to catalogue
