Let callers of the stops tool wait for all requests that they sent at once

Cause: the tool.

Change: a caller waits 2 s beyond the last deadline of the requests that it sent at once. The check is as strict as before: a request without an answer within its own deadline is excused by time, any other that ends without one is not, and none is judged before its deadline any more.

The stand-in target can enlarge its responses (padding_bytes).

--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -107,6 +107,7 @@
         "query": environ["QUERY_STRING"],
         "body": body.decode("latin-1"),
         "headers": {key: value for key, value in environ.items() if key.startswith("HTTP_")},
+        "padding": "x" * _get_padding_bytes(environ),
     }
     return _reply(start_response, "200 OK", headers, json.dumps(content).encode())
 
@@ -117,6 +118,12 @@
     return target.work_seconds if values is None else float(values[0]) / 1000
 
 
+def _get_padding_bytes(environ: dict[str, object]) -> int:
+    """Return by how many bytes a response is enlarged, which its query may set."""
+    values = parse_qs(environ["QUERY_STRING"]).get("padding_bytes")
+    return 0 if values is None else int(values[0])
+
+
 def _exit_if_overloaded_while_cold(target: PlatformTarget) -> None:
     """Exit the process if it gets far more requests than a cold target can serve."""
     if not target.cold_left_ms:
--- a/comfreyhitch/testing/stops/callers.py
+++ b/comfreyhitch/testing/stops/callers.py
@@ -36,7 +36,7 @@
 IDEMPOTENT_SHARE = 0.7
 DEADLINE_SECONDS = (5.0, 9.0)
 ROUTE_TIMEOUT_SECONDS = 8.0
-# A caller waits this much longer than its deadline, to see what comes.
+# A caller waits this much longer than the last deadline of its requests, to see what comes.
 PATIENCE_SECONDS = 2.0
 PAUSE_SECONDS = (0.001, 0.05)
 PIPELINED_REQUESTS = (2, 4)
@@ -107,19 +107,19 @@
             _send(connection, exchange, message, random)
         if kind is CallerKind.HALF_CLOSE:
             connection.sock.shutdown(gevent.socket.SHUT_WR)
-    for exchange in exchanges:
-        if not exchange.first_sent_at:
-            break
-        _record_answer(connection, exchange)
+    sent = [exchange for exchange in exchanges if exchange.first_sent_at]
+    # A caller that waited for each until its own deadline alone would leave later ones too early.
+    until = max((item.first_sent_at + item.limit_seconds for item in sent), default=0.0)
+    for exchange in sent:
+        _record_answer(connection, exchange, until + PATIENCE_SECONDS)
         load.exchanges.append(exchange)
     connection.is_new = False
     connection.last_used_at = time.time()
 
 
-def _record_answer(connection: CallerConnection, exchange: Exchange) -> None:
+def _record_answer(connection: CallerConnection, exchange: Exchange, until: float) -> None:
     exchange.is_behind_close = connection.is_closing
     exchange.is_behind_unanswered = connection.ended_by is not None and not connection.is_closing
-    until = exchange.first_sent_at + exchange.limit_seconds + PATIENCE_SECONDS
     answer = read_answer(connection, until)
     exchange.ending, exchange.status = answer.ending, answer.status
     exchange.ended_at = answer.ended_at
