Have the readers of a zone announce documents once more to all of it

Change: 0.7 s after it has learned of a document, each reader announces it to all daemons of its zone. By then nearly all have it, so that one daemon sends the document itself to 7 others at most.

--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -28,7 +28,7 @@
     send_facts_datagram,
 )
 from comfreyhitch.membership.models import Member, MemberStatus
-from comfreyhitch.membership.queries import group_reachable_peers
+from comfreyhitch.membership.queries import group_reachable_peers, is_platform_reader
 from comfreyhitch.membership.registration import Registration
 from comfreyhitch.platform.client import PlatformClient
 from comfreyhitch.replication.broadcast import Broadcaster, propagate_facts
@@ -100,6 +100,7 @@
             random,
             lambda address, facts, heads: send_facts_datagram(detector, address, facts, heads),
             lambda: group_reachable_peers(blackboard),
+            lambda: is_platform_reader(blackboard),
         )
         detector.broadcaster = broadcaster
         report_crash = make_crash_reporter(blackboard, store)
--- a/comfreyhitch/replication/broadcast.py
+++ b/comfreyhitch/replication/broadcast.py
@@ -5,6 +5,8 @@
 from math import ceil, log2
 from random import Random
 
+import gevent
+
 from comfreyhitch.replication.facts import (
     EPHEMERAL_KINDS,
     FactId,
@@ -20,6 +22,9 @@
 # Every daemon follows documents in the platform's store, so new ones are only announced to a
 # few peers: as many as are needed for nearly all to hear of them if their own watches are broken.
 DOCUMENT_FANOUT = 4
+# The readers of a zone announce a document once more, to all daemons of their zone. By then nearly
+# all have it, so that few fetch it from a reader.
+DOCUMENT_REPEAT_SECONDS = 0.7
 # A datagram of this size is not fragmented on common links.
 MAX_DATAGRAM_BYTES = 1200
 DATAGRAM_OVERHEAD_BYTES = 120
@@ -39,7 +44,13 @@
     random: Random
     send: Callable[[str, list[Fact], list[FactHead]], None]
     get_peers: Callable[[], Peers]
+    # Returns whether this daemon is a reader of its zone.
+    is_reader: Callable[[], bool] = lambda: False
+    # Calls a function after some seconds.
+    call_later: Callable[[float, Callable[[], None]], object] = gevent.spawn_later
     sent_counts_by_id: dict[FactId, int] = field(default_factory=dict)
+    # Documents that are announced once more soon.
+    repeated_ids: set[FactId] = field(default_factory=set)
 
     @classmethod
     def from_store(
@@ -48,9 +59,10 @@
         random: Random,
         send: Callable[[str, list[Fact], list[FactHead]], None],
         get_peers: Callable[[], Peers],
+        is_reader: Callable[[], bool],
     ) -> "Broadcaster":
         """Return a broadcaster with no facts to send."""
-        return cls(store, random, send, get_peers)
+        return cls(store, random, send, get_peers, is_reader)
 
 
 def propagate_facts(
@@ -61,13 +73,14 @@
     In a small fleet only the daemon where a fact originates sends it; in a large one each
     receiver forwards it. Anti-entropy replaces facts that were lost.
     """
+    durable_facts = [fact for fact in facts if fact.kind not in EPHEMERAL_KINDS]
+    documents = [fact for fact in durable_facts if fact.kind is FactKind.DOCUMENT]
+    _repeat_later(broadcaster, documents)
     receivers = choose_receivers(
         broadcaster.get_peers(), broadcaster.random, is_from_peer=is_from_peer
     )
     if not receivers:
         return
-    durable_facts = [fact for fact in facts if fact.kind not in EPHEMERAL_KINDS]
-    documents = [fact for fact in durable_facts if fact.kind is FactKind.DOCUMENT]
     others = [fact for fact in durable_facts if fact.kind is not FactKind.DOCUMENT]
     for fact in durable_facts:
         broadcaster.sent_counts_by_id[fact.fact_id] = 0
@@ -80,6 +93,23 @@
             broadcaster.send(address, [], heads)
 
 
+def _repeat_later(broadcaster: Broadcaster, documents: list[StoredFact]) -> None:
+    """Announce documents to all daemons of the zone after a pause, if this daemon is a reader."""
+    if not documents or not broadcaster.is_reader():
+        return
+    if not broadcaster.repeated_ids:
+        broadcaster.call_later(DOCUMENT_REPEAT_SECONDS, lambda: _repeat(broadcaster))
+    broadcaster.repeated_ids.update(fact.fact_id for fact in documents)
+
+
+def _repeat(broadcaster: Broadcaster) -> None:
+    stored = broadcaster.store.facts_by_id
+    facts = [stored[fact_id] for fact_id in broadcaster.repeated_ids if fact_id in stored]
+    broadcaster.repeated_ids.clear()
+    for address in broadcaster.get_peers().same_zone:
+        send_facts(broadcaster, address, facts)
+
+
 def send_facts(broadcaster: Broadcaster, address: str, facts: list[StoredFact]) -> None:
     """Send facts to one peer, in several datagrams if needed."""
     remaining = list(facts)
