Wait for no further byte of a body that is out of bounds

Cause: discarding what is left of such a body read once more before it was refused again, and waited for as long as the other end sent nothing.

The new step timed out on the code before, and passes now.

--- a/comfreyhitch/wire/request_bodies.py
+++ b/comfreyhitch/wire/request_bodies.py
@@ -34,21 +34,28 @@
 
     def read(self, size: int) -> bytes:
         """Return up to `size` bytes; raise `BodyOutOfBoundsError` beyond the bounds."""
+        self._check()
         data = self._file.read(size)
         self._count(len(data))
         return data
 
     def readline(self, size: int) -> bytes:
         """Return the next line; raise `BodyOutOfBoundsError` beyond the bounds."""
+        self._check()
         line = self._file.readline(size)
         self._count(len(line))
         return line
 
+    def _check(self) -> None:
+        # After a failure no byte is awaited any more.
+        if self.failure:
+            raise BodyOutOfBoundsError(self.failure)
+
     def _count(self, size: int) -> None:
         self._remaining_bytes -= size
         if self._remaining_bytes < 0:
             self.failure = "request has too many bytes around its chunks"
-            raise BodyOutOfBoundsError(self.failure)
+        self._check()
         record_read(self._loop, size)
 
 
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -7,6 +7,7 @@
     Then requests whose bodies do not end are cut off, while other requests are answered at once
     And so are many of them at once
     And each is counted once, and one that ends within the bounds is not
+    And one that pauses after its bounds is cut off as well
 
   # Guards against a heartbeat or an announcement that keeps a daemon from doing anything else.
   Scenario: Heartbeats without end
--- a/features/steps/endless_request_steps.py
+++ b/features/steps/endless_request_steps.py
@@ -8,7 +8,12 @@
 from behave import given, then
 
 from comfreyhitch.platform.servers import make_servers
-from comfreyhitch.wire.request_bodies import MAX_DISCARD_SECONDS, BoundedServer
+from comfreyhitch.wire.request_bodies import (
+    MAX_DISCARD_SECONDS,
+    MAX_FRAMING_BYTES,
+    MAX_FRAMING_PER_BODY_BYTE,
+    BoundedServer,
+)
 from features.flooding import MAX_PAUSE_SECONDS, flooding_clients, measure_longest_pause
 
 BODY_LIMIT_BYTES = 10_000
@@ -114,6 +119,21 @@
     assert not context.cut_off
 
 
+@then("one that pauses after its bounds is cut off as well")
+def check_pausing_request(context):
+    head = b"POST /a HTTP/1.1\r\nHost: a\r\n" + CHUNKED
+    # One byte beyond the bounds, in the middle of a chunk extension.
+    size = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * BODY_LIMIT_BYTES + 1
+    body = ((b"1;a=" + b"x" * 1000 + b"\r\ny\r\n") * 200)[:size]
+    with gevent.socket.create_connection(("127.0.0.1", context.server.server_port), 5.0) as sock:
+        sock.settimeout(MAX_DISCARD_SECONDS + CUT_OFF_MARGIN_SECONDS)
+        sock.sendall(head + body)
+        response = b""
+        while part := sock.recv(65_536):
+            response += part
+    assert response.startswith(b"HTTP/1.1 400"), response
+
+
 @given("a control server of a daemon")
 def start_control_server(context):
     addresses = dict.fromkeys(("Listen.ReadinessAddr", "Listen.Control"), ("127.0.0.1", 0))
