--- a/features/steps/stall_steps.py
+++ b/features/steps/stall_steps.py
@@ -10,7 +10,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.telemetry import stalls
 from comfreyhitch.telemetry.metrics import Metrics
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read, take_longest_turn
 
 
 class LineHandler(logging.Handler):
@@ -32,6 +32,8 @@
     logger = logging.getLogger(stalls.__name__)
     logger.addHandler(handler)
     metrics = Metrics.create().control
+    # Forgets what earlier scenarios have read.
+    take_longest_turn()
     watching = gevent.spawn(stalls.watch_for_stalls, Clock.from_system(), metrics)
     gevent.sleep(0)
     try:
