--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Build the stand-ins that the cases 6 to 10 start. They are Python programs, so that it is enough to
+# Build the stand-ins that the cases 6 to 9 start. They are Python programs, so that it is enough to
 # compile them and to see that they find the libraries of the deploy file's build.
 cd "$(dirname "$0")/.." || exit 2
 python3 -m compileall -q comfreyhitch review || exit 1
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -1,4 +1,4 @@
-"""Run a small deployment for the cases 6 to 10, and send requests to it as clients do."""
+"""Run a small deployment for the cases 6 to 9, and send requests to it as clients do."""
 
 import http.client
 import os
