--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -112,7 +112,8 @@
             if element["type"] != "scenario" or element["status"] == "skipped":
                 continue
             is_passed = element["status"] == "passed"
-            name = f"{feature['name']}: {element['name']}"
+            # The examples of an outline without a name leave a space at the end.
+            name = f"{feature['name']}: {element['name'].strip()}"
             location = element["location"]
             pause_seconds = pauses_by_location.get(location, 0.0)
             results.append(Result(name, location, is_passed, pause_seconds))
--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -1,6 +1,7 @@
 """Run a stand-in for a platform target, with heartbeats, a queue, cold start and faults."""
 
 import argparse
+import hashlib
 import json
 import os
 import signal
@@ -20,6 +21,9 @@
 from comfreyhitch.testing.target_models import USUAL_PACE_PERCENT, PlatformTarget
 
 HEALTH_PATH = "/health"
+# Paths that end so are answered with the digest of the request's body, or with padding alone.
+DIGEST_PATH_END = "/digest"
+PADDING_PATH_END = "/padding"
 CRASH_EXIT_CODE = 9
 OVERLOAD_EXIT_CODE = 7
 
@@ -98,6 +102,10 @@
     ]
     if target.random.random() < target.faults.failure_share:
         return _reply(start_response, "500 Internal Server Error", headers, b"stand-in failure")
+    if environ["PATH_INFO"].endswith(DIGEST_PATH_END):
+        return _reply(start_response, "200 OK", headers, hashlib.sha256(body).hexdigest().encode())
+    if environ["PATH_INFO"].endswith(PADDING_PATH_END):
+        return _reply(start_response, "200 OK", headers, b"x" * _get_padding_bytes(environ))
     content = {
         "instance": target.instance_id,
         "version": target.version,
