Bound the bytes of requests by the memory of every machine

Callers saw: a daemon that chunked bodies, or bodies just short of their end, took over its memory; on the platform that ends the process, and all its requests with it (LOST, and a process that ends by itself).

Cause: the count of held bytes had a limit only where requests are scheduled by cost; a body without a length was counted after it had been read whole; nothing bounded how long a body may take to arrive; the kernel kept megabytes a connection that were not read yet.

Change: the limit follows from the machine's memory under all contracts. A body counts from its declared length on, or as its bytes arrive. When the limit is reached, requests give way whose bytes have not moved (16 KiB) for a second, the longest wait first; they get 503 (not run), are counted and logged, and their connection is closed. Only if there are none, the request that comes next is refused, and small requests never. A body that has not arrived at the deadline of its request is refused as not run. A request that is large by itself may use what memory the daemon leaves. Received bytes that wait in the kernel are bounded to 64 KiB a connection.

The step about the platform's memory setting asserted that it is ignored under other contracts. That was the fault; it asserts now that it is in force under each.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -76,7 +76,7 @@
         Positive | None,
         Meta(
             description="memory of this daemon in MB, of which requests and responses may hold a "
-            "fifth with overload-control=cost"
+            "fifth"
         ),
     ] = None
     slots: Annotated[
--- a/comfreyhitch/core/verdicts.py
+++ b/comfreyhitch/core/verdicts.py
@@ -69,6 +69,8 @@
 
 
 Headers = list[tuple[str, str]]
+# Large bodies are kept as the buffers into which they were received.
+Body = bytes | bytearray
 
 
 @dataclass(slots=True)
@@ -78,7 +80,7 @@
     status: int
     reason: str
     headers: Headers = field(default_factory=list)
-    body: bytes = b""
+    body: Body = b""
     version: str = ""
 
 
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -76,8 +76,7 @@
     ) -> "Daemon":
         """Build a daemon from its settings; its servers and controllers are not started yet."""
         blackboard = Blackboard(clock=clock, own_member=make_own_member(settings, clock))
-        if settings.overload_control == "cost":
-            blackboard.held_bytes = HeldBytes.from_memory(settings.memory_limit)
+        blackboard.held_bytes = HeldBytes.from_memory(settings.memory_limit, clock)
         random = Random(blackboard.own_member.boot_id)
         metrics = Metrics.create()
         store = FactStore.from_clock(clock)
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -209,7 +209,7 @@
         method=call.method,
         path=call.path,
         headers=[Header(name, value) for name, value in call.headers],
-        body=call.body,
+        body=bytes(call.body),
         timeout_seconds=remaining_seconds,
         tenant=call.tenant,
         priority=call.traffic_class,
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -10,6 +10,13 @@
 from gevent.hub import get_hub
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.held_bytes import (
+    GiveWayError,
+    HeldBytes,
+    Holder,
+    HoldingStage,
+    able_to_give_way,
+)
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.stopping import DaemonStoppingError
 
@@ -41,8 +48,11 @@
 
 
 @dataclass(slots=True, eq=False)
-class CallerConnection:
-    """Hold one connection of a caller; times are monotonic seconds."""
+class CallerConnection(Holder):
+    """Hold one connection of a caller; times are monotonic seconds.
+
+    Its held bytes are those of the current request and its response.
+    """
 
     sock: gevent.socket.socket
     opened_at: float
@@ -51,8 +61,6 @@
     end_reason: EndReason = EndReason.CALLER_CLOSED
     # Known once the current request has been classified.
     call: OutgoingCall | None = None
-    # Bytes of the current request and its response that are counted as held.
-    held_bytes: int = 0
     # Returns whether bytes of a further request have arrived.
     has_further_request: Callable[[], bool] = lambda: False
     # Ends the wait for the current request's response; None while there is no such wait.
@@ -85,10 +93,12 @@
     return connection.call is not None and connection.call.is_receiving
 
 
-def add_connection(connections: CallerConnections, sock: gevent.socket.socket) -> None:
-    """Add a connection that has just been accepted."""
+def add_connection(connections: CallerConnections, sock: gevent.socket.socket) -> CallerConnection:
+    """Add a connection that has just been accepted, and return its state."""
     now = connections.clock.monotonic()
-    connections.by_socket[sock] = CallerConnection(sock, now, now)
+    connection = CallerConnection(sock, now, now)
+    connections.by_socket[sock] = connection
+    return connection
 
 
 def enter_phase(
@@ -112,6 +122,27 @@
         connection.interrupt = None
 
 
+@contextmanager
+def giving_way(held: HeldBytes, holder: Holder, stage: HoldingStage) -> Iterator[None]:
+    """Let others that need memory raise `GiveWayError` in the current greenlet."""
+    greenlet = gevent.getcurrent()
+    is_active = True
+
+    def raise_in_greenlet() -> None:
+        if is_active:
+            greenlet.throw(GiveWayError)
+
+    def give_way() -> None:
+        # Only the hub may switch into another greenlet and return here afterwards.
+        get_hub().loop.run_callback(raise_in_greenlet)
+
+    try:
+        with able_to_give_way(held, holder, stage, give_way):
+            yield
+    finally:
+        is_active = False
+
+
 def interrupt_requests(connections: Iterable[CallerConnection]) -> None:
     """End the waits for the responses of requests."""
     for connection in connections:
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -12,7 +12,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HEADER_VERDICT
-from comfreyhitch.core.held_bytes import HeldBytes
+from comfreyhitch.core.held_bytes import HeldBytes, release
 from comfreyhitch.core.verdicts import Verdict
 from comfreyhitch.egress.caller_connections import (
     CallerConnection,
@@ -38,6 +38,8 @@
 # allow heads of more bytes.
 pywsgi.MAX_REQUEST_LINE = 65_536
 
+# Bytes that the kernel receives for a connection before they are read. It allots twice as many.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 # How long a caller may take to close its side of a connection after the last response.
 END_OF_STREAM_SECONDS = 0.5
 # A caller that takes no byte of its response for this long is disconnected.
@@ -76,9 +78,16 @@
         # Called before a connection is closed, and told whether it holds unread bytes.
         self.record_end: Callable[[CallerConnection, bool], None] = lambda connection, unread: None
 
+    def init_socket(self) -> None:
+        """Listen, and bound what the kernel receives for each connection."""
+        super().init_socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     def do_handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
         """Count a connection as soon as it is accepted, before its handler has started."""
-        add_connection(self.connections, sock)
+        connection = add_connection(self.connections, sock)
+        host, port = address[:2]
+        connection.peer = f"{host}:{port}"
         super().do_handle(sock, address)
 
     def handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
@@ -201,8 +210,7 @@
         try:
             super().handle_one_response()
         finally:
-            self.server.held_bytes.total -= self.connection.held_bytes
-            self.connection.held_bytes = 0
+            release(self.server.held_bytes, self.connection)
         if self.close_connection and self.connection.end_reason is not EndReason.CALLER_STALLED:
             self.connection.end_reason = EndReason.RESPONSE_SENT
 
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -14,7 +14,7 @@
     HEADER_TENANT,
     HEADER_TIMEOUT,
 )
-from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Verdict
+from comfreyhitch.core.verdicts import Body, Failure, Headers, Refusal, Verdict
 from comfreyhitch.sections.models import (
     IDEMPOTENT_METHODS,
     RoutePolicy,
@@ -72,7 +72,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     # Name of the client account, or `NO_ACCOUNT` on a public route where accounts are in force.
     tenant: str
     traffic_class: TrafficClass
@@ -110,7 +110,7 @@
     method: str,
     path: str,
     headers: Headers,
-    body: bytes,
+    body: Body,
     default_timeout: timedelta,
 ) -> Result[OutgoingCall, Failure]:
     """Return the call for a request, or the failure if the request is refused."""
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -6,6 +6,7 @@
 import gevent
 from result import Err, Ok
 
+from comfreyhitch.core.held_bytes import get_large_limit
 from comfreyhitch.core.verdicts import (
     Failure,
     Headers,
@@ -32,14 +33,11 @@
 )
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
-from comfreyhitch.egress.memory import hold_bytes, hold_declared_body, route_within_memory
+from comfreyhitch.egress.memory import record_give_way, route_within_memory
+from comfreyhitch.egress.request_bodies import read_body
 from comfreyhitch.egress.router import route
 from comfreyhitch.egress.state import Egress
-from comfreyhitch.egress.stopping import (
-    DaemonStoppingError,
-    find_stop_refusal,
-    make_interrupted_failure,
-)
+from comfreyhitch.egress.stopping import find_stop_refusal
 from comfreyhitch.ingress.target import RequestCancelledError
 from comfreyhitch.telemetry.decisions import admit_log_line, log_decision
 from comfreyhitch.telemetry.metrics import observe_request
@@ -71,6 +69,7 @@
     )
     server.connections = CallerConnections(egress.blackboard.clock)
     server.held_bytes = egress.blackboard.held_bytes
+    server.held_bytes.on_give_way = lambda holder: record_give_way(egress, holder)
     server.get_limits = interface.get_limits
     server.get_body_limit = lambda: _get_body_limit(egress, interface)
     server.record_cut_off = lambda reason: _record_cut_off(egress, reason)
@@ -130,28 +129,18 @@
 def _route_request(
     egress: Egress, interface: CallerInterface, environ: dict[str, object], arrived_at: float
 ) -> tuple[OutgoingCall | None, Outcome]:
-    limit_bytes = _get_body_limit(egress, interface)
     connection = environ[CONNECTION_ENVIRON_KEY]
-    length = environ.get("CONTENT_LENGTH")
-    failure = hold_declared_body(egress, connection, length, limit_bytes)
-    if failure is not None:
-        return None, Err(failure)
-    try:
-        with interruptible(connection):
-            body = _read_body(environ, limit_bytes)
-    except DaemonStoppingError:
-        return None, Err(make_interrupted_failure(may_have_run=False))
-    except (OSError, ValueError) as error:
-        return None, Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, f"body: {error}"))
-    if body is None:
-        detail = f"body exceeds {limit_bytes} bytes"
-        return None, Err(Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail))
-    hold_bytes(egress, connection, len(body) - connection.held_bytes)
+    headers = environ[HEADERS_ENVIRON_KEY]
+    timeout_seconds = interface.get_timeout_seconds(headers)
+    limit_bytes = _get_body_limit(egress, interface)
+    read = read_body(egress, connection, environ, limit_bytes, arrived_at + timeout_seconds)
+    if read.is_err():
+        return None, read
     request = CallerRequest(
         method=environ["REQUEST_METHOD"],
         path=environ[PATH_ENVIRON_KEY],
-        headers=environ[HEADERS_ENVIRON_KEY],
-        body=body,
+        headers=headers,
+        body=read.ok_value,
         arrived_at=arrived_at,
     )
     match interface.classify(request):
@@ -166,27 +155,10 @@
 
 def _get_body_limit(egress: Egress, interface: CallerInterface) -> int:
     limits = interface.get_limits()
-    own_limit = egress.settings.body_limit_bytes
+    own_limit = min(egress.settings.body_limit_bytes, get_large_limit(egress.blackboard.held_bytes))
     return own_limit if limits is None else min(own_limit, limits.body_bytes)
 
 
-def _read_body(environ: dict[str, object], limit_bytes: int) -> bytes | None:
-    stream = environ["wsgi.input"]
-    length = environ.get("CONTENT_LENGTH")
-    is_chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
-    if not length and not is_chunked:
-        return b""
-    if length and not is_chunked:
-        if int(length) > limit_bytes:
-            return None
-        body = stream.read(int(length))
-        if len(body) < int(length):
-            raise OSError("ended early")
-        return body
-    body = stream.read(limit_bytes + 1)
-    return body if len(body) <= limit_bytes else None
-
-
 def _route_unless_stopping(
     egress: Egress, call: OutgoingCall, connection: CallerConnection
 ) -> Outcome:
--- a/comfreyhitch/egress/interface.py
+++ b/comfreyhitch/egress/interface.py
@@ -7,13 +7,20 @@
 from result import Ok, Result
 
 from comfreyhitch.core.headers import HEADER_REFUSAL, HEADER_VERDICT, HOP_BY_HOP_HEADERS
-from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Response, Verdict
-from comfreyhitch.egress.classify import CONTROL_HEADERS, OutgoingCall, classify
+from comfreyhitch.core.verdicts import Body, Failure, Headers, Refusal, Response, Verdict
+from comfreyhitch.egress.classify import (
+    CONTROL_HEADERS,
+    MAX_TIMEOUT,
+    TIMEOUT_FIELD,
+    OutgoingCall,
+    classify,
+)
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.routing.models import CallerLimits
 
 NOT_FORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "expect"}
 RETRY_AFTER_SECONDS = "1"
+MAX_TIMEOUT_DIGITS = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +30,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     arrived_at: float
 
 
@@ -35,6 +42,8 @@
     make_response_headers: Callable[[Response], Headers]
     make_failure_headers: Callable[[Failure], Headers]
     get_limits: Callable[[], CallerLimits | None]
+    # Returns the seconds after which a request with these headers is of no use to its caller.
+    get_timeout_seconds: Callable[[Headers], float]
     request_id_field: str = ""
 
 
@@ -61,9 +70,27 @@
         make_response_headers=lambda response: [(HEADER_VERDICT, Verdict.RAN.header_value)],
         make_failure_headers=_make_failure_headers,
         get_limits=lambda: None,
+        get_timeout_seconds=lambda headers: read_timeout_seconds(
+            headers, TIMEOUT_FIELD, MAX_TIMEOUT, egress.settings.default_timeout
+        ),
     )
 
 
+def read_timeout_seconds(
+    headers: Headers, field: str, maximum: timedelta, default: timedelta
+) -> float:
+    """Return the timeout that a header gives in milliseconds, or a default in seconds.
+
+    `field` is in lower case. A header that is no number is refused after the body was read.
+    """
+    text = next((value for name, value in headers if name.lower() == field), "")
+    if not text.isascii() or not text.isdigit():
+        return default.total_seconds()
+    if len(text) > MAX_TIMEOUT_DIGITS:
+        return maximum.total_seconds()
+    return min(int(text) / 1000, maximum.total_seconds())
+
+
 def drop_headers(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers except those in `names`, which are in lower case."""
     return [item for item in headers if item[0].lower() not in names]
--- a/comfreyhitch/egress/routed_calls.py
+++ b/comfreyhitch/egress/routed_calls.py
@@ -8,7 +8,7 @@
 from comfreyhitch.accounts.authentication import KeyFault, authenticate, replace_credentials
 from comfreyhitch.accounts.models import DEFAULT_TENANT, NO_ACCOUNT, Account
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.core.verdicts import Failure, Headers, Refusal, Verdict
+from comfreyhitch.core.verdicts import Body, Failure, Headers, Refusal, Verdict
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.routing.matching import find_route
 from comfreyhitch.routing.models import Route, RouteTable
@@ -35,7 +35,7 @@
     host: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     request_id: str
     timeout_seconds: float
     arrived_at: float
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from comfreyhitch.admission.pacing import PaceReading
-from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
+from comfreyhitch.core.verdicts import Body, Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.wire.generated.ttypes import (
     CallAnswer,
@@ -28,7 +28,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     arrived_at: float
     deadline: float
     # `accounts.models.is_account_name` tells whether this is a client account.
--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -13,7 +13,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
-from comfreyhitch.core.verdicts import Failure, Headers, Outcome, Refusal, Response, Verdict
+from comfreyhitch.core.verdicts import Body, Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.ingress.response_checks import validate_response
 from comfreyhitch.wire.responses import (
     ResponseReader,
@@ -75,7 +75,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     deadline: float
     needs_new_connection: bool
     body_limit_bytes: int
--- a/comfreyhitch/platform/callers.py
+++ b/comfreyhitch/platform/callers.py
@@ -1,5 +1,7 @@
 """The platform's interface for callers: how requests are read, and which headers are set."""
 
+from datetime import timedelta
+
 from result import Err, Result
 
 from comfreyhitch.accounts.authentication import KeyFault
@@ -11,6 +13,7 @@
     CallerRequest,
     drop_headers,
     get_retry_after,
+    read_timeout_seconds,
 )
 from comfreyhitch.egress.nested_calls import NestedCallDetector, observe_arrival
 from comfreyhitch.egress.routed_calls import RoutedRequest, classify_routed
@@ -87,6 +90,12 @@
         get_limits=lambda: (
             None if blackboard.route_table is None else blackboard.route_table.limits
         ),
+        get_timeout_seconds=lambda headers: read_timeout_seconds(
+            headers,
+            HEADER_DEADLINE_MS.lower(),
+            timedelta(milliseconds=MAX_DEADLINE_MS),
+            egress.settings.default_timeout,
+        ),
         request_id_field=HEADER_REQUEST_ID,
     )
 
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -39,6 +39,7 @@
     targets_avoided: Gauge
     connections_ended: Counter
     bodies_cut_off: Counter
+    gave_way: Counter
     nested_calls: Counter
     key_faults: Counter
 
@@ -198,6 +199,12 @@
             "caller_bodies_cut_off_total",
             "Requests of callers whose bodies had too much around their chunks, or did not end.",
         ),
+        gave_way=_make_counter(
+            registry,
+            "gave_way_total",
+            "Requests and responses ended for others that needed their memory, by what they "
+            "waited for.",
+        ),
         nested_calls=_make_counter(
             registry,
             "nested_calls_total",
--- a/comfreyhitch/wire/request_bodies.py
+++ b/comfreyhitch/wire/request_bodies.py
@@ -29,6 +29,8 @@
         self._file = file
         self._remaining_bytes = max_bytes
         self._loop = loop
+        # Called with the number of bytes after each read.
+        self.on_read: Callable[[int], None] = lambda size: None
         # Why the body was not read to its end, or an empty string.
         self.failure = ""
 
@@ -56,6 +58,7 @@
         if self._remaining_bytes < 0:
             self.failure = "request has too many bytes around its chunks"
         self._check()
+        self.on_read(size)
         record_read(self._loop, size)
 
 
--- a/features/large_responses.feature
+++ b/features/large_responses.feature
@@ -33,7 +33,7 @@
     And a peer that disconnects during a large answer leaves no backlog
 
   Scenario: Bandwidth and memory in the settings
-    Then the bandwidth and memory of the platform are used only where requests are scheduled by cost
+    Then the bandwidth of the platform is used only where requests are scheduled by cost, and its memory everywhere
 
   Scenario: Daemons with a link of 8.5 Mbit/s
     Given daemons that schedule by cost, with a link of 8.5 Mbit/s and 1000 MB of memory
