Return the memory of answers, and let slow readers give way

Callers saw: a daemon that kept 257 MB after 60 callers had read answers of 3.9 MB slowly and had left, also 10 s later (arm64, trial); each further crowd added to it until the process would have been ended.

Cause, two of them. The library's framed transport keeps the last message it read until the next one comes, so each idle connection to a peer kept an answer. And the C library raises the size from which buffers are mapped by themselves up to 32 MiB when one is freed; later answers came from the heap, which small objects keep from shrinking.

Change: frames are dropped as soon as their message is decoded (wire/frames.py), and the daemon fixes the sizes at its start (utils/memory_allocator.py). A response that its caller reads slowly gives way like a request that does not arrive: its connection is reset, counted as gave-way and logged.

--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -14,6 +14,7 @@
 from comfreyhitch.daemon.shutdown import stop_gracefully
 from comfreyhitch.daemon.startup import start
 from comfreyhitch.telemetry.logs import configure_logging
+from comfreyhitch.utils.memory_allocator import return_freed_buffers
 
 EXIT_INVALID_SETTINGS = 2
 SETTINGS_POLL_SECONDS = 1.0
@@ -30,6 +31,7 @@
     SIGHUP reloads the settings, and so does a change of the file at `settings_path`.
     """
     handler = configure_logging(settings.log_level, settings.advertised_peer_address)
+    return_freed_buffers()
     daemon = Daemon.from_settings(settings, Clock.from_system(), adapter)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, daemon.stop_requested.set)
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -45,6 +45,8 @@
     STOPPING = "stopping"
     # The caller took no byte of its response for some seconds.
     CALLER_STALLED = "caller-stalled"
+    # The caller read its response slowly, and others needed the memory that it held.
+    GAVE_WAY = "gave-way"
 
 
 @dataclass(slots=True, eq=False)
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -12,7 +12,14 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HEADER_VERDICT
-from comfreyhitch.core.held_bytes import HeldBytes, release
+from comfreyhitch.core.held_bytes import (
+    MAX_SMALL_BYTES,
+    GiveWayError,
+    HeldBytes,
+    HoldingStage,
+    record_progress,
+    release,
+)
 from comfreyhitch.core.verdicts import Verdict
 from comfreyhitch.egress.caller_connections import (
     CallerConnection,
@@ -21,6 +28,7 @@
     EndReason,
     add_connection,
     enter_phase,
+    giving_way,
 )
 from comfreyhitch.egress.request_framing import RequestHeadError, check_framing, read_headers
 from comfreyhitch.routing.models import CallerLimits
@@ -44,6 +52,7 @@
 END_OF_STREAM_SECONDS = 0.5
 # A caller that takes no byte of its response for this long is disconnected.
 WRITE_STALL_SECONDS = 5.0
+REASONS_OF_SLOW_CALLERS = frozenset({EndReason.CALLER_STALLED, EndReason.GAVE_WAY})
 REASONS_AFTER_RESPONSE = frozenset({EndReason.RESPONSE_SENT, EndReason.REQUEST_INVALID})
 
 HEADERS_ENVIRON_KEY = "comfreyhitch.headers"
@@ -211,22 +220,39 @@
             super().handle_one_response()
         finally:
             release(self.server.held_bytes, self.connection)
-        if self.close_connection and self.connection.end_reason is not EndReason.CALLER_STALLED:
+        if self.close_connection and self.connection.end_reason not in REASONS_OF_SLOW_CALLERS:
             self.connection.end_reason = EndReason.RESPONSE_SENT
 
     def _sendall(self, data: bytes) -> None:
         """Send a part of a response; raise `ConnectionResetError` if that fails."""
         try:
-            send_while_read(self.socket, data, WRITE_STALL_SECONDS)
-        except OSError as error:
+            if len(data) > MAX_SMALL_BYTES:
+                self._send_large(data)
+            else:
+                send_while_read(self.socket, data, WRITE_STALL_SECONDS)
+        except (OSError, GiveWayError) as error:
             if isinstance(error, TimeoutError):
                 self.connection.end_reason = EndReason.CALLER_STALLED
+            elif isinstance(error, GiveWayError):
+                self.connection.end_reason = EndReason.GAVE_WAY
             reset_on_close(self.socket)
             # For other errors, the library would send an error page after a part of the response,
             # which callers could take for the rest of it.
             raise ConnectionResetError(errno.ECONNRESET, str(error)) from error
         self.response_length += len(data)
 
+    def _send_large(self, data: bytes) -> None:
+        """Send bytes that a slow caller may have to give up; raise `GiveWayError` if it does."""
+        held = self.server.held_bytes
+        connection = self.connection
+        with giving_way(held, connection, HoldingStage.RESPONSE):
+            send_while_read(
+                self.socket,
+                data,
+                WRITE_STALL_SECONDS,
+                lambda size: record_progress(held, connection, size),
+            )
+
     def MessageClass(self, file: object, *arguments: object) -> object:  # noqa: N802
         """Read and return the headers of a request; the WSGI library defines this name."""
         headers = self._read_headers(file, *arguments)
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -20,7 +20,6 @@
     CallerConnection,
     CallerConnections,
     ConnectionPhase,
-    EndReason,
     describe_request,
     interruptible,
 )
@@ -28,6 +27,7 @@
     CONNECTION_ENVIRON_KEY,
     HEADERS_ENVIRON_KEY,
     PATH_ENVIRON_KEY,
+    REASONS_OF_SLOW_CALLERS,
     CallerHandler,
     CallerServer,
 )
@@ -89,7 +89,7 @@
     }
     egress.metrics.egress.connections_ended.inc(labels)
     # The usual end of a connection is not logged: it holds no request and no unread bytes.
-    is_stalled = connection.end_reason is EndReason.CALLER_STALLED
+    is_stalled = connection.end_reason in REASONS_OF_SLOW_CALLERS
     is_lost = is_stalled or connection.phase is ConnectionPhase.READING
     if (is_lost or has_unread_bytes) and admit_log_line(egress.decisions, is_failure=True):
         now = egress.blackboard.clock.monotonic()
--- a/comfreyhitch/wire/connections.py
+++ b/comfreyhitch/wire/connections.py
@@ -8,17 +8,15 @@
 
 import gevent.socket
 from thrift.Thrift import TException
-from thrift.transport.TTransport import TFramedTransport
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.wire.codec import make_protocol
 from comfreyhitch.wire.exceptions import PeerError, PeerTimeoutError
+from comfreyhitch.wire.frames import make_frame_protocol
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Greeting
 from comfreyhitch.wire.sockets import connect, is_disconnected, split_address, wait_readable
 from comfreyhitch.wire.transports import PeerTransport
 
-MAX_FRAME_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT = timedelta(milliseconds=200)
 # How long an answer may take after its first bytes. The facts of a large fleet take seconds on a
 # narrow link.
@@ -53,7 +51,7 @@
         except OSError as error:
             raise PeerError(f"connect to {address}: {error}", may_be_sent=False) from error
         transport = PeerTransport(sock, clock)
-        protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
+        protocol = make_frame_protocol(transport)
         now = clock.monotonic()
         return cls(address, sock, transport, Peer.Client(protocol), opened_at=now, idle_since=now)
 
--- a/comfreyhitch/wire/server.py
+++ b/comfreyhitch/wire/server.py
@@ -6,11 +6,10 @@
 import gevent.socket
 from gevent.server import StreamServer
 from thrift.Thrift import TException
-from thrift.transport.TTransport import TFramedTransport, TTransportException
+from thrift.transport.TTransport import TTransportException
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.wire.codec import make_protocol
-from comfreyhitch.wire.connections import MAX_FRAME_BYTES
+from comfreyhitch.wire.frames import make_frame_protocol
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.pacing import PacedTransport, SendFrame
 from comfreyhitch.wire.sockets import configure_socket
@@ -39,7 +38,7 @@
             transport = PeerTransport(sock, clock)
         else:
             transport = PacedTransport(sock, clock, send)
-        protocol = make_protocol(TFramedTransport(transport, max_frame_size=MAX_FRAME_BYTES))
+        protocol = make_frame_protocol(transport)
         processor = Peer.Processor(make_handler(sock))
         if isinstance(transport, PacedTransport):
             processor.on_message_begin(transport.begin_message)
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -109,8 +109,16 @@
         return False
 
 
-def send_while_read(sock: gevent.socket.socket, data: bytes, stall_seconds: float) -> None:
-    """Send all bytes; raise `TimeoutError` if the other end takes none for `stall_seconds`."""
+def send_while_read(
+    sock: gevent.socket.socket,
+    data: bytes,
+    stall_seconds: float,
+    on_sent: Callable[[int], None] | None = None,
+) -> None:
+    """Send all bytes; raise `TimeoutError` if the other end takes none for `stall_seconds`.
+
+    Call `on_sent` with the number of bytes after each part that is sent.
+    """
     previous_timeout = sock.gettimeout()
     sock.settimeout(stall_seconds / STALL_CHECKS)
     unsent = memoryview(data)
@@ -133,6 +141,8 @@
         else:
             unsent = unsent[sent_bytes:]
             checks_without_progress = 0
+            if on_sent is not None:
+                on_sent(sent_bytes)
     sock.settimeout(previous_timeout)
 
 
