Pass large bodies in single copies, counted as they arrive

Callers saw: 413 for bodies of 4.5 MB and more, though the configuration allows 67,108,864 bytes, and 502 for answers of 16 MB and more; and a daemon over its memory when 20 callers read answers of 3.9 MB slowly.

Cause: bodies were part of the messages between daemons, so that each was copied while it was encoded, framed, read and decoded. The limits of 4 MiB a body and 16 MiB a message bounded these copies, and nothing counted a body until it had arrived.

Change: a body of more than 64 KiB follows its message (optional field body_bytes; older daemons get smaller ones as before). Its length is known before it is read, so its memory is counted first, and it waits for others that give way if there is none. A daemon that can't hold a request's body answers before it has read it, and the other daemon stops sending and tries another target. Bodies are received into one buffer and sent from it. Each stage (requests, responses of the target, answers of peers) may use more than the one before it, so that what was begun can be ended. A request's body is dropped when the target has it, and at the egress when its answer is there. The body limit of the daemon itself is 64 MiB now, and what the machine can hold.

Single copies were chosen over passing pieces on: a body that may be sent again has to be kept whole in any case. What remains: a request and an answer of 60 MB each, or two such requests at once, are not served together by a machine of 200 MB.

Three stand-ins of calls in the tests got the field that real calls have.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -21,7 +21,7 @@
 NonNegative = Annotated[float, Meta(ge=0)]
 ProbeRate = Annotated[float, Meta(ge=0, le=1000)]
 TargetProbeRate = Annotated[float, Meta(ge=0, le=100)]
-BodyBytes = Annotated[int, Meta(ge=0, le=8 * 1024 * 1024)]
+BodyBytes = Annotated[int, Meta(ge=0, le=64 * 1024 * 1024)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,7 +91,7 @@
     body_limit_bytes: Annotated[
         BodyBytes,
         Meta(description="largest request or response body"),
-    ] = 4 * 1024 * 1024
+    ] = 64 * 1024 * 1024
     default_timeout: Annotated[
         timedelta, Meta(description="timeout of a request that sets none")
     ] = timedelta(seconds=10)
--- a/comfreyhitch/core/held_bytes.py
+++ b/comfreyhitch/core/held_bytes.py
@@ -17,6 +17,10 @@
 # Requests that need no more than this are not refused for their bytes: their number is limited by
 # slots and connections.
 MAX_SMALL_BYTES = 16 * 1024
+# Multiples of the limit for responses that arrive from the target, and for answers that arrive from
+# other daemons. Each stage may use more than those before it, so that it can always be completed.
+RESPONSE_SHARE = 1.25
+ANSWER_SHARE = 1.5
 # Requests above this part of the limit may use the memory for single large ones.
 LARGE_SHARE = 0.5
 # A holder whose bytes have moved by less than this for so long may have to give way to others.
@@ -99,17 +103,18 @@
     hold(held, holder, -holder.held_bytes)
 
 
-def can_hold(held: HeldBytes, needed_bytes: int, own_bytes: int = 0) -> bool:
+def can_hold(held: HeldBytes, needed_bytes: int, own_bytes: int = 0, share: float = 1.0) -> bool:
     """Return whether a request that needs more bytes may be accepted.
 
     Its `own_bytes` are counted already. Handles responses that are produced faster than links or
     callers take them. If nearly nothing is held, any request is accepted, so that one whose
     response was once larger than the limit is not refused forever. A request that is large by
-    itself may use the memory that is reserved for such requests.
+    itself may use the memory that is reserved for such requests. The limit is multiplied by
+    `share`.
     """
     if held.limit is None or needed_bytes + own_bytes <= MAX_SMALL_BYTES:
         return True
-    if held.total + needed_bytes <= held.limit or held.total - own_bytes <= MAX_SMALL_BYTES:
+    if held.total + needed_bytes <= share * held.limit or held.total - own_bytes <= MAX_SMALL_BYTES:
         return True
     is_large = needed_bytes + own_bytes > LARGE_SHARE * held.limit
     return is_large and held.total + needed_bytes <= get_large_limit(held)
@@ -120,20 +125,22 @@
     return sys.maxsize if held.large_limit is None else int(held.large_limit)
 
 
-def make_room(held: HeldBytes, needed_bytes: int, own: Holder | None = None) -> bool:
+def make_room(
+    held: HeldBytes, needed_bytes: int, own: Holder | None = None, share: float = 1.0
+) -> bool:
     """Return whether a request that needs more bytes may be accepted.
 
     Other holders give way first, if their bytes have made no progress for some time: those whose
     bytes have waited longest. The request's own bytes are counted already.
     """
     own_bytes = 0 if own is None else own.held_bytes
-    if can_hold(held, needed_bytes, own_bytes):
+    if can_hold(held, needed_bytes, own_bytes, share):
         return True
     for holder in _list_stalled(held):
         if holder is own:
             continue
         _make_give_way(held, holder)
-        if can_hold(held, needed_bytes, own_bytes):
+        if can_hold(held, needed_bytes, own_bytes, share):
             return True
     return False
 
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -82,7 +82,9 @@
         store = FactStore.from_clock(clock)
         decoders = {source.kind: source.decode for source in adapter.documents}
         store.validators_by_kind = make_validators(decoders)
-        pool = PeerPool.from_address(blackboard.own_member.address, str(settings.host), clock)
+        pool = PeerPool.from_address(
+            blackboard.own_member.address, str(settings.host), clock, blackboard.held_bytes
+        )
         claims = ClaimClient.from_retention(blackboard, pool, settings.key_retention)
         evidence = EvidenceLog.from_clock(clock)
         detector = FailureDetector(
--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import gevent.socket
 from result import Err
 
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.core.held_bytes import holding
-from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
+from comfreyhitch.core.held_bytes import describe_held_bytes, hold, make_room, release
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.idempotency.claims import ClaimClient, handle_claim_request, store_outcomes
 from comfreyhitch.idempotency.recovery import list_claims_for_registrar
 from comfreyhitch.idempotency.registry import remove_claim
@@ -32,6 +31,7 @@
     answer_usage_query,
     receive_counts,
 )
+from comfreyhitch.wire.following_bodies import is_following
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.generated.ttypes import (
     BucketDigest,
@@ -51,6 +51,10 @@
     UsageAnswer,
     UsageDigest,
 )
+from comfreyhitch.wire.transports import PeerTransport
+
+# Each part of a body that follows its message has to arrive within this time.
+BODY_PART_SECONDS = 5.0
 
 
 @dataclass(slots=True)
@@ -67,9 +71,9 @@
 class PeerHandler(Peer.Iface):
     """Handle the calls on one connection."""
 
-    def __init__(self, services: PeerServices, sock: gevent.socket.socket) -> None:
+    def __init__(self, services: PeerServices, transport: PeerTransport) -> None:
         self._services = services
-        self._sock = sock
+        self._transport = transport
 
     def greet(self, caller: str) -> Greeting:
         """Return the boot id of this daemon and the load of its target."""
@@ -82,13 +86,49 @@
         services = self._services
         now = services.blackboard.clock.monotonic()
         try:
-            call = IncomingCall.from_wire(request, now, self._sock)
+            call = IncomingCall.from_wire(request, now, self._transport.handle)
         except ValueError as error:
             outcome = Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, str(error)))
         else:
-            with holding(services.blackboard.held_bytes, len(call.body)):
-                outcome = handle_call(services.ingress, call)
-        return make_answer(request.request_id, outcome, make_load_report(services.ingress))
+            outcome = self._run(call, request.body_bytes)
+        answer = make_answer(request.request_id, outcome, make_load_report(services.ingress))
+        if is_following(answer.body):
+            self._transport.send_body_next(answer.body)
+            answer.body_bytes = len(answer.body)
+            answer.body = b""
+        return answer
+
+    def _run(self, call: IncomingCall, body_bytes: int | None) -> Outcome:
+        """Run a call, whose body follows its message if `body_bytes` is given."""
+        held = self._services.blackboard.held_bytes
+        if body_bytes is not None:
+            failure = self._read_body(call, body_bytes)
+            if failure is not None:
+                # The rest of the request is not read.
+                self._transport.is_ending = True
+                return Err(failure)
+        hold(held, call.holder, len(call.body))
+        try:
+            return handle_call(self._services.ingress, call)
+        finally:
+            release(held, call.holder)
+
+    def _read_body(self, call: IncomingCall, size: int) -> Failure | None:
+        """Read the body that follows a call, or return why it is refused."""
+        limit_bytes = self._services.ingress.settings.body_limit_bytes
+        if not 0 <= size <= limit_bytes:
+            detail = f"body has {size} bytes of {limit_bytes}"
+            return Failure(Verdict.NOT_RUN, Refusal.BODY_TOO_LARGE, detail)
+        held = self._services.blackboard.held_bytes
+        if not make_room(held, size):
+            detail = describe_held_bytes(held, size)
+            return Failure(Verdict.NOT_RUN, Refusal.OVERLOADED, detail)
+        self._transport.limit_reads(BODY_PART_SECONDS, call.deadline)
+        try:
+            call.body = self._transport.read_body(size, call.deadline)
+        finally:
+            self._transport.limit_reads(None)
+        return None
 
     def fence(self, query: FenceQuery) -> FenceAnswer:
         """Return the state of a request, and fence it if it has not started."""
@@ -147,10 +187,10 @@
 
 def make_handler_factory(
     services: PeerServices,
-) -> Callable[[gevent.socket.socket], PeerHandler]:
+) -> Callable[[PeerTransport], PeerHandler]:
     """Return the function that makes a handler for each connection."""
 
-    def make_handler(sock: gevent.socket.socket) -> PeerHandler:
-        return PeerHandler(services, sock)
+    def make_handler(transport: PeerTransport) -> PeerHandler:
+        return PeerHandler(services, transport)
 
     return make_handler
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -43,6 +43,7 @@
             make_handler_factory(services),
             daemon.clock,
             _make_send(daemon),
+            daemon.blackboard.held_bytes,
         ),
         make_caller_server(daemon.egress, daemon.adapter.make_caller_interface(daemon.egress)),
         make_admin_server(
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -27,7 +27,7 @@
     send_call,
     wait_for_answer,
 )
-from comfreyhitch.wire.exceptions import PeerError
+from comfreyhitch.wire.exceptions import AnswerNotHeldError, PeerError
 from comfreyhitch.wire.generated.ttypes import (
     CallAnswer,
     CallRequest,
@@ -79,7 +79,7 @@
         request = _make_request(egress, call, remaining_seconds)
         call.last_request_id = request.request_id
         call.last_version = candidate.version
-        send_call(connection, request, remaining_seconds)
+        send_call(connection, request, call.body, remaining_seconds, clock)
         own_zone = egress.blackboard.own_member.zone
         zone = "own" if candidate.zone == own_zone else "other"
         egress.metrics.egress.attempts.inc({"zone": zone})
@@ -103,6 +103,7 @@
             attempt.request_id,
             READ_TIMEOUT_SECONDS,
             get_read_deadline(call, began_at),
+            call.expected_bytes,
         )
     finally:
         call.is_receiving = False
@@ -180,6 +181,9 @@
     """Return the outcome in an answer that has begun to arrive; one cut short is a failure."""
     try:
         return finish_attempt(egress, attempt, call)
+    except AnswerNotHeldError as error:
+        abandon_attempt(attempt)
+        return Err(Failure(Verdict.RAN, Refusal.RESPONSE_TOO_LARGE, str(error)))
     except PeerError as error:
         abandon_attempt(attempt)
         return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, str(error)))
@@ -209,7 +213,7 @@
         method=call.method,
         path=call.path,
         headers=[Header(name, value) for name, value in call.headers],
-        body=bytes(call.body),
+        body=b"",
         timeout_seconds=remaining_seconds,
         tenant=call.tenant,
         priority=call.traffic_class,
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -10,13 +10,7 @@
 from gevent.hub import get_hub
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.core.held_bytes import (
-    GiveWayError,
-    HeldBytes,
-    Holder,
-    HoldingStage,
-    able_to_give_way,
-)
+from comfreyhitch.core.held_bytes import Holder
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.stopping import DaemonStoppingError
 
@@ -49,6 +43,11 @@
     GAVE_WAY = "gave-way"
 
 
+def has_no_further_request() -> bool:
+    """Return False, for a connection that no handler reads."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class CallerConnection(Holder):
     """Hold one connection of a caller; times are monotonic seconds.
@@ -64,7 +63,7 @@
     # Known once the current request has been classified.
     call: OutgoingCall | None = None
     # Returns whether bytes of a further request have arrived.
-    has_further_request: Callable[[], bool] = lambda: False
+    has_further_request: Callable[[], bool] = has_no_further_request
     # Ends the wait for the current request's response; None while there is no such wait.
     interrupt: Callable[[], None] | None = None
 
@@ -124,27 +123,6 @@
         connection.interrupt = None
 
 
-@contextmanager
-def giving_way(held: HeldBytes, holder: Holder, stage: HoldingStage) -> Iterator[None]:
-    """Let others that need memory raise `GiveWayError` in the current greenlet."""
-    greenlet = gevent.getcurrent()
-    is_active = True
-
-    def raise_in_greenlet() -> None:
-        if is_active:
-            greenlet.throw(GiveWayError)
-
-    def give_way() -> None:
-        # Only the hub may switch into another greenlet and return here afterwards.
-        get_hub().loop.run_callback(raise_in_greenlet)
-
-    try:
-        with able_to_give_way(held, holder, stage, give_way):
-            yield
-    finally:
-        is_active = False
-
-
 def interrupt_requests(connections: Iterable[CallerConnection]) -> None:
     """End the waits for the responses of requests."""
     for connection in connections:
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -28,10 +28,11 @@
     EndReason,
     add_connection,
     enter_phase,
-    giving_way,
+    has_no_further_request,
 )
 from comfreyhitch.egress.request_framing import RequestHeadError, check_framing, read_headers
 from comfreyhitch.routing.models import CallerLimits
+from comfreyhitch.wire.memory_waits import giving_way
 from comfreyhitch.wire.read_loops import ReadSource
 from comfreyhitch.wire.request_bodies import BoundedBodyHandler, BoundedServer
 from comfreyhitch.wire.sockets import (
@@ -104,7 +105,10 @@
         try:
             super().handle(sock, address)
         finally:
-            self.connections.by_socket.pop(sock, None)
+            connection = self.connections.by_socket.pop(sock, None)
+            if connection is not None:
+                # The handler and its connection would keep each other until they are collected.
+                connection.has_further_request = has_no_further_request
 
     def close_listener(self) -> None:
         """Accept the connections that callers have opened already, and no others."""
@@ -220,6 +224,8 @@
             super().handle_one_response()
         finally:
             release(self.server.held_bytes, self.connection)
+            # The library keeps the response until the next request.
+            self.result = None
         if self.close_connection and self.connection.end_reason not in REASONS_OF_SLOW_CALLERS:
             self.connection.end_reason = EndReason.RESPONSE_SENT
 
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -98,6 +98,8 @@
     is_nested: bool = False
     # Whether the caller sends the request again at the time that an earlier refusal named.
     has_returned: bool = False
+    # Bytes of the response that are counted as held while the call is routed.
+    expected_bytes: int = 0
     # Whether the answer to an attempt is being received.
     is_receiving: bool = False
     attempt_records: list[AttemptRecord] = field(default_factory=list)
--- a/comfreyhitch/egress/memory.py
+++ b/comfreyhitch/egress/memory.py
@@ -92,7 +92,8 @@
     The call's body is dropped afterwards.
     """
     sizes = egress.response_sizes
-    failure = find_memory_refusal(egress, get_large_bytes(sizes, call.route), holder)
+    call.expected_bytes = get_large_bytes(sizes, call.route)
+    failure = find_memory_refusal(egress, call.expected_bytes, holder)
     if failure is not None:
         return Err(failure)
     with expecting_response(sizes, call.route, egress.blackboard.held_bytes):
--- a/comfreyhitch/egress/request_bodies.py
+++ b/comfreyhitch/egress/request_bodies.py
@@ -5,10 +5,11 @@
 
 from comfreyhitch.core.held_bytes import GiveWayError, HoldingStage, record_progress
 from comfreyhitch.core.verdicts import Body, Failure, Refusal, Verdict
-from comfreyhitch.egress.caller_connections import CallerConnection, giving_way, interruptible
+from comfreyhitch.egress.caller_connections import CallerConnection, interruptible
 from comfreyhitch.egress.memory import find_memory_refusal, hold_bytes, hold_declared_body
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.egress.stopping import DaemonStoppingError, make_interrupted_failure
+from comfreyhitch.wire.memory_waits import giving_way
 from comfreyhitch.wire.request_bodies import BodyReader
 
 # Callers that send fewer bytes a second than this may have to give way to others.
--- a/comfreyhitch/idempotency/claims.py
+++ b/comfreyhitch/idempotency/claims.py
@@ -102,8 +102,8 @@
 
 def settle_claim(client: ClaimClient, claim: Claim, outcome: Outcome) -> None:
     """Send the outcome to the registrars of the claim in the background."""
-    answer = make_answer(claim.claim_id, outcome, _NO_LOAD)
-    stored_answer = answer if len(answer.body) <= MAX_ANSWER_BYTES else None
+    is_too_large = outcome.is_ok() and len(outcome.ok_value.body) > MAX_ANSWER_BYTES
+    stored_answer = None if is_too_large else make_answer(claim.claim_id, outcome, _NO_LOAD)
     client.pending_settlements += 1
     gevent.spawn(_settle_with_retries, client, replace(claim, answer=stored_answer))
 
--- a/comfreyhitch/ingress/execution.py
+++ b/comfreyhitch/ingress/execution.py
@@ -1,5 +1,7 @@
 """Send admitted calls to the target, and update the ingress from their outcomes."""
 
+from collections.abc import Callable
+
 import gevent
 from result import Err, Ok
 
@@ -14,6 +16,13 @@
 )
 from comfreyhitch.admission.warm_up import admit_during_warm_up
 from comfreyhitch.core.headers import find_header
+from comfreyhitch.core.held_bytes import (
+    MAX_SMALL_BYTES,
+    RESPONSE_SHARE,
+    get_large_limit,
+    hold,
+    release,
+)
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.ingress.accounting import MIN_SERVER_ERROR_STATUS
 from comfreyhitch.ingress.cold_checks import count_request
@@ -27,7 +36,7 @@
     make_limit_refusal,
     make_refusal,
 )
-from comfreyhitch.ingress.response_sizes import expecting_response, record_size
+from comfreyhitch.ingress.response_sizes import expecting_response, get_large_bytes, record_size
 from comfreyhitch.ingress.scheduling import record_call_work
 from comfreyhitch.ingress.state import (
     Ingress,
@@ -40,6 +49,7 @@
 from comfreyhitch.rollouts.exposure import admit_trial_request
 from comfreyhitch.rollouts.stages import Stage
 from comfreyhitch.utils.recent_set import add_recent, is_recent
+from comfreyhitch.wire.memory_waits import wait_for_room
 
 # Maximum time for which an outcome is delayed to check whether the target has crashed.
 CRASH_CHECK_TIMEOUT_SECONDS = 0.02
@@ -165,12 +175,41 @@
         deadline=call.deadline,
         # A target that checks the expected instance limits its connections, so they are reused.
         needs_new_connection=not call.is_idempotent and not header_names.expected_instance,
-        body_limit_bytes=ingress.settings.body_limit_bytes,
+        body_limit_bytes=min(
+            ingress.settings.body_limit_bytes, get_large_limit(ingress.blackboard.held_bytes)
+        ),
         request_id=find_header(call.headers, header_names.request_id),
         expected_instance=expected_instance,
+        on_body_sent=lambda: _drop_body(ingress, call),
+        hold_response=_make_hold_response(ingress, call),
     )
 
 
+def _drop_body(ingress: Ingress, call: IncomingCall) -> None:
+    """Drop the body of a call, which is never sent to the target again."""
+    call.body = b""
+    release(ingress.blackboard.held_bytes, call.holder)
+
+
+def _make_hold_response(ingress: Ingress, call: IncomingCall) -> Callable[[int], bool]:
+    """Return a function that counts the bytes of a response beyond those expected for its route."""
+    held = ingress.blackboard.held_bytes
+    counted_bytes = get_large_bytes(ingress.response_sizes, call.route)
+
+    def hold_response(size: int) -> bool:
+        nonlocal counted_bytes
+        needed_bytes = size - counted_bytes
+        if size <= MAX_SMALL_BYTES or needed_bytes <= 0:
+            return True
+        if not wait_for_room(held, call.holder, needed_bytes, call.deadline, RESPONSE_SHARE):
+            return False
+        hold(held, call.holder, needed_bytes)
+        counted_bytes = size
+        return True
+
+    return hold_response
+
+
 def _start_measurement(ingress: Ingress, call: IncomingCall, now: float) -> StartedRequest | None:
     """Count a request for the limit that is learned by throughput, if one is."""
     if ingress.throughput is None:
--- a/comfreyhitch/ingress/fence.py
+++ b/comfreyhitch/ingress/fence.py
@@ -32,6 +32,7 @@
     if record.outcome is None:
         return FenceAnswer(state=FenceState.UNKNOWN)
     answer = make_answer(query.request_id, record.outcome, make_load_report(ingress))
+    answer.body = bytes(answer.body)
     return FenceAnswer(state=FenceState.FINISHED, answer=answer)
 
 
--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -1,11 +1,12 @@
 """Calls as the ingress handles them, and their conversion from and to wire messages."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent.socket
 from result import Err, Ok
 
 from comfreyhitch.admission.pacing import PaceReading
+from comfreyhitch.core.held_bytes import Holder
 from comfreyhitch.core.verdicts import Body, Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.sections.models import TrafficClass
 from comfreyhitch.wire.generated.ttypes import (
@@ -53,6 +54,8 @@
     # Monotonic seconds at which the request was sent to the target; 0 before that.
     sent_at: float = 0.0
     pace_at_send: PaceReading | None = None
+    # The bytes of the request and its response that are held for it.
+    holder: Holder = field(default_factory=Holder)
     # Why admission control refused the request, as it is logged.
     refusal_fields: dict[str, object] | None = None
 
--- a/comfreyhitch/ingress/target.py
+++ b/comfreyhitch/ingress/target.py
@@ -1,13 +1,10 @@
 """Send HTTP requests to this daemon's target, each once and on one connection."""
 
-import socket
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 import gevent.socket
-from gevent.select import select
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok
 
@@ -15,6 +12,7 @@
 from comfreyhitch.core.target_headers import DEFAULT_TARGET_HEADERS, TargetHeaderNames
 from comfreyhitch.core.verdicts import Body, Failure, Headers, Outcome, Refusal, Response, Verdict
 from comfreyhitch.ingress.response_checks import validate_response
+from comfreyhitch.wire.following_bodies import is_following, send_until_answered
 from comfreyhitch.wire.responses import (
     ResponseReader,
     ResponseTooLargeError,
@@ -83,6 +81,11 @@
     expected_instance: str = ""
     # A probe asks about the target itself, so its response is returned without validation.
     is_probe: bool = False
+    # Called when the whole body is sent, which drops it.
+    on_body_sent: Callable[[], None] = lambda: None
+    # Called with the size of the response's body as it grows; waits for the memory, and returns
+    # whether there is some.
+    hold_response: Callable[[int], bool] = lambda size: True
 
 
 class RequestCancelledError(Exception):
@@ -196,32 +199,36 @@
     sock: gevent.socket.socket, request: TargetRequest, reader: ResponseReader, clock: Clock
 ) -> bool:
     """Send the request and read the response; return whether the whole request was sent."""
-    is_sent = _send(sock, _format_request(request), request.deadline, clock)
-    read_response(sock, reader, request.deadline, request.body_limit_bytes, clock)
+    is_sent = _send(sock, request, clock)
+    if is_sent:
+        request.body = b""
+        request.on_body_sent()
+    read_response(
+        sock,
+        reader,
+        request.deadline,
+        request.body_limit_bytes,
+        clock,
+        hold_body=request.hold_response,
+    )
     return is_sent
 
 
-def _send(sock: gevent.socket.socket, data: bytes, deadline: float, clock: Clock) -> bool:
-    """Send until all bytes are sent, or until the target responds without having read them all."""
-    unsent = memoryview(data)
-    while True:
-        with suppress(BlockingIOError):
-            unsent = unsent[sock._sock.send(unsent, socket.MSG_DONTWAIT) :]
-        if not unsent:
-            return True
-        remaining_seconds = deadline - clock.monotonic()
-        if remaining_seconds <= 0:
-            raise TimeoutError
-        readable, _, _ = select([sock], [sock], [], remaining_seconds)
-        if readable:
-            return False
+def _send(sock: gevent.socket.socket, request: TargetRequest, clock: Clock) -> bool:
+    """Send the request, or until the target responds without having read it all."""
+    head = _format_head(request)
+    if not is_following(request.body):
+        return send_until_answered(sock, head + request.body, request.deadline, clock)
+    return send_until_answered(sock, head, request.deadline, clock) and send_until_answered(
+        sock, request.body, request.deadline, clock
+    )
 
 
-def _format_request(request: TargetRequest) -> bytes:
+def _format_head(request: TargetRequest) -> bytes:
     lines = [f"{request.method} {request.path} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in request.headers)
     lines.append(f"Content-Length: {len(request.body)}\r\n\r\n" if _has_body(request) else "\r\n")
-    return "\r\n".join(lines).encode("latin-1") + request.body
+    return "\r\n".join(lines).encode("latin-1")
 
 
 def _has_body(request: TargetRequest) -> bool:
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -58,6 +58,8 @@
   18: optional bool is_nested,
   /** Whether the caller sends the request again at the time that an earlier refusal named. */
   19: optional bool has_returned,
+  /** Length of a body that follows the message; without it, the body is part of it. */
+  20: optional i64 body_bytes,
 }
 
 struct CallAnswer {
@@ -70,6 +72,8 @@
   7: required LoadReport load,
   8: optional string refusal,
   9: required string version,
+  /** Length of a body that follows the message; without it, the body is part of it. */
+  10: optional i64 body_bytes,
 }
 
 struct Greeting {
--- a/comfreyhitch/wire/connections.py
+++ b/comfreyhitch/wire/connections.py
@@ -10,7 +10,15 @@
 from thrift.Thrift import TException
 
 from comfreyhitch.core.clock import Clock
-from comfreyhitch.wire.exceptions import PeerError, PeerTimeoutError
+from comfreyhitch.core.held_bytes import ANSWER_SHARE, GiveWayError, HeldBytes
+from comfreyhitch.core.verdicts import Body
+from comfreyhitch.wire.exceptions import (
+    AnswerNotHeldError,
+    NoRoomError,
+    PeerError,
+    PeerTimeoutError,
+)
+from comfreyhitch.wire.following_bodies import is_following, send_until_answered
 from comfreyhitch.wire.frames import make_frame_protocol
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.generated.ttypes import CallAnswer, CallRequest, Greeting
@@ -39,10 +47,17 @@
     idle_since: float
     greeting: Greeting | None = None
     is_used: bool = False
+    # Whether the peer answered before it had read the whole request.
+    is_cut_short: bool = False
 
     @classmethod
     def from_address(
-        cls, address: str, source_host: str, clock: Clock, timeout_seconds: float
+        cls,
+        address: str,
+        source_host: str,
+        clock: Clock,
+        timeout_seconds: float,
+        held: HeldBytes | None = None,
     ) -> "PeerConnection":
         """Open a connection; raise `PeerError` if that fails."""
         host, port = split_address(address)
@@ -50,7 +65,7 @@
             sock = connect(host, port, timeout_seconds, source_host)
         except OSError as error:
             raise PeerError(f"connect to {address}: {error}", may_be_sent=False) from error
-        transport = PeerTransport(sock, clock)
+        transport = PeerTransport(sock, clock, held)
         protocol = make_frame_protocol(transport)
         now = clock.monotonic()
         return cls(address, sock, transport, Peer.Client(protocol), opened_at=now, idle_since=now)
@@ -67,12 +82,30 @@
         self.transport.limit_reads(max(0.001, seconds), deadline)
 
 
-def send_call(connection: PeerConnection, request: CallRequest, timeout_seconds: float) -> None:
-    """Send a call; raise `PeerError` if it could not be sent completely."""
+def send_call(
+    connection: PeerConnection,
+    request: CallRequest,
+    body: Body,
+    timeout_seconds: float,
+    clock: Clock,
+) -> None:
+    """Send a call and its body; raise `PeerError` if it could not be sent completely.
+
+    The rest of a body is not sent if the peer answers before it has read it.
+    """
     connection.set_timeout(timeout_seconds)
     connection.is_used = True
+    deadline = clock.monotonic() + timeout_seconds
     try:
+        if not is_following(body):
+            request.body = bytes(body)
+            connection.client.send_call(request)
+            return
+        request.body = b""
+        request.body_bytes = len(body)
         connection.client.send_call(request)
+        is_sent = send_until_answered(connection.sock, body, deadline, clock)
+        connection.is_cut_short = not is_sent
     except (OSError, TException) as error:
         # The frame was not sent completely, and a peer runs only calls in complete frames.
         connection.close()
@@ -80,20 +113,32 @@
 
 
 def receive_call(
-    connection: PeerConnection, request_id: str, timeout_seconds: float, deadline: float
+    connection: PeerConnection,
+    request_id: str,
+    timeout_seconds: float,
+    deadline: float,
+    expected_bytes: int = 0,
 ) -> CallAnswer:
     """Return the answer to the last call that was sent; raise `PeerError` if none arrives.
 
     Each part of it has to arrive within the timeout, and the last one before the deadline, which
-    is in monotonic seconds.
+    is in monotonic seconds. The bytes of its body that are expected are counted as held already.
+    Raise `AnswerNotHeldError` if there is no memory for the others.
     """
     connection.set_timeout(timeout_seconds, deadline)
     try:
         answer = connection.client.recv_call()
+        if answer.body_bytes is not None:
+            answer.body = connection.transport.read_body(
+                answer.body_bytes, deadline, expected_bytes, ANSWER_SHARE
+            )
     except TimeoutError as error:
         connection.close()
         raise PeerTimeoutError(f"no answer from {connection.address}", may_be_sent=True) from error
-    except (OSError, TException, EOFError) as error:
+    except NoRoomError as error:
+        connection.close()
+        raise AnswerNotHeldError(f"{connection.address}: {error}", may_be_sent=True) from error
+    except (OSError, TException, EOFError, GiveWayError) as error:
         connection.close()
         raise PeerError(f"receive from {connection.address}: {error}", may_be_sent=True) from error
     if answer.request_id != request_id:
@@ -109,15 +154,21 @@
     own_address: str
     source_host: str
     clock: Clock
+    held: HeldBytes | None = None
     idle_by_address: dict[str, list[PeerConnection]] = field(
         default_factory=lambda: defaultdict(list)
     )
     invalid_before_by_address: dict[str, float] = field(default_factory=dict)
 
     @classmethod
-    def from_address(cls, own_address: str, source_host: str, clock: Clock) -> "PeerPool":
-        """Return an empty pool of connections from `source_host` that greet as `own_address`."""
-        return cls(own_address, source_host, clock)
+    def from_address(
+        cls, own_address: str, source_host: str, clock: Clock, held: HeldBytes | None = None
+    ) -> "PeerPool":
+        """Return an empty pool of connections from `source_host` that greet as `own_address`.
+
+        The bytes of large messages are counted in `held`.
+        """
+        return cls(own_address, source_host, clock, held)
 
     def acquire(self, address: str, timeout_seconds: float) -> PeerConnection:
         """Return an idle connection or a new one; raise `PeerError` if none can be opened."""
@@ -132,11 +183,13 @@
     def open(self, address: str, timeout_seconds: float) -> PeerConnection:
         """Return a new connection; raise `PeerError` if it can't be opened."""
         limit = min(timeout_seconds, CONNECT_TIMEOUT.total_seconds())
-        connection = PeerConnection.from_address(address, self.source_host, self.clock, limit)
+        connection = PeerConnection.from_address(
+            address, self.source_host, self.clock, limit, self.held
+        )
         try:
             connection.set_timeout(limit, self.clock.monotonic() + limit)
             connection.greeting = connection.client.greet(self.own_address)
-        except (OSError, TException, EOFError) as error:
+        except (OSError, TException, EOFError, GiveWayError) as error:
             connection.close()
             raise PeerError(f"greet {address}: {error}", may_be_sent=False) from error
         return connection
@@ -145,7 +198,7 @@
         """Return a connection to the pool after a complete answer to its last call."""
         idle = self.idle_by_address[connection.address]
         connection.idle_since = self.clock.monotonic()
-        if len(idle) >= MAX_IDLE_CONNECTIONS:
+        if len(idle) >= MAX_IDLE_CONNECTIONS or connection.is_cut_short:
             connection.close()
             return
         idle.append(connection)
@@ -213,7 +266,7 @@
     except TimeoutError as error:
         connection.close()
         raise PeerTimeoutError(f"no answer from {connection.address}", may_be_sent=True) from error
-    except (OSError, TException, EOFError) as error:
+    except (OSError, TException, EOFError, GiveWayError) as error:
         connection.close()
         raise PeerError(f"call to {connection.address}: {error}", may_be_sent=True) from error
     except BaseException:
--- a/comfreyhitch/wire/exceptions.py
+++ b/comfreyhitch/wire/exceptions.py
@@ -11,3 +11,11 @@
 
 class PeerTimeoutError(PeerError):
     """Report that no answer arrived in time."""
+
+
+class AnswerNotHeldError(PeerError):
+    """Report that a daemon has no memory for the answer of a peer."""
+
+
+class NoRoomError(OSError):
+    """Signal that there is no memory for what a peer sends."""
--- a/comfreyhitch/wire/pacing.py
+++ b/comfreyhitch/wire/pacing.py
@@ -11,6 +11,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.held_bytes import HeldBytes, holding
+from comfreyhitch.core.verdicts import Body
 from comfreyhitch.utils.token_bucket import TokenBucket, refill
 from comfreyhitch.wire.sockets import send_while_read
 from comfreyhitch.wire.transports import PeerTransport
@@ -48,7 +49,7 @@
 # with configuration or claims, are due sooner than a backlog of responses ends.
 RESPONSE_METHODS = frozenset({"call", "fence"})
 
-SendFrame = Callable[[gevent.socket.socket, bytes], None]
+SendFrame = Callable[[gevent.socket.socket, Body], None]
 
 
 @dataclass(slots=True, eq=False)
@@ -176,7 +177,7 @@
     """Return a function that sends small frames at once, and large ones in turns."""
     granting: gevent.Greenlet | None = None
 
-    def send(sock: gevent.socket.socket, data: bytes) -> None:
+    def send(sock: gevent.socket.socket, data: Body) -> None:
         if len(data) <= MAX_SMALL_FRAME_BYTES:
             charge_bytes(pacer, clock.monotonic(), len(data))
             sock.sendall(data)
@@ -221,15 +222,18 @@
             gevent.sleep(0)
 
 
-def send_at_once(sock: gevent.socket.socket, data: bytes) -> None:
-    """Send a frame without pacing."""
-    sock.sendall(data)
+def send_at_once(sock: gevent.socket.socket, data: Body) -> None:
+    """Send a frame without pacing; raise `TimeoutError` if the receiver takes no bytes."""
+    if len(data) <= MAX_SMALL_FRAME_BYTES:
+        sock.sendall(data)
+    else:
+        send_while_read(sock, data, STALL_TIMEOUT_SECONDS)
 
 
 def make_counted_send(held: HeldBytes, send: SendFrame) -> SendFrame:
     """Return a function that counts the bytes of each frame until it is sent."""
 
-    def send_counted(sock: gevent.socket.socket, data: bytes) -> None:
+    def send_counted(sock: gevent.socket.socket, data: Body) -> None:
         with holding(held, len(data)):
             send(sock, data)
 
@@ -239,16 +243,22 @@
 class PacedTransport(PeerTransport):
     """Write each frame that may contain a response with a function that paces or counts it."""
 
-    def __init__(self, sock: gevent.socket.socket, clock: Clock, send: SendFrame) -> None:
-        super().__init__(sock, clock)
-        self._send = send
+    def __init__(
+        self,
+        sock: gevent.socket.socket,
+        clock: Clock,
+        send: SendFrame,
+        held: HeldBytes | None = None,
+    ) -> None:
+        super().__init__(sock, clock, held)
+        self._send_response = send
         self._has_response = False
 
     def begin_message(self, method: str, *_: object) -> None:
         """Note the method whose answer is the next frame."""
         self._has_response = method in RESPONSE_METHODS
 
-    def write(self, buff: bytes) -> None:
-        """Send one frame; raise `OSError` if it can't be sent completely."""
-        send = self._send if self._has_response else send_at_once
-        send(self.handle, buff)
+    def _send(self, data: Body) -> None:
+        """Send a frame or a body; raise `OSError` if it can't be sent completely."""
+        send = self._send_response if self._has_response else send_at_once
+        send(self.handle, data)
--- a/comfreyhitch/wire/responses.py
+++ b/comfreyhitch/wire/responses.py
@@ -1,6 +1,7 @@
 """Read HTTP responses as strictly as a gateway must."""
 
 import math
+from collections.abc import Callable
 from datetime import timedelta
 
 import gevent.socket
@@ -8,7 +9,8 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
-from comfreyhitch.core.verdicts import Response
+from comfreyhitch.core.verdicts import Body, Response
+from comfreyhitch.wire.following_bodies import is_following
 from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
 from comfreyhitch.wire.sockets import describe_peer
 
@@ -68,9 +70,9 @@
             self.has_extra_bytes = True
 
     @property
-    def body(self) -> bytes:
-        """Return the body read so far."""
-        return bytes(self._body_buffer)
+    def body(self) -> Body:
+        """Return the body read so far; a large one is not copied."""
+        return self._body_buffer if is_following(self._body_buffer) else bytes(self._body_buffer)
 
     def find_excess(self) -> str:
         """Return what a response that has not ended holds too much of, or an empty string."""
@@ -118,13 +120,14 @@
     clock: Clock,
     source: ReadSource = ReadSource.TARGET,
     silence_seconds: float = math.inf,
+    hold_body: Callable[[int], bool] = lambda size: True,
 ) -> None:
     """Read a complete response; `deadline` is in monotonic seconds.
 
     Raise `TimeoutError` at the deadline or if nothing arrives for `silence_seconds`,
     `HTTPParseError` for an invalid or incomplete response, `OSError` for a connection reset,
-    `ResponseTooLargeError` beyond the limit, and `UnboundedResponseError` for too much beside the
-    body.
+    `ResponseTooLargeError` beyond the limit or if `hold_body` finds no memory for a size in bytes,
+    and `UnboundedResponseError` for too much beside the body.
     """
     loop = ReadLoop(source, describe_peer(sock))
     while not reader.is_final:
@@ -138,6 +141,8 @@
         reader.received_bytes += len(data)
         reader.feed(data)
         _check_size(reader, limit_bytes)
+        if not hold_body(max(len(reader._body_buffer), reader.declared_bytes)):
+            raise ResponseTooLargeError("no memory for the body of the response")
         if reader.is_final:
             return
         if not data:
--- a/comfreyhitch/wire/server.py
+++ b/comfreyhitch/wire/server.py
@@ -9,15 +9,18 @@
 from thrift.transport.TTransport import TTransportException
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.held_bytes import GiveWayError, HeldBytes
 from comfreyhitch.wire.frames import make_frame_protocol
 from comfreyhitch.wire.generated import Peer
 from comfreyhitch.wire.pacing import PacedTransport, SendFrame
-from comfreyhitch.wire.sockets import configure_socket
+from comfreyhitch.wire.sockets import configure_socket, end_stream
 from comfreyhitch.wire.transports import PeerTransport
 
 logger = logging.getLogger(__name__)
 
-HandlerFactory = Callable[[gevent.socket.socket], Peer.Iface]
+HandlerFactory = Callable[[PeerTransport], Peer.Iface]
+# How long a peer may take to read an answer that came before its whole request was read.
+END_OF_STREAM_SECONDS = 1.0
 
 
 def make_peer_server(
@@ -26,26 +29,29 @@
     make_handler: HandlerFactory,
     clock: Clock,
     send: SendFrame | None = None,
+    held: HeldBytes | None = None,
 ) -> StreamServer:
     """Return a server that creates a handler for each connection.
 
-    Answers with responses of targets are written with `send`, or at once if there is none.
+    Answers with responses of targets are written with `send`, or at once if there is none. The
+    bytes of large messages are counted in `held`.
     """
 
     def serve(sock: gevent.socket.socket, peer_address: tuple[str, int]) -> None:
         configure_socket(sock)
         if send is None:
-            transport = PeerTransport(sock, clock)
+            transport = PeerTransport(sock, clock, held)
         else:
-            transport = PacedTransport(sock, clock, send)
+            transport = PacedTransport(sock, clock, send, held)
         protocol = make_frame_protocol(transport)
-        processor = Peer.Processor(make_handler(sock))
+        processor = Peer.Processor(make_handler(transport))
         if isinstance(transport, PacedTransport):
             processor.on_message_begin(transport.begin_message)
         try:
-            while True:
+            while not transport.is_ending:
                 processor.process(protocol, protocol)
-        except (TTransportException, EOFError, OSError):
+            end_stream(sock, END_OF_STREAM_SECONDS)
+        except (TTransportException, EOFError, OSError, GiveWayError):
             pass
         except (TException, ValueError, TypeError, MemoryError) as error:
             logger.warning(
--- a/features/steps/endless_message_steps.py
+++ b/features/steps/endless_message_steps.py
@@ -46,7 +46,7 @@
     candidate = Candidate(connection.address, "za", "v1", 1)
     attempt = Attempt("id", candidate, view, connection, clock.monotonic())
     egress = SimpleNamespace(blackboard=SimpleNamespace(clock=clock), pool=pool)
-    call = SimpleNamespace(deadline=clock.monotonic() + 1.0)
+    call = SimpleNamespace(deadline=clock.monotonic() + 1.0, expected_bytes=0)
     assert wait_for_any([attempt], 1.0) is attempt
     outcome = read_outcome(egress, attempt, call)
     late_seconds = clock.monotonic() - call.deadline
--- a/features/steps/paced_answer_steps.py
+++ b/features/steps/paced_answer_steps.py
@@ -192,7 +192,7 @@
         pool=pool,
         latency_seconds_by_route={},
     )
-    call = SimpleNamespace(service="s", route="r", deadline=math.inf)
+    call = SimpleNamespace(service="s", route="r", deadline=math.inf, expected_bytes=0)
     wait_for_any([attempt], 1.0)
     began_at = fake_clock.monotonic()
     outcome = read_outcome(egress, attempt, call)
@@ -222,7 +222,7 @@
     answer = AsyncResult()
     connection = SimpleNamespace(answer=answer, close=lambda: None)
     attempt = Attempt("id", Candidate("a", "za", "v1", 1), view, connection, 0.0)
-    call = SimpleNamespace(service="s", route="r", deadline=math.inf)
+    call = SimpleNamespace(service="s", route="r", deadline=math.inf, expected_bytes=0)
     reading = gevent.spawn(read_outcome, egress, attempt, call)
     gevent.sleep(2 * attempts.SLOW_READ_SECONDS)
 
