Bound the connections that others open to a daemon

Callers saw: with 800 clients that send half a head, a daemon had 822 descriptors open though its machine allows 600; the same at the port for heartbeats, readiness, metrics and other daemons. At its real limit a daemon could open no connection to its target, to others or to the store.

Cause: no server had a limit on its connections, and heads at the ports for the platform have no timeout.

Change: each server has one (core/connection_limits.py): callers get two fifths of the descriptors that are not for files, and no more than fit into a quarter of the memory with what the kernel receives for each; other daemons a fifth, and the three small servers a fiftieth each. The rest is for connections that the daemon opens. When a server is full, the connection that has been quiet for longest is closed; one on which a request runs or has arrived is not. If all are busy, a new caller gets 503 (not run). Both are counted. The descriptors come from Limits.MaxFds, or from the process.

The step about a body over the limit sends one byte more than the default, as before; it reads the default from the settings now.

--- a/comfreyhitch/conf/models.py
+++ b/comfreyhitch/conf/models.py
@@ -16,6 +16,7 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 SlotCount = Annotated[int, Meta(ge=1, le=10_000)]
+DescriptorCount = Annotated[int, Meta(ge=1)]
 CallRate = Annotated[float, Meta(ge=0.1, le=10_000)]
 Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
@@ -79,6 +80,13 @@
             "fifth"
         ),
     ] = None
+    descriptor_limit: Annotated[
+        DescriptorCount | None,
+        Meta(
+            description="descriptors that this daemon may have open, which bound its connections; "
+            "the limit of the process if that is lower"
+        ),
+    ] = None
     slots: Annotated[
         SlotCount, Meta(description="requests that the target can run concurrently")
     ] = 10
--- a/comfreyhitch/daemon/assembly.py
+++ b/comfreyhitch/daemon/assembly.py
@@ -15,10 +15,12 @@
 from comfreyhitch.conf.models import Settings
 from comfreyhitch.core.blackboard import Blackboard
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.core.connection_limits import ConnectionLimits
 from comfreyhitch.core.held_bytes import HeldBytes
 from comfreyhitch.daemon.adapter import DEFAULT_ADAPTER, PlatformAdapter
 from comfreyhitch.daemon.observers import make_blackboard_observer, make_validators
 from comfreyhitch.documents.models import DocumentKind
+from comfreyhitch.egress.caller_server import CALLER_CONNECTION_BYTES
 from comfreyhitch.egress.state import Egress
 from comfreyhitch.idempotency.claims import ClaimClient
 from comfreyhitch.ingress.crashes import make_crash_reporter
@@ -60,6 +62,7 @@
     detector: FailureDetector
     broadcaster: Broadcaster
     adapter: PlatformAdapter
+    connection_limits: ConnectionLimits
     # Reads the settings again; raises `SettingsError` if they are invalid.
     read_settings: Callable[[], Settings] | None = None
     platform: PlatformClient | None = None
@@ -130,6 +133,9 @@
             detector=detector,
             broadcaster=broadcaster,
             adapter=adapter,
+            connection_limits=ConnectionLimits.from_machine(
+                settings.descriptor_limit, settings.memory_limit, CALLER_CONNECTION_BYTES
+            ),
             platform=_make_platform_client(settings, metrics),
         )
 
--- a/comfreyhitch/daemon/reloading.py
+++ b/comfreyhitch/daemon/reloading.py
@@ -36,6 +36,7 @@
         "limit_rule",
         "overload_control",
         "memory_limit",
+        "descriptor_limit",
     }
 )
 
--- a/comfreyhitch/daemon/startup.py
+++ b/comfreyhitch/daemon/startup.py
@@ -24,6 +24,7 @@
     make_paced_send,
     send_at_once,
 )
+from comfreyhitch.wire.request_bodies import BoundedServer
 from comfreyhitch.wire.server import make_peer_server
 
 logger = logging.getLogger(__name__)
@@ -44,8 +45,13 @@
             daemon.clock,
             _make_send(daemon),
             daemon.blackboard.held_bytes,
+            daemon.connection_limits.peers,
+        ),
+        make_caller_server(
+            daemon.egress,
+            daemon.adapter.make_caller_interface(daemon.egress),
+            daemon.connection_limits.callers,
         ),
-        make_caller_server(daemon.egress, daemon.adapter.make_caller_interface(daemon.egress)),
         make_admin_server(
             settings,
             daemon.blackboard,
@@ -57,6 +63,7 @@
         ),
         *daemon.adapter.make_servers(daemon),
     ]
+    _limit_control_connections(daemon)
     for server in daemon.servers:
         server.start()
     publish_own_record(daemon.detector)
@@ -71,6 +78,12 @@
     logger.info("daemon started", extra={"address": daemon.blackboard.own_member.address})
 
 
+def _limit_control_connections(daemon: Daemon) -> None:
+    for server in daemon.servers:
+        if isinstance(server, BoundedServer) and server.open_connections.limit is None:
+            server.open_connections.limit = daemon.connection_limits.control
+
+
 def _make_send(daemon: Daemon) -> SendFrame | None:
     """Return the function that writes frames to other daemons, None to write them at once."""
     link = daemon.ingress.link
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -41,6 +41,8 @@
     CALLER_STALLED = "caller-stalled"
     # The caller read its response slowly, and others needed the memory that it held.
     GAVE_WAY = "gave-way"
+    # The connection waited for longest when others had no room.
+    CONNECTION_LIMIT = "connection-limit"
 
 
 def has_no_further_request() -> bool:
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -33,6 +33,7 @@
 from comfreyhitch.egress.request_framing import RequestHeadError, check_framing, read_headers
 from comfreyhitch.routing.models import CallerLimits
 from comfreyhitch.wire.memory_waits import giving_way
+from comfreyhitch.wire.open_connections import mark_busy
 from comfreyhitch.wire.read_loops import ReadSource
 from comfreyhitch.wire.request_bodies import BoundedBodyHandler, BoundedServer
 from comfreyhitch.wire.sockets import (
@@ -49,6 +50,7 @@
 
 # Bytes that the kernel receives for a connection before they are read. It allots twice as many.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+CALLER_CONNECTION_BYTES = 2 * RECEIVE_BUFFER_BYTES
 # How long a caller may take to close its side of a connection after the last response.
 END_OF_STREAM_SECONDS = 0.5
 # A caller that takes no byte of its response for this long is disconnected.
@@ -61,6 +63,13 @@
 PATH_ENVIRON_KEY = "comfreyhitch.path"
 
 
+NO_ROOM_RESPONSE = (
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    f"{HEADER_VERDICT}: {Verdict.NOT_RUN.header_value}\r\n"
+    "Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+).encode()
+
+
 class HeadTooLargeError(RequestHeadError):
     """Signal that a request's head exceeds its size limit."""
 
@@ -83,6 +92,7 @@
         self.connections = CallerConnections(Clock.from_system())
         self.held_bytes = HeldBytes()
         self.get_limits: Callable[[], CallerLimits | None] = lambda: None
+        self.open_connections.on_close = self._record_closed
         # Called with the reason when a request could not be read.
         self.record_unread: Callable[[str], None] = lambda reason: None
         # Called before a connection is closed, and told whether it holds unread bytes.
@@ -93,12 +103,21 @@
         super().init_socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
-    def do_handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+    def register(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
         """Count a connection as soon as it is accepted, before its handler has started."""
         connection = add_connection(self.connections, sock)
         host, port = address[:2]
         connection.peer = f"{host}:{port}"
-        super().do_handle(sock, address)
+
+    def refuse(self, sock: gevent.socket.socket) -> None:
+        """Tell a caller that its request has not run."""
+        with suppress(OSError):
+            sock._sock.send(NO_ROOM_RESPONSE, socket.MSG_DONTWAIT)
+
+    def _record_closed(self, sock: gevent.socket.socket) -> None:
+        connection = self.connections.by_socket.get(sock)
+        if connection is not None:
+            connection.end_reason = EndReason.CONNECTION_LIMIT
 
     def handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
         """Serve one connection until it ends."""
@@ -216,6 +235,8 @@
 
     def _enter(self, phase: ConnectionPhase) -> None:
         enter_phase(self.server.connections, self.connection, phase)
+        if phase is ConnectionPhase.HANDLING:
+            mark_busy(self.server.open_connections, self.connection.sock)
 
     def handle_one_response(self) -> None:
         """Send one response, and record why the connection ends if it ends after it."""
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -52,7 +52,9 @@
 StartResponse = Callable[[str, Headers], object]
 
 
-def make_caller_server(egress: Egress, interface: CallerInterface) -> CallerServer:
+def make_caller_server(
+    egress: Egress, interface: CallerInterface, max_connections: int | None = None
+) -> CallerServer:
     """Return the HTTP server for callers; it is not started yet."""
     settings = egress.settings
 
@@ -68,6 +70,8 @@
         backlog=512,
     )
     server.connections = CallerConnections(egress.blackboard.clock)
+    server.open_connections.limit = max_connections
+    server.open_connections.on_refuse = lambda: _record_refused_connection(egress)
     server.held_bytes = egress.blackboard.held_bytes
     server.held_bytes.on_give_way = lambda holder: record_give_way(egress, holder)
     server.get_limits = interface.get_limits
@@ -100,6 +104,12 @@
         )
 
 
+def _record_refused_connection(egress: Egress) -> None:
+    egress.metrics.egress.connections_refused.inc({})
+    if admit_log_line(egress.decisions, is_failure=True):
+        log_decision(egress.decisions, "connection refused: all others are busy", {})
+
+
 def _record_unread_request(egress: Egress, reason: str) -> None:
     observe_request(egress.metrics, "", DEFAULT_TENANT, Verdict.NOT_RUN, 0.0)
     if admit_log_line(egress.decisions, is_failure=True):
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -96,6 +96,7 @@
         "overload_control": "cost" if has_overload_control else "class",
         "link_bandwidth": values.get("Limits.LinkMbps") if has_overload_control else None,
         "memory_limit": values.get("Limits.MemoryMb"),
+        "descriptor_limit": values.get("Limits.MaxFds"),
         "drain_timeout": grace_seconds * DRAIN_GRACE_SHARE - linger_seconds,
         "send_timeout": grace_seconds * SEND_GRACE_SHARE,
         "stop_linger": linger_seconds,
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -40,6 +40,7 @@
     connections_ended: Counter
     bodies_cut_off: Counter
     gave_way: Counter
+    connections_refused: Counter
     nested_calls: Counter
     key_faults: Counter
 
@@ -199,6 +200,11 @@
             "caller_bodies_cut_off_total",
             "Requests of callers whose bodies had too much around their chunks, or did not end.",
         ),
+        connections_refused=_make_counter(
+            registry,
+            "caller_connections_refused_total",
+            "Connections of callers refused, since as many others as allowed were busy.",
+        ),
         gave_way=_make_counter(
             registry,
             "gave_way_total",
--- a/comfreyhitch/wire/request_bodies.py
+++ b/comfreyhitch/wire/request_bodies.py
@@ -4,8 +4,15 @@
 from typing import BinaryIO
 
 import gevent
+import gevent.socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from comfreyhitch.wire.open_connections import (
+    OpenConnections,
+    add_connection,
+    mark_quiet,
+    remove_connection,
+)
 from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
 
 # Bytes around the chunks of a body, and in its trailers.
@@ -75,6 +82,29 @@
         self.get_body_limit: Callable[[], int] = lambda: 0
         # Called with the reason when a body was not read to its end.
         self.record_cut_off: Callable[[str], None] = lambda reason: None
+        self.open_connections = OpenConnections(self.read_source.value)
+
+    def do_handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+        """Serve a connection, or close it if there is no room for it."""
+        if not add_connection(self.open_connections, sock):
+            self.refuse(sock)
+            sock.close()
+            return
+        self.register(sock, address)
+        super().do_handle(sock, address)
+
+    def register(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+        """Prepare for a connection that was accepted, before its handler has started."""
+
+    def refuse(self, sock: gevent.socket.socket) -> None:
+        """Tell a client that there is no room for its connection, if it is told anything."""
+
+    def handle(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+        """Serve one connection until it ends."""
+        try:
+            super().handle(sock, address)
+        finally:
+            remove_connection(self.open_connections, sock)
 
 
 class BoundedBodyHandler(WSGIHandler):
@@ -102,6 +132,7 @@
     def handle_one_response(self) -> None:
         """Send one response, and close the connection if the body was not read to its end."""
         super().handle_one_response()
+        mark_quiet(self.server.open_connections, self.socket)
         if self.body_reader.failure:
             self.close_connection = True
             self.server.record_cut_off(self.body_reader.failure)
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -4,6 +4,7 @@
 import gevent.socket
 from behave import then, when
 
+from comfreyhitch.conf.models import Settings
 from comfreyhitch.testing.fleet import (
     call_service,
     count_runs,
@@ -88,7 +89,7 @@
 @then("a body over the limit is refused with 413 and verdict not-run")
 def check_body_limit(context):
     instance = get_instance(context, "catalogue")
-    body = b"x" * (4 * 1024 * 1024 + 1)
+    body = b"x" * (Settings().body_limit_bytes + 1)
     response = call_service(instance, "catalogue", "/", method="POST", body=body)
     assert (response.status, response.verdict) == (413, "not-run"), response
 
