Take no response whose status HTTP does not allow

Cause: a status below 200 counted as interim and any other as final. Nothing checked the status of a peer's answer.

Change: the reader of responses takes 100 to 599 but 101, since nothing here asks for another protocol; any other fails at once as a response that can't be read. It serves targets and the store. An answer of a peer has to have a status from 200 to 599.

Evidence: the new scenario tests random status lines at each border. The store's pages are decoded from bytes again; only responses of targets are passed on without a copy.

--- a/comfreyhitch/ingress/models.py
+++ b/comfreyhitch/ingress/models.py
@@ -18,6 +18,7 @@
 )
 
 MAX_TIMEOUT_SECONDS = 60.0
+FINAL_STATUSES = range(200, 600)
 
 
 @dataclass(slots=True)
@@ -128,6 +129,9 @@
         verdict = Verdict(answer.verdict)
     except ValueError:
         verdict = Verdict.MAY_HAVE_RUN
+    if answer.refusal is None and answer.status not in FINAL_STATUSES:
+        detail = f"answer has the status {answer.status:03}"
+        return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, detail))
     if answer.refusal is None and verdict is Verdict.RAN:
         return Ok(
             Response(
--- a/comfreyhitch/wire/responses.py
+++ b/comfreyhitch/wire/responses.py
@@ -9,7 +9,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
-from comfreyhitch.core.verdicts import Body, Response
+from comfreyhitch.core.verdicts import Response
 from comfreyhitch.wire.following_bodies import is_following
 from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
 from comfreyhitch.wire.sockets import describe_peer
@@ -18,6 +18,9 @@
 # Until the head is complete, blocks are smaller, since a block may hold hundreds of headers.
 HEAD_BLOCK_BYTES = 16_384
 FIRST_FINAL_STATUS = 200
+VALID_STATUSES = range(100, 600)
+# No request asks for another protocol.
+SWITCHING_PROTOCOLS_STATUS = 101
 # Bounds on what belongs to no body. Responses have heads of less than 2 KiB.
 MAX_HEAD_BYTES = 65_536
 MAX_HEADERS = 256
@@ -55,6 +58,12 @@
             raise HTTPParseError("bytes after the end of the response")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        status = self.get_code()
+        if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS_STATUS:
+            raise HTTPParseError(f"response has the status {status:03}")
+        return super()._on_headers_complete()
+
     def _on_message_complete(self) -> None:
         super()._on_message_complete()
         self.is_final = self.get_code() >= FIRST_FINAL_STATUS
@@ -70,9 +79,9 @@
             self.has_extra_bytes = True
 
     @property
-    def body(self) -> Body:
-        """Return the body read so far; a large one is not copied."""
-        return self._body_buffer if is_following(self._body_buffer) else bytes(self._body_buffer)
+    def body(self) -> bytes:
+        """Return the body read so far."""
+        return bytes(self._body_buffer)
 
     def find_excess(self) -> str:
         """Return what a response that has not ended holds too much of, or an empty string."""
@@ -108,7 +117,8 @@
             status=self.status_code,
             reason=self.status_message or "",
             headers=[item for item in self.headers if item[0].lower() not in HOP_BY_HOP_HEADERS],
-            body=self.body,
+            # A large body is not copied.
+            body=self._body_buffer if is_following(self._body_buffer) else self.body,
         )
 
 
--- a/features/target_responses.feature
+++ b/features/target_responses.feature
@@ -39,3 +39,9 @@
     And other greenlets run while such bytes arrive faster than they are read
     And other greenlets run while many such responses arrive at once
     And the end of a connection whose other end goes on sending is not awaited for longer than told
+
+  # Guards against an answer whose status is no status: as an interim response it would be passed
+  # over until the deadline, as a final one it would reach the caller (issue 45, MIXED).
+  Scenario: Statuses that HTTP does not allow
+    Then for any status line, a final status of 200 to 599 is taken from targets, peers and the store
+    And other interim statuses than 101 are passed over, and all others fail at once
