Tell callers whose requests are given up that their connection ends

A request that gave way to others, or whose body missed its deadline, got its 503 without Connection: close, though the connection is closed since the rest of the body is not read. Callers that kept it could lose the next request.

--- a/.ci/removals.py
+++ b/.ci/removals.py
@@ -16,6 +16,38 @@
 
 
 REMOVALS = (
+    Removal(
+        "giving way of requests and responses that make no progress",
+        "Who gives way to others",
+        (("core/held_bytes.py", "for holder in _list_stalled(held):", "for holder in ():"),),
+    ),
+    Removal(
+        "closing of quiet connections for others",
+        "Which connections are closed for others",
+        (
+            (
+                "wire/open_connections.py",
+                "if is_full and not _close_quietest(connections):",
+                "if is_full:",
+            ),
+        ),
+    ),
+    Removal(
+        "limit on the memory of requests and responses",
+        "A crowd at every daemon",
+        (
+            (
+                "daemon/assembly.py",
+                "HeldBytes.from_memory(settings.memory_limit, clock)",
+                "HeldBytes(clock=clock)",
+            ),
+        ),
+    ),
+    Removal(
+        "check of the status of responses",
+        "Statuses that HTTP does not allow",
+        (("wire/responses.py", "if status not in VALID_STATUSES or", "if False and"),),
+    ),
     Removal(
         "probe budget",
         "Budgets hold for any times between probes",
--- a/comfreyhitch/egress/caller_connections.py
+++ b/comfreyhitch/egress/caller_connections.py
@@ -62,6 +62,8 @@
     phase_since: float
     phase: ConnectionPhase = ConnectionPhase.WAITING
     end_reason: EndReason = EndReason.CALLER_CLOSED
+    # Whether a request was given up before its body was read, so that no other one can follow.
+    has_unread_body: bool = False
     # Known once the current request has been classified.
     call: OutgoingCall | None = None
     # Returns whether bytes of a further request have arrived.
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -254,7 +254,8 @@
             status, headers, body = _format_failure(failure)
             headers = [*headers, *interface.make_failure_headers(failure)]
     connection = environ[CONNECTION_ENVIRON_KEY]
-    if egress.blackboard.is_draining and not connection.has_further_request():
+    is_stopping = egress.blackboard.is_draining and not connection.has_further_request()
+    if is_stopping or connection.has_unread_body:
         headers.append(("Connection", "close"))
     start_response(status, headers)
     has_body = body and environ["REQUEST_METHOD"] != "HEAD"
--- a/comfreyhitch/egress/request_bodies.py
+++ b/comfreyhitch/egress/request_bodies.py
@@ -65,10 +65,11 @@
     except DaemonStoppingError:
         return Err(make_interrupted_failure(may_have_run=False))
     except BodyTooLateError:
-        return _give_up(reader, Refusal.DEADLINE, "body did not arrive before the deadline")
+        detail = "body did not arrive before the deadline"
+        return _give_up(connection, reader, Refusal.DEADLINE, detail)
     except GiveWayError:
         detail = "body made no progress, and other requests need the memory that it holds"
-        return _give_up(reader, Refusal.OVERLOADED, detail)
+        return _give_up(connection, reader, Refusal.OVERLOADED, detail)
     except BodyRefusedError as error:
         return Err(error.failure)
     except (OSError, ValueError) as error:
@@ -108,9 +109,12 @@
     return body if len(body) > BLOCK_BYTES else bytes(body)
 
 
-def _give_up(reader: BodyReader, refusal: Refusal, detail: str) -> Err[Failure]:
+def _give_up(
+    connection: CallerConnection, reader: BodyReader, refusal: Refusal, detail: str
+) -> Err[Failure]:
     """Return the failure of a body of which no further byte is awaited."""
     reader.failure = detail
+    connection.has_unread_body = True
     return Err(Failure(Verdict.NOT_RUN, refusal, detail))
 
 
