Let others run while large bodies are sent to an end that reads fast

With bodies of 64 MiB a daemon could do nothing else for as long as one is sent. Loops that send pause after 256 KiB like those that read.

--- a/comfreyhitch/wire/following_bodies.py
+++ b/comfreyhitch/wire/following_bodies.py
@@ -8,6 +8,7 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.verdicts import Body
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
 
 # Larger bodies follow their message.
 MAX_INLINE_BYTES = 64 * 1024
@@ -26,10 +27,13 @@
     Raise `TimeoutError` at the deadline, which is in monotonic seconds, and `OSError` if the
     connection fails.
     """
+    loop = ReadLoop(ReadSource.SENT)
     unsent = memoryview(data)
     while True:
         with suppress(BlockingIOError):
-            unsent = unsent[sock._sock.send(unsent, socket.MSG_DONTWAIT) :]
+            sent_bytes = sock._sock.send(unsent, socket.MSG_DONTWAIT)
+            unsent = unsent[sent_bytes:]
+            record_read(loop, sent_bytes)
         if not unsent:
             return True
         remaining_seconds = deadline - clock.monotonic()
--- a/comfreyhitch/wire/read_loops.py
+++ b/comfreyhitch/wire/read_loops.py
@@ -1,7 +1,8 @@
-"""Let other greenlets run while a loop reads bytes that keep arriving.
+"""Let other greenlets run while a loop reads bytes that keep arriving, or sends many.
 
-Receiving bytes that have arrived already does not switch greenlets. A loop over such bytes would
-keep the process from doing anything else.
+Receiving bytes that have arrived already does not switch greenlets, and neither does sending bytes
+to an end that reads as fast. A loop over such bytes would keep the process from doing anything
+else.
 """
 
 from dataclasses import dataclass
@@ -19,13 +20,14 @@
 
 
 class ReadSource(StrEnum):
-    """Name what a loop reads."""
+    """Name what a loop reads, or that it sends."""
 
     CALLER = "request of a caller"
     CONTROL = "request to a control server"
     PEER = "message of a peer"
     STORE = "response of the store"
     TARGET = "response of the target"
+    SENT = "bytes that are sent"
 
 
 @dataclass(frozen=True, slots=True)
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -122,6 +122,7 @@
     previous_timeout = sock.gettimeout()
     sock.settimeout(stall_seconds / STALL_CHECKS)
     unsent = memoryview(data)
+    loop = ReadLoop(ReadSource.SENT)
     checks_without_progress = 0
     queued_bytes = None
     while unsent:
@@ -143,6 +144,7 @@
             checks_without_progress = 0
             if on_sent is not None:
                 on_sent(sent_bytes)
+            record_read(loop, sent_bytes)
     sock.settimeout(previous_timeout)
 
 
