--- a/comfreyhitch/core/connection_limits.py
+++ b/comfreyhitch/core/connection_limits.py
@@ -11,6 +11,8 @@
 PEER_SHARE = 0.2
 CONTROL_SHARE = 0.02
 MIN_CONNECTIONS = 8
+# Taken for the limit of a machine and a process that set none.
+MAX_DESCRIPTORS = 1_000_000
 # Part of the memory of a daemon for what the kernel receives for its callers' connections.
 CALLER_MEMORY_SHARE = 0.25
 BYTES_PER_MEGABYTE = 1_000_000
@@ -37,9 +39,9 @@
         how much memory the kernel may use for a connection of a caller.
         """
         process_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        limits = [limit for limit in (descriptors, process_limit) if limit is not None]
-        known = [limit for limit in limits if limit != resource.RLIM_INFINITY]
-        sockets = max(0, min(known, default=FILE_DESCRIPTORS + 1_000_000) - FILE_DESCRIPTORS)
+        if process_limit == resource.RLIM_INFINITY:
+            process_limit = MAX_DESCRIPTORS
+        sockets = max(0, min(descriptors or MAX_DESCRIPTORS, process_limit) - FILE_DESCRIPTORS)
         callers = CALLER_SHARE * sockets
         if memory_megabytes is not None:
             caller_memory = CALLER_MEMORY_SHARE * memory_megabytes * BYTES_PER_MEGABYTE
--- a/comfreyhitch/egress/caller_server.py
+++ b/comfreyhitch/egress/caller_server.py
@@ -30,7 +30,13 @@
     enter_phase,
     has_no_further_request,
 )
-from comfreyhitch.egress.request_framing import RequestHeadError, check_framing, read_headers
+from comfreyhitch.egress.request_framing import (
+    BoundedHeadReader,
+    HeadTooSlowError,
+    RequestHeadError,
+    check_framing,
+    read_headers,
+)
 from comfreyhitch.routing.models import CallerLimits
 from comfreyhitch.wire.memory_waits import giving_way
 from comfreyhitch.wire.open_connections import mark_busy
@@ -70,18 +76,6 @@
 ).encode()
 
 
-class HeadTooLargeError(RequestHeadError):
-    """Signal that a request's head exceeds its size limit."""
-
-    status = "431 Request Header Fields Too Large"
-
-
-class HeadTooSlowError(RequestHeadError):
-    """Signal that a request's head did not arrive within its timeout."""
-
-    status = "408 Request Timeout"
-
-
 class CallerServer(BoundedServer):
     """Serve callers, and track what their connections do."""
 
@@ -149,22 +143,6 @@
                 connection.sock.shutdown(socket.SHUT_RDWR)
 
 
-class BoundedHeadReader:
-    """Read lines of a request's head up to a limit on their total bytes."""
-
-    def __init__(self, file: object, limit_bytes: int) -> None:
-        self._file = file
-        self._remaining_bytes = limit_bytes
-
-    def readline(self, size: int) -> bytes:
-        """Return the next line; raise `HeadTooLargeError` beyond the limit."""
-        line = self._file.readline(max(1, min(size, self._remaining_bytes + 1)))
-        self._remaining_bytes -= len(line)
-        if self._remaining_bytes < 0:
-            raise HeadTooLargeError("request head exceeds the limit on its bytes")
-        return line
-
-
 class CallerHandler(BoundedBodyHandler):
     """Handle one caller's connection, and pass on the headers of its requests unchanged."""
 
--- a/comfreyhitch/egress/request_framing.py
+++ b/comfreyhitch/egress/request_framing.py
@@ -1,4 +1,4 @@
-"""Refuse requests whose end callers and this daemon might read differently (request smuggling)."""
+"""Bound the heads of requests, and refuse requests whose end is not clear (request smuggling)."""
 
 from email.errors import (
     FirstHeaderLineIsContinuationDefect,
@@ -31,12 +31,40 @@
     status = "400 Bad Request"
 
 
+class HeadTooLargeError(RequestHeadError):
+    """Signal that a request's head exceeds its size limit."""
+
+    status = "431 Request Header Fields Too Large"
+
+
+class HeadTooSlowError(RequestHeadError):
+    """Signal that a request's head did not arrive within its timeout."""
+
+    status = "408 Request Timeout"
+
+
 class UnknownCodingError(RequestHeadError):
     """Signal that a request has a transfer coding that is not supported."""
 
     status = "501 Not Implemented"
 
 
+class BoundedHeadReader:
+    """Read lines of a request's head up to a limit on their total bytes."""
+
+    def __init__(self, file: object, limit_bytes: int) -> None:
+        self._file = file
+        self._remaining_bytes = limit_bytes
+
+    def readline(self, size: int) -> bytes:
+        """Return the next line; raise `HeadTooLargeError` beyond the limit."""
+        line = self._file.readline(max(1, min(size, self._remaining_bytes + 1)))
+        self._remaining_bytes -= len(line)
+        if self._remaining_bytes < 0:
+            raise HeadTooLargeError("request head exceeds the limit on its bytes")
+        return line
+
+
 class LineReader(Protocol):
     """Read lines, and raise an error beyond a limit on their total bytes."""
 
--- a/comfreyhitch/wire/following_bodies.py
+++ b/comfreyhitch/wire/following_bodies.py
@@ -8,10 +8,11 @@
 
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.verdicts import Body
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_bytes
 
 # Larger bodies follow their message.
 MAX_INLINE_BYTES = 64 * 1024
+MAX_FOLLOWING_BYTES = 64 * 1024 * 1024
 
 
 def is_following(body: Body) -> bool:
@@ -33,7 +34,7 @@
         with suppress(BlockingIOError):
             sent_bytes = sock._sock.send(unsent, socket.MSG_DONTWAIT)
             unsent = unsent[sent_bytes:]
-            record_read(loop, sent_bytes)
+            record_bytes(loop, sent_bytes)
         if not unsent:
             return True
         remaining_seconds = deadline - clock.monotonic()
--- a/comfreyhitch/wire/read_loops.py
+++ b/comfreyhitch/wire/read_loops.py
@@ -65,7 +65,7 @@
 _rounds = _Rounds(Semaphore(1))
 
 
-def record_read(loop: ReadLoop, size: int, busy_seconds: float = 0.0) -> None:
+def record_bytes(loop: ReadLoop, size: int, busy_seconds: float = 0.0) -> None:
     """Count bytes that were read, and the seconds that handling them took; pause if due."""
     loop.read_bytes += size
     loop.reads += 1
--- a/comfreyhitch/wire/request_bodies.py
+++ b/comfreyhitch/wire/request_bodies.py
@@ -13,7 +13,7 @@
     mark_quiet,
     remove_connection,
 )
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_bytes
 
 # Bytes around the chunks of a body, and in its trailers.
 MAX_FRAMING_BYTES = 65_536
@@ -66,7 +66,7 @@
             self.failure = "request has too many bytes around its chunks"
         self._check()
         self.on_read(size)
-        record_read(self._loop, size)
+        record_bytes(self._loop, size)
 
 
 class BoundedServer(WSGIServer):
--- a/comfreyhitch/wire/responses.py
+++ b/comfreyhitch/wire/responses.py
@@ -11,7 +11,7 @@
 from comfreyhitch.core.headers import HOP_BY_HOP_HEADERS
 from comfreyhitch.core.verdicts import Response
 from comfreyhitch.wire.following_bodies import is_following
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_bytes
 from comfreyhitch.wire.sockets import describe_peer
 
 READ_BLOCK_BYTES = 65_536
@@ -157,7 +157,7 @@
             return
         if not data:
             raise HTTPParseError("response ended early")
-        record_read(loop, len(data), clock.monotonic() - received_at)
+        record_bytes(loop, len(data), clock.monotonic() - received_at)
 
 
 def _check_size(reader: ResponseReader, limit_bytes: int) -> None:
--- a/comfreyhitch/wire/sockets.py
+++ b/comfreyhitch/wire/sockets.py
@@ -14,7 +14,7 @@
 from gevent.hub import get_hub
 from gevent.socket import wait_read
 
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_bytes
 
 # The kernel closes a connection when the other end leaves sent data unacknowledged for this
 # long, even if no reset arrives.
@@ -144,7 +144,7 @@
             checks_without_progress = 0
             if on_sent is not None:
                 on_sent(sent_bytes)
-            record_read(loop, sent_bytes)
+            record_bytes(loop, sent_bytes)
     sock.settimeout(previous_timeout)
 
 
@@ -169,7 +169,7 @@
     with suppress(OSError), Timeout(timeout_seconds, False):
         sock.shutdown(socket.SHUT_WR)
         while discarded := sock.recv(DISCARD_BYTES):
-            record_read(loop, len(discarded))
+            record_bytes(loop, len(discarded))
 
 
 def watch_disconnect(
--- a/comfreyhitch/wire/transports.py
+++ b/comfreyhitch/wire/transports.py
@@ -16,8 +16,9 @@
 )
 from comfreyhitch.core.verdicts import Body
 from comfreyhitch.wire.exceptions import NoRoomError
+from comfreyhitch.wire.following_bodies import MAX_FOLLOWING_BYTES
 from comfreyhitch.wire.memory_waits import giving_way, wait_for_room
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_bytes
 from comfreyhitch.wire.sockets import describe_peer
 
 # A frame takes two reads or more, and handling one takes up to some milliseconds.
@@ -64,7 +65,7 @@
                 raise TTransportException(TTransportException.TIMED_OUT, "frame is incomplete")
             self.handle.settimeout(min(self._part_seconds, remaining_seconds))
         data = super().read(size)
-        record_read(self._loop, len(data))
+        record_bytes(self._loop, len(data))
         return data
 
     def readAll(self, size: int) -> Body:  # noqa: N802
@@ -91,6 +92,10 @@
         arrives, up to the limit multiplied by `share`. Raise `NoRoomError` if there is no memory
         for them until the deadline in monotonic seconds, and `GiveWayError` as for large frames.
         """
+        if not 0 <= size <= MAX_FOLLOWING_BYTES:
+            raise TTransportException(
+                TTransportException.SIZE_LIMIT, f"body has a length of {size}"
+            )
         needed_bytes = max(0, size - expected_bytes)
         if not wait_for_room(self._held, self._holder, needed_bytes, deadline, share):
             raise NoRoomError(f"no memory for a body of {size} bytes")
--- a/features/steps/stall_steps.py
+++ b/features/steps/stall_steps.py
@@ -10,7 +10,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.telemetry import stalls
 from comfreyhitch.telemetry.metrics import Metrics
-from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_read, take_longest_turn
+from comfreyhitch.wire.read_loops import ReadLoop, ReadSource, record_bytes, take_longest_turn
 
 
 class LineHandler(logging.Handler):
@@ -55,7 +55,7 @@
 def check_stall(context):
     with watched_stalls() as (metrics, records):
         loop = ReadLoop(ReadSource.TARGET, "10.0.0.7:9000")
-        record_read(loop, 65_536, 0.03)
+        record_bytes(loop, 65_536, 0.03)
         # A stall of 100 ms is seen wherever it falls between two checks.
         stall(0.1)
         gevent.sleep(0.02)
