End a connection whose following body was not read

Found by reading the change: when a call could not be read, or its body did not arrive, the generated code answered with an exception and read the next message from where the body was due. A part of a body could have been run as a call (UNASKED); it takes a daemon that sends an invalid priority, or a body that is late, to get there.

Change: whenever a body that follows its message is not read to its end, the daemon answers once and ends the connection; a body that does not arrive is refused as not run.

Evidence: the new scenario sends bodies that are made of whole calls behind calls that are refused. On the code before, these calls were run; now there is one answer and then the end.

--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -4,9 +4,16 @@
 from dataclasses import dataclass
 
 from result import Err
+from thrift.Thrift import TException
 
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.core.held_bytes import describe_held_bytes, hold, make_room, release
+from comfreyhitch.core.held_bytes import (
+    GiveWayError,
+    describe_held_bytes,
+    hold,
+    make_room,
+    release,
+)
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.idempotency.claims import ClaimClient, handle_claim_request, store_outcomes
 from comfreyhitch.idempotency.recovery import list_claims_for_registrar
@@ -89,6 +96,8 @@
             call = IncomingCall.from_wire(request, now, self._transport.handle)
         except ValueError as error:
             outcome = Err(Failure(Verdict.NOT_RUN, Refusal.BAD_REQUEST, str(error)))
+            # A body that follows the message is not read, and must not be taken for another one.
+            self._transport.is_ending = request.body_bytes is not None
         else:
             outcome = self._run(call, request.body_bytes)
         answer = make_answer(request.request_id, outcome, make_load_report(services.ingress))
@@ -126,6 +135,9 @@
         self._transport.limit_reads(BODY_PART_SECONDS, call.deadline)
         try:
             call.body = self._transport.read_body(size, call.deadline)
+        except (OSError, EOFError, TException, GiveWayError) as error:
+            detail = f"body did not arrive: {error!r}"
+            return Failure(Verdict.NOT_RUN, Refusal.OVERLOADED, detail)
         finally:
             self._transport.limit_reads(None)
         return None
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -25,6 +25,11 @@
     Then an answer that arrives slowly is given up shortly after the deadline of its call
     And many messages of a peer at once let other greenlets run
 
+  # Guards against a part of a body that is run as a message of its own (UNASKED).
+  Scenario: Bodies that follow their message
+    Then a call whose body is not read gets one answer, and its connection ends
+    And a call whose body arrives late or in part is refused as not run, and its connection ends
+
   # Guards against a stall of a daemon that leaves no trace in its log and metrics.
   Scenario: A daemon that does not run its greenlets
     Then a stall is logged and counted with its processor time and the longest read
