Let bodies follow their message only where both daemons take that

Change: the greeting says that a daemon takes such bodies, and a call that its caller does. To and from others bodies are part of the message, as before.

--- a/comfreyhitch/daemon/peer_handler.py
+++ b/comfreyhitch/daemon/peer_handler.py
@@ -86,7 +86,11 @@
         """Return the boot id of this daemon and the load of its target."""
         services = self._services
         load = make_load_report(services.ingress)
-        return Greeting(boot_id=services.blackboard.own_member.boot_id, load=load)
+        return Greeting(
+            boot_id=services.blackboard.own_member.boot_id,
+            load=load,
+            takes_following_bodies=True,
+        )
 
     def call(self, request: CallRequest) -> CallAnswer:
         """Run a request at the target, or refuse it."""
@@ -101,10 +105,12 @@
         else:
             outcome = self._run(call, request.body_bytes)
         answer = make_answer(request.request_id, outcome, make_load_report(services.ingress))
-        if is_following(answer.body):
+        if is_following(answer.body) and request.takes_following_body:
             self._transport.send_body_next(answer.body)
             answer.body_bytes = len(answer.body)
             answer.body = b""
+        else:
+            answer.body = bytes(answer.body)
         return answer
 
     def _run(self, call: IncomingCall, body_bytes: int | None) -> Outcome:
--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -223,6 +223,7 @@
         route=call.route,
         attempt=call.attempt_number,
         patience_seconds=call.patience_seconds,
+        takes_following_body=True,
         **_make_cost_fields(egress, call),
     )
 
--- a/comfreyhitch/wire/comfreyhitch.thrift
+++ b/comfreyhitch/wire/comfreyhitch.thrift
@@ -60,6 +60,8 @@
   19: optional bool has_returned,
   /** Length of a body that follows the message; without it, the body is part of it. */
   20: optional i64 body_bytes,
+  /** Whether the body of the answer may follow it. */
+  21: optional bool takes_following_body,
 }
 
 struct CallAnswer {
@@ -79,6 +81,8 @@
 struct Greeting {
   1: required string boot_id,
   2: required LoadReport load,
+  /** Whether the body of a call may follow it. */
+  3: optional bool takes_following_bodies,
 }
 
 struct FenceQuery {
--- a/comfreyhitch/wire/connections.py
+++ b/comfreyhitch/wire/connections.py
@@ -70,6 +70,11 @@
         now = clock.monotonic()
         return cls(address, sock, transport, Peer.Client(protocol), opened_at=now, idle_since=now)
 
+    @property
+    def takes_following_bodies(self) -> bool:
+        """Return whether the peer takes bodies that follow their message; older ones do not."""
+        return self.greeting is not None and bool(self.greeting.takes_following_bodies)
+
     def close(self) -> None:
         """Close the connection, so that no later call reads a late answer."""
         self.sock.close()
@@ -91,13 +96,14 @@
 ) -> None:
     """Send a call and its body; raise `PeerError` if it could not be sent completely.
 
-    The rest of a body is not sent if the peer answers before it has read it.
+    The rest of a body is not sent if the peer answers before it has read it. To a peer that takes
+    no bodies that follow their message, all are sent as a part of it.
     """
     connection.set_timeout(timeout_seconds)
     connection.is_used = True
     deadline = clock.monotonic() + timeout_seconds
     try:
-        if not is_following(body):
+        if not (is_following(body) and connection.takes_following_bodies):
             request.body = bytes(body)
             connection.client.send_call(request)
             return
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -29,6 +29,7 @@
   Scenario: Bodies that follow their message
     Then a call whose body is not read gets one answer, and its connection ends
     And a call whose body arrives late or in part is refused as not run, and its connection ends
+    And large bodies are part of the messages to and from daemons that do not take them otherwise
 
   # Guards against a stall of a daemon that leaves no trace in its log and metrics.
   Scenario: A daemon that does not run its greenlets
