Send nothing to services of a split whose weight is 0

Cause: the first credits of a split were drawn at random for all of its services. One of weight 0 with the highest draw got a request, at each daemon after each start and each change of the services.

Change: only services with a weight above 0 take part in a split.

--- a/comfreyhitch/routing/splitting.py
+++ b/comfreyhitch/routing/splitting.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from comfreyhitch.routing.models import Route
+from comfreyhitch.routing.models import Route, WeightedService
 
 MAX_SPLIT_ROUTES = 10_000
 
@@ -21,21 +21,22 @@
 
 def choose_service(splitter: Splitter, route: Route) -> str:
     """Choose the service with the highest credit, and update the credits of all services."""
-    if len(route.services) == 1:
-        return route.services[0].name
-    total_weight = sum(service.weight for service in route.services)
-    credits_by_service = _get_or_create_credits(splitter, route, total_weight)
-    for service in route.services:
+    weighted = [service for service in route.services if service.weight > 0]
+    if len(weighted) == 1:
+        return weighted[0].name
+    total_weight = sum(service.weight for service in weighted)
+    credits_by_service = _get_or_create_credits(splitter, route, weighted, total_weight)
+    for service in weighted:
         credits_by_service[service.name] += service.weight
-    chosen = max(route.services, key=lambda service: credits_by_service[service.name])
+    chosen = max(weighted, key=lambda service: credits_by_service[service.name])
     credits_by_service[chosen.name] -= total_weight
     return chosen.name
 
 
 def _get_or_create_credits(
-    splitter: Splitter, route: Route, total_weight: float
+    splitter: Splitter, route: Route, weighted: list[WeightedService], total_weight: float
 ) -> dict[str, float]:
-    names = {service.name for service in route.services}
+    names = {service.name for service in weighted}
     known_credits = splitter.credits_by_route.get(route.name)
     if known_credits is not None and known_credits.keys() == names:
         return known_credits
