Split requests by phases that outlive a change of weights

Cause: a route's credits were kept in the unit of the weights and used on with the weights of a later version, until they were spent. The first credits were drawn evenly for services of different weights, so the first requests of many daemons together missed the shares.

Change: systematic sampling in place of smooth weighted round robin.

Evidence: features/splits.feature failed before: weights of 0 and shares in each version of a random series, and sums over 11 and 195 daemons after each of the first 200 requests.

--- a/comfreyhitch/routing/splitting.py
+++ b/comfreyhitch/routing/splitting.py
@@ -10,41 +10,50 @@
 
 @dataclass(slots=True)
 class Splitter:
-    """Hold the credits of smooth weighted round robin, by route and service.
+    """Hold the phases of systematic sampling, by route.
 
-    A service's credit is how far its requests are behind its share.
+    A split into several services is a series of splits in two: the first service or the others,
+    then the second or the others, and so on. Each has a phase in [0, 1) that grows by the share of
+    the service with each request; the service gets the request when its phase reaches 1.
+
+    Phases are drawn at random, and stay evenly distributed whatever the shares are. So each service
+    gets its share from the first request on in the sum over many daemons, and a new version of the
+    configuration can go on with the phases of the one before.
     """
 
     random: Random
-    credits_by_route: dict[str, dict[str, float]] = field(default_factory=dict)
+    phases_by_route: dict[str, list[float]] = field(default_factory=dict)
 
 
 def choose_service(splitter: Splitter, route: Route) -> str:
-    """Choose the service with the highest credit, and update the credits of all services."""
-    weighted = [service for service in route.services if service.weight > 0]
+    """Choose the service of a route's next request."""
+    weighted = _sort_by_weight(route)
     if len(weighted) == 1:
         return weighted[0].name
-    total_weight = sum(service.weight for service in weighted)
-    credits_by_service = _get_or_create_credits(splitter, route, weighted, total_weight)
-    for service in weighted:
-        credits_by_service[service.name] += service.weight
-    chosen = max(weighted, key=lambda service: credits_by_service[service.name])
-    credits_by_service[chosen.name] -= total_weight
-    return chosen.name
-
-
-def _get_or_create_credits(
-    splitter: Splitter, route: Route, weighted: list[WeightedService], total_weight: float
-) -> dict[str, float]:
-    names = {service.name for service in weighted}
-    known_credits = splitter.credits_by_route.get(route.name)
-    if known_credits is not None and known_credits.keys() == names:
-        return known_credits
-    if len(splitter.credits_by_route) >= MAX_SPLIT_ROUTES:
-        splitter.credits_by_route.clear()
-    # Random initial credits keep daemons from all sending their first requests to one service.
-    drawn = {name: splitter.random.uniform(0.0, total_weight) for name in sorted(names)}
-    mean = sum(drawn.values()) / len(drawn)
-    initial_credits = {name: credit - mean for name, credit in drawn.items()}
-    splitter.credits_by_route[route.name] = initial_credits
-    return initial_credits
+    phases = _get_phases(splitter, route.name, len(weighted) - 1)
+    remaining_weight = sum(service.weight for service in weighted)
+    for index, service in enumerate(weighted[:-1]):
+        phases[index] += service.weight / remaining_weight
+        if phases[index] >= 1.0:
+            phases[index] -= 1.0
+            return service.name
+        remaining_weight = sum(service.weight for service in weighted[index + 1 :])
+    return weighted[-1].name
+
+
+def _sort_by_weight(route: Route) -> list[WeightedService]:
+    """Return the services that have a share, in the order in which counts deviate least."""
+    weighted = [service for service in route.services if service.weight > 0]
+    return sorted(weighted, key=lambda service: -service.weight)
+
+
+def _get_phases(splitter: Splitter, route_name: str, count: int) -> list[float]:
+    """Return at least as many phases as splits in two."""
+    phases = splitter.phases_by_route.get(route_name)
+    if phases is None:
+        if len(splitter.phases_by_route) >= MAX_SPLIT_ROUTES:
+            splitter.phases_by_route.clear()
+        phases = splitter.phases_by_route[route_name] = []
+    while len(phases) < count:
+        phases.append(splitter.random.random())
+    return phases
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -67,7 +67,7 @@
         counts = Counter(choose_service(splitter, route) for _ in range(count))
         total = sum(drawn_weights)
         for name, weight in services:
-            # The random initial credits add up to one request to the error of the rotation.
+            # The error of each split in two adds to that of the splits before it.
             assert abs(counts[name] - count * weight / total) <= 2.0, (drawn_weights, count, counts)
 
     check()
