Read changes linearizably at the readers of each zone

Evacuations were late as well.

Cause: every daemon followed the operators' documents by watches with Serializable alone, which may tell of changes seconds late at any time. Peers announce what they learn, but all learned it from such watches.

The stand-in store can answer reads that may be stale with data of some seconds ago, and refuse linearizable watches.

--- a/.ci/removals.py
+++ b/.ci/removals.py
@@ -438,6 +438,22 @@
         "A document that only the readers of each zone see in the store",
         (("replication/broadcast.py", "    _repeat_later(broadcaster, documents)\n", ""),),
     ),
+    Removal(
+        "linearizable watches of readers",
+        "A zone is evacuated, a version is rolled out and a route is changed",
+        (("watching/waits.py", "now - plan.reader_since >= NEW_READER_SECONDS", "False"),),
+    ),
+    Removal(
+        "random phases of splits",
+        "Daemons that start together",
+        (
+            (
+                "routing/splitting.py",
+                "phases.append(splitter.random.random())",
+                "phases.append(0.0)",
+            ),
+        ),
+    ),
     Removal(
         "log of stalls",
         "A daemon that does not run its greenlets",
--- a/comfreyhitch/daemon/controllers.py
+++ b/comfreyhitch/daemon/controllers.py
@@ -43,11 +43,13 @@
 from comfreyhitch.rollouts.orders import RolloutOrderController, run_rollout_orders
 from comfreyhitch.telemetry.stalls import watch_for_stalls
 from comfreyhitch.watching.follower import follow, renew_together, set_watch_timeout
+from comfreyhitch.watching.linearizable import set_linearizable, watch_linearizably
 from comfreyhitch.watching.outages import Outage
 from comfreyhitch.watching.waits import (
     WatchConditions,
     WatchPlan,
     get_lead_watch_seconds,
+    needs_linearizable_watch,
     plan_watch_seconds,
 )
 
@@ -158,6 +160,9 @@
         daemon.greenlets.append(
             gevent.spawn(_run_continuously, lambda follower=follower: follow(follower))
         )
+        daemon.greenlets.append(
+            gevent.spawn(_run_continuously, lambda follower=follower: watch_linearizably(follower))
+        )
     renew_together(list(daemon.followers_by_document_kind.values()))
     daemon.greenlets.append(
         gevent.spawn(
@@ -183,10 +188,13 @@
         is_watch_late=is_watch_late(followers_by_kind, blackboard.document_version_by_kind),
         unanswered_probes=daemon.detector.unanswered_probes,
     )
-    seconds = plan_watch_seconds(plan, conditions, daemon.clock.monotonic())
+    now = daemon.clock.monotonic()
+    seconds = plan_watch_seconds(plan, conditions, now)
+    is_linearizable = needs_linearizable_watch(plan, conditions, now)
     lead_seconds = get_lead_watch_seconds(seconds, conditions)
     for kind, follower in followers_by_kind.items():
         set_watch_timeout(follower, lead_seconds if kind is LEAD_KIND else seconds)
+        set_linearizable(follower, is_linearizable)
 
 
 def _sync_documents_if_store_unreachable(daemon: Daemon) -> None:
--- a/comfreyhitch/testing/platform.py
+++ b/comfreyhitch/testing/platform.py
@@ -22,9 +22,11 @@
     create_object,
     delete_object,
     get_object,
+    get_read_source,
     list_page,
     notify_watches,
     raise_if_down,
+    record_moment,
     update_object,
 )
 from comfreyhitch.testing.platform_watches import watch
@@ -74,6 +76,7 @@
     if environ["PATH_INFO"] == "/_standin/faults":
         for name, value in json.loads(environ["wsgi.input"].read()).items():
             setattr(state.faults, name, value)
+        record_moment(state)
         notify_watches(state)
     if environ["PATH_INFO"] == "/_standin/compact":
         state.events.clear()
@@ -116,7 +119,7 @@
     if method != "GET":
         return method.lower()
     if "Watch" in query:
-        return "watch"
+        return "watch" if "Serializable" in query else "linearizable watch"
     return "get" if object_id.name else "list"
 
 
@@ -125,9 +128,9 @@
 ) -> object:
     if "Watch" in query:
         return watch(state, object_id.kind, query, sock)
-    return (
-        get_object(state, object_id) if object_id.name else list_page(state, object_id.kind, query)
-    )
+    if object_id.name:
+        return get_object(get_read_source(state, query), object_id)
+    return list_page(state, object_id.kind, query)
 
 
 def _write(
--- a/comfreyhitch/testing/platform_objects.py
+++ b/comfreyhitch/testing/platform_objects.py
@@ -1,5 +1,6 @@
 """Keep the objects, revisions and events of the stand-in for the platform's store."""
 
+import time
 from collections import Counter, deque
 from copy import deepcopy
 from dataclasses import dataclass, field
@@ -7,6 +8,7 @@
 from gevent.event import Event
 
 MAX_EVENTS = 1000
+MAX_MOMENTS = 1000
 MAX_PAGE_ITEMS = 500
 
 Query = dict[str, str]
@@ -30,6 +32,10 @@
     lost_answers: int = 0
     # Whether watches hear nothing, neither of changes nor that their time is over.
     are_watches_silent: bool = False
+    # Age of what reads return that allow stale data.
+    stale_read_seconds: float = 0.0
+    # Whether linearizable watches are refused, as calls beyond the rate are.
+    refuses_linearizable_watches: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +62,8 @@
     faults: PlatformFaults = field(default_factory=PlatformFaults)
     # Objects that lists return if they allow stale data; if None, they return current ones.
     stale_snapshot: "StoreSnapshot | None" = None
+    # What the store held at recent moments, recorded while stale reads have an age.
+    moments: deque["Moment"] = field(default_factory=deque)
     # Rises by one each time when the waiting watches are cut off silently.
     watch_cuts: int = 0
     # Rises by one each time when the store comes back from a copy.
@@ -71,6 +79,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """Hold what the store held from a moment on, in monotonic seconds."""
+
+    recorded_at: float
+    snapshot: StoreSnapshot
+
+
 @dataclass(frozen=True, slots=True)
 class StoreCopy:
     """Hold all that the store knew at an earlier moment, to come back from it."""
@@ -94,11 +110,31 @@
     state.stale_snapshot = StoreSnapshot(deepcopy(state.objects_by_kind), state.revision)
 
 
+def record_moment(state: StoreState) -> None:
+    """Record what the store holds now, for reads that get it later."""
+    # Objects are replaced and never changed, so that their dictionaries need no deep copy.
+    objects_by_kind = {kind: dict(items) for kind, items in state.objects_by_kind.items()}
+    snapshot = StoreSnapshot(objects_by_kind, state.revision)
+    state.moments.append(Moment(time.monotonic(), snapshot))
+    while len(state.moments) > MAX_MOMENTS:
+        state.moments.popleft()
+
+
+def get_read_source(state: StoreState, query: Query) -> "StoreState | StoreSnapshot":
+    """Return what a read sees: an earlier state if its query allows stale data."""
+    if "Serializable" not in query or not state.faults.stale_read_seconds:
+        return state
+    until = time.monotonic() - state.faults.stale_read_seconds
+    known = [moment for moment in state.moments if moment.recorded_at <= until]
+    return (known or state.moments)[-1 if known else 0].snapshot
+
+
 def list_page(state: StoreState, kind: str, query: Query) -> dict:
-    """Return a page of a kind's objects, from the stale snapshot if the query allows it."""
+    """Return a page of a kind's objects, from an earlier state if the query allows it."""
     after = query.get("after", "")
-    may_be_stale = "Serializable" in query and state.stale_snapshot is not None
-    source = state.stale_snapshot if may_be_stale else state
+    source = get_read_source(state, query)
+    if "Serializable" in query and state.stale_snapshot is not None:
+        source = state.stale_snapshot
     named = sorted(source.objects_by_kind.get(kind, {}).items())
     found = [item for name, item in named if name > after]
     return {
@@ -108,7 +144,7 @@
     }
 
 
-def get_object(state: StoreState, object_id: ObjectId) -> dict:
+def get_object(state: "StoreState | StoreSnapshot", object_id: ObjectId) -> dict:
     """Return an object; raise `ApiError` if it does not exist."""
     found = state.objects_by_kind.get(object_id.kind, {}).get(object_id.name)
     if found is None:
@@ -189,6 +225,8 @@
     state.events.append((state.revision, kind, event))
     while len(state.events) > MAX_EVENTS:
         state.oldest_revision = state.events.popleft()[0]
+    if state.faults.stale_read_seconds:
+        record_moment(state)
     notify_watches(state)
 
 
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import gevent
+from gevent.event import Event
 from result import Err, Ok, Result
 
 from comfreyhitch.core.clock import Clock
@@ -81,6 +82,10 @@
     # When the current watch was sent, and the greenlet that waits for its answer.
     asked_at: float = 0.0
     waiting: gevent.Greenlet | None = None
+    # Set while a linearizable watch runs beside the one that may be stale, and the greenlet that
+    # waits for its answer.
+    is_linearizable: Event = field(default_factory=Event)
+    linearizable_waiting: gevent.Greenlet | None = None
     # Whether the last watch was renewed before it was answered, and how many in a row were because
     # no answer came.
     is_cut_short: bool = False
@@ -131,7 +136,7 @@
     waited_seconds = follower.clock.monotonic() - follower.asked_at
     is_overdue = waited_seconds > timeout_seconds + WATCH_TIMEOUT_MARGIN_SECONDS
     if follower.waiting is not None and is_overdue:
-        follower.waiting.kill(block=False)
+        _renew(follower)
 
 
 def renew_together(followers: Sequence[Follower]) -> None:
@@ -139,8 +144,8 @@
 
     def renew_others(silent: Follower) -> None:
         for follower in followers:
-            if follower is not silent and follower.waiting is not None:
-                follower.waiting.kill(block=False)
+            if follower is not silent:
+                _renew(follower)
 
     for follower in followers:
         follower.on_silence = lambda follower=follower: renew_others(follower)
@@ -149,8 +154,14 @@
 def list_again(follower: Follower) -> None:
     """End the current watch, and list the kind anew."""
     follower.revision = None
-    if follower.waiting is not None:
-        follower.waiting.kill(block=False)
+    _renew(follower)
+
+
+def _renew(follower: Follower) -> None:
+    """End the current watches; they are sent again."""
+    for waiting in (follower.waiting, follower.linearizable_waiting):
+        if waiting is not None:
+            waiting.kill(block=False)
 
 
 def get_backoff_seconds(follower: Follower) -> float:
@@ -242,6 +253,7 @@
         waiting.kill()
     if not has_answer:
         follower.unanswered_watches += 1
+        _renew(follower)
         follower.on_silence()
         return None
     follower.unanswered_watches = 0
--- a/comfreyhitch/watching/waits.py
+++ b/comfreyhitch/watching/waits.py
@@ -5,6 +5,9 @@
 seconds, and the first of them one of its watches several times a second. The other daemons wait
 longer; they hear of changes from their own watch and from their peers. A daemon for which one of
 the two may be broken renews as often as a reader.
+
+All these watches may be stale, which costs the store a tenth. Readers have linearizable ones as
+well, so that a change is in force in time even if what may be stale is seconds old.
 """
 
 from dataclasses import dataclass
@@ -21,6 +24,8 @@
 MIN_DAEMONS_FOR_LONG_WATCHES = 20
 # A watch whose connection broke during a disturbance is renewed before this time is over.
 SETTLING_SECONDS = 8.0
+# A daemon that has just started knows few of the others, and takes itself for a reader.
+NEW_READER_SECONDS = 3.0
 # One unanswered probe says that the probed member is gone; two in a row say that this daemon's
 # link may be broken.
 MAX_UNANSWERED_PROBES = 1
@@ -46,11 +51,13 @@
 class WatchPlan:
     """Hold since when a daemon's ways to learn of changes have been undisturbed.
 
-    `settled_since` is in monotonic seconds.
+    `settled_since` and `reader_since` are in monotonic seconds; the latter is None while the daemon
+    is no reader.
     """
 
     settled_since: float
     was_watch_late: bool = False
+    reader_since: float | None = None
 
 
 def plan_watch_seconds(plan: WatchPlan, conditions: WatchConditions, now: float) -> float:
@@ -70,6 +77,16 @@
     return BRIEF_WATCH_SECONDS if conditions.is_first_reader else planned_seconds
 
 
+def needs_linearizable_watch(plan: WatchPlan, conditions: WatchConditions, now: float) -> bool:
+    """Return whether a daemon reads linearizably for its zone; `now` is in monotonic seconds."""
+    if not conditions.is_reader:
+        plan.reader_since = None
+        return False
+    if plan.reader_since is None:
+        plan.reader_since = now
+    return now - plan.reader_since >= NEW_READER_SECONDS
+
+
 def _is_disturbed(plan: WatchPlan, conditions: WatchConditions) -> bool:
     # A peer is often a few milliseconds ahead, but not at two checks in a row.
     is_watch_broken = conditions.is_watch_late and plan.was_watch_late
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -11,6 +11,7 @@
     Given the stand-in store
     Then a follower gets the changes since its list, whether the store still has its history or not
     And a late deletion event does not remove a document that was created since
+    And a deletion that is told twice does not hide a document that is created next
 
   Scenario: A daemon that joins makes few calls
     Given the stand-in store
@@ -31,6 +32,7 @@
   Scenario: Few watches in a large fleet
     Given the stand-in store
     Then only readers, small fleets and daemons with a disturbance renew their watches often
+    And only a daemon that has been a reader for some seconds has linearizable watches
     And a daemon whose long watch is broken learns of a change from its peers and renews the watch
 
   # Guards against silence of a watch that is taken for a time without news.
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -219,6 +219,18 @@
     assert not blackboard.zones_out
 
 
+@then("a deletion that is told twice does not hide a document that is created next")
+def check_repeated_deletion(context):
+    # Guards against an evacuation that is not in force at a daemon that heard of the deletion of
+    # the one before from a peer and from its own watch.
+    blackboard, store = make_replica(Clock.from_system())
+    follower = make_follower(context, DocumentKind.ZONE_OUT, store)
+    for revision, is_deleted in ((5, False), (6, True), (6, True), (7, False)):
+        item = PlatformObject(metadata=Metadata(name="za", revision=revision), spec={})
+        follower.on_change(ObjectChange(object=item, is_deleted=is_deleted))
+    assert blackboard.zones_out == {"za"}
+
+
 @then(
     "a conditional write fails if the stored revision is newer, and takes effect if only its "
     "response is lost"
--- a/features/steps/watch_wait_steps.py
+++ b/features/steps/watch_wait_steps.py
@@ -20,11 +20,13 @@
     LONG_WATCH_SECONDS,
     MAX_UNANSWERED_PROBES,
     MIN_DAEMONS_FOR_LONG_WATCHES,
+    NEW_READER_SECONDS,
     SETTLING_SECONDS,
     SHORT_WATCH_SECONDS,
     WatchConditions,
     WatchPlan,
     get_lead_watch_seconds,
+    needs_linearizable_watch,
     plan_watch_seconds,
 )
 from features.steps.document_steps import (
@@ -87,6 +89,25 @@
         assert plan_watch_seconds(plan, CALM, 101.0 + SETTLING_SECONDS) == LONG_WATCH_SECONDS
 
 
+@then("only a daemon that has been a reader for some seconds has linearizable watches")
+def check_linearizable_plan(context):
+    @seed(context.seed)
+    @given(st.lists(st.tuples(st.floats(0.1, 5.0), make_conditions()), max_size=40))
+    def check(steps):
+        plan = WatchPlan(settled_since=0.0)
+        now, reader_since = 0.0, None
+        for elapsed, conditions in steps:
+            now += elapsed
+            if not conditions.is_reader:
+                reader_since = None
+            elif reader_since is None:
+                reader_since = now
+            expected = reader_since is not None and now - reader_since >= NEW_READER_SECONDS
+            assert needs_linearizable_watch(plan, conditions, now) == expected
+
+    check()
+
+
 def make_conditions():
     """Return a strategy for what a daemon may know."""
     return st.builds(
