Test targets that send responses without end

Reported by other operators: a faulty target sent bytes that were no answer until its caller's machine ran out of memory.

--- a/.ci/removals.py
+++ b/.ci/removals.py
@@ -43,6 +43,17 @@
             ),
         ),
     ),
+    Removal(
+        "limit on the memory of responses without end",
+        "Callers of all daemons whose targets send without end",
+        (
+            (
+                "daemon/assembly.py",
+                "HeldBytes.from_memory(settings.memory_limit, clock)",
+                "HeldBytes(clock=clock)",
+            ),
+        ),
+    ),
     Removal(
         "check of the status of responses",
         "Statuses that HTTP does not allow",
--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -16,6 +16,7 @@
 from gevent.pywsgi import WSGIServer
 
 from comfreyhitch.platform.names import HEADER_REQUEST_ID, PLATFORM_TARGET_HEADERS
+from comfreyhitch.testing.endless_answers import send_without_end
 from comfreyhitch.testing.target import SOCKET_ENVIRON_KEY, QuietHandler
 from comfreyhitch.testing.target_heartbeats import drain_and_exit, send_heartbeats
 from comfreyhitch.testing.target_models import USUAL_PACE_PERCENT, PlatformTarget
@@ -24,6 +25,8 @@
 # Paths that end so are answered with the digest of the request's body, or with padding alone.
 DIGEST_PATH_END = "/digest"
 PADDING_PATH_END = "/padding"
+# Paths that end so get a response without end, of the form that the query names.
+ENDLESS_PATH_END = "/endless"
 CRASH_EXIT_CODE = 9
 OVERLOAD_EXIT_CODE = 7
 
@@ -102,6 +105,9 @@
     ]
     if target.random.random() < target.faults.failure_share:
         return _reply(start_response, "500 Internal Server Error", headers, b"stand-in failure")
+    if environ["PATH_INFO"].endswith(ENDLESS_PATH_END):
+        send_without_end(environ[SOCKET_ENVIRON_KEY], environ["QUERY_STRING"], headers)
+        return []
     if environ["PATH_INFO"].endswith(DIGEST_PATH_END):
         return _reply(start_response, "200 OK", headers, hashlib.sha256(body).hexdigest().encode())
     if environ["PATH_INFO"].endswith(PADDING_PATH_END):
