List once after the store has dropped its history

Both watches of a reader find that their revision has expired. The second one listed again although the follower had listed since, at full price for each kind.

--- a/comfreyhitch/watching/linearizable.py
+++ b/comfreyhitch/watching/linearizable.py
@@ -48,7 +48,8 @@
         if _is_ready(follower):
             if era != follower.era:
                 era, revision = follower.era, follower.revision
-            batch = _wait(follower, max(revision, follower.revision))
+            revision = max(revision, follower.revision)
+            batch = _wait(follower, revision)
             if batch is not None and _apply(follower, batch, era):
                 revision = max(revision, batch.revision)
                 continue
@@ -74,7 +75,7 @@
         case Ok(batch):
             return batch
         case Err(error):
-            _handle_error(follower, error)
+            _handle_error(follower, error, revision)
     return None
 
 
@@ -93,7 +94,8 @@
     return bool(batch.events)
 
 
-def _handle_error(follower: Follower, error: PlatformError) -> None:
+def _handle_error(follower: Follower, error: PlatformError, revision: int) -> None:
     logger.info("linearizable watch failed", extra={"kind": follower.kind, "error": str(error)})
-    if error.failure is PlatformFailure.EXPIRED:
+    has_listed_since = follower.revision is None or follower.revision > revision
+    if error.failure is PlatformFailure.EXPIRED and not has_listed_since:
         list_again(follower)
