Follow sections by linearizable watches

Operators of fleets that follow sections saw edits in force as late as the store's stale reads are old.

Evidence: "A section is edited" with reads 10 s old timed out after 5 s before, and passes now.

--- a/comfreyhitch/sections/reader.py
+++ b/comfreyhitch/sections/reader.py
@@ -11,7 +11,7 @@
 from comfreyhitch.membership.queries import is_platform_reader
 from comfreyhitch.platform.client import SECTIONS, PlatformClient
 from comfreyhitch.platform.exceptions import PlatformError, PlatformFailure
-from comfreyhitch.platform.models import ObjectChange, ObjectList, PlatformObject
+from comfreyhitch.platform.models import FRESH, ObjectChange, ObjectList, PlatformObject
 from comfreyhitch.replication.facts import FactStore, merge_facts
 from comfreyhitch.sections.acceptance import (
     SectionStatus,
@@ -102,6 +102,8 @@
         on_list=on_list,
         on_change=on_change,
         watch_timeout_seconds=WATCH_TIMEOUT_SECONDS,
+        # Nobody but the readers follows sections, so their only watches have to be current.
+        watch_mode=FRESH,
     )
 
 
--- a/comfreyhitch/watching/follower.py
+++ b/comfreyhitch/watching/follower.py
@@ -68,6 +68,7 @@
     # Mode of the first list. A stale one costs the store less, and the watch from its revision
     # delivers the changes that it lacks.
     initial_list_mode: ReadMode = FRESH
+    watch_mode: ReadMode = STALE
     # Shared by the followers of one daemon.
     outage: Outage = field(default_factory=Outage)
     revision: int | None = None
@@ -243,7 +244,12 @@
     """Wait for changes; return None if the watch was cut short, or a brief one was not answered."""
     follower.asked_at = follower.clock.monotonic()
     waiting = follower.waiting = gevent.spawn(
-        wait_for_changes, follower.client, follower.kind, follower.revision, timeout_seconds, STALE
+        wait_for_changes,
+        follower.client,
+        follower.kind,
+        follower.revision,
+        timeout_seconds,
+        follower.watch_mode,
     )
     try:
         waiting.join(_get_patience_seconds(follower, timeout_seconds))
--- a/features/late_reads.feature
+++ b/features/late_reads.feature
@@ -21,6 +21,19 @@
     When a new configuration adds a route and removes another
     Then all daemons apply it 2 seconds later
 
+  # Guards against the same in a fleet that follows sections.
+  Scenario: A section is edited
+    Given a running fleet with a platform
+      | service   | zone | count |
+      | catalogue | za   | 3     |
+      | catalogue | zb   | 3     |
+    And each zone has had its readers for some seconds
+    When the section shop gets a valid edit
+    Then it is in force at every daemon within 5 seconds
+    When reads of its platform that may be stale become 10 seconds old
+    And the section shop gets a valid edit
+    Then it is in force at every daemon within 5 seconds
+
   Scenario: One daemon that reads for its zone, and one that does not
     Given the stand-in store
     Then a reader of a zone has a change within 1.5 seconds, also after its watches were cut off silently, and another daemon has it later and sends no linearizable watch
--- a/features/steps/late_read_steps.py
+++ b/features/steps/late_read_steps.py
@@ -37,6 +37,11 @@
     set_platform_faults(context.platform_fleet.fleet, stale_read_seconds=seconds)
 
 
+@when("reads of its platform that may be stale become {seconds:g} seconds old")
+def make_platform_reads_late(context, seconds):
+    set_platform_faults(context.fleet, stale_read_seconds=seconds)
+
+
 @then("all daemons apply it {seconds:g} seconds later")
 def check_applied(context, seconds):
     gevent.sleep(seconds)
