Run half of the soaks with late reads of the store

Soaks with an even seed, all kinds of faults given, have a store whose reads that may be stale are 6 s old throughout: configurations and evacuations keep their bounds all the same.

--- a/comfreyhitch/testing/soak/runner.py
+++ b/comfreyhitch/testing/soak/runner.py
@@ -8,6 +8,7 @@
 import gevent
 
 from comfreyhitch.core.clock import Clock
+from comfreyhitch.testing.fleet import set_platform_faults
 from comfreyhitch.testing.platform_fleet import (
     read_run_log,
     send,
@@ -25,6 +26,7 @@
 from comfreyhitch.testing.soak.faults import inject_fault, restore_fleet
 from comfreyhitch.testing.soak.plan import Fault, FaultKind, generate_fault_plan
 from comfreyhitch.testing.soak.state import FaultInjector, record_unexpected_exit
+from comfreyhitch.watching.waits import NEW_READER_SECONDS
 
 SERVICES = ["catalogue", "payments"]
 ZONES = ["za", "zb"]
@@ -32,6 +34,8 @@
 RECOVERY_TIMEOUT_SECONDS = 15.0
 CALLERS_PER_INSTANCE_AND_KIND = 2
 SETTLE_SECONDS = 1.0
+# Age of the store's reads that may be stale, in soaks with an even seed.
+STALE_READ_SECONDS = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +50,15 @@
 
 
 def run_soak(seed: int, seconds: float, folder: Path, kind_count: int | None = None) -> SoakResult:
-    """Run one soak whose processes log into a folder; kill all of them at the end."""
+    """Run one soak whose processes log into a folder; kill all of them at the end.
+
+    With an even seed and all kinds of faults, reads that may be stale are seconds old throughout.
+    """
     plan = generate_fault_plan(seed, seconds, kind_count)
     targets = [(service, zone, TARGET_ARGUMENTS) for service in SERVICES for zone in ZONES]
     fleet = start_platform_fleet(folder, targets, has_relays=True)
+    if kind_count is None and seed % 2 == 0:
+        _make_stale_reads_late(fleet)
     injector = FaultInjector(fleet, SERVICES)
     callers = _make_callers(injector)
     greenlets = [gevent.spawn(call_forever, caller) for caller in callers]
@@ -68,6 +77,11 @@
         stop_platform_fleet(fleet)
 
 
+def _make_stale_reads_late(fleet: PlatformFleet) -> None:
+    gevent.sleep(NEW_READER_SECONDS + SETTLE_SECONDS)
+    set_platform_faults(fleet.fleet, stale_read_seconds=STALE_READ_SECONDS)
+
+
 def _run_plan(injector: FaultInjector, plan: list[Fault]) -> None:
     started_at = monotonic()
     running = []
