Move the handler of callers' connections to a module of its own

No change of behaviour. The features of slow callers, limits of callers, the whole path and endless input pass.

--- a/.ci/removals.py
+++ b/.ci/removals.py
@@ -261,7 +261,7 @@
         "A connection is closed after a response while its caller still sends",
         (
             (
-                "egress/caller_server.py",
+                "egress/caller_handler.py",
                 "if self.connection.end_reason in REASONS_AFTER_RESPONSE:",
                 "if False:",
             ),
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -23,14 +23,14 @@
     describe_request,
     interruptible,
 )
-from comfreyhitch.egress.caller_server import (
+from comfreyhitch.egress.caller_handler import (
     CONNECTION_ENVIRON_KEY,
     HEADERS_ENVIRON_KEY,
     PATH_ENVIRON_KEY,
     REASONS_OF_SLOW_CALLERS,
     CallerHandler,
-    CallerServer,
 )
+from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.egress.classify import DEFAULT_TENANT, OutgoingCall
 from comfreyhitch.egress.interface import CallerInterface, CallerRequest
 from comfreyhitch.egress.memory import record_give_way, route_within_memory
--- a/features/steps/caller_limit_steps.py
+++ b/features/steps/caller_limit_steps.py
@@ -6,7 +6,8 @@
 import gevent.socket
 from behave import given, then
 
-from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
+from comfreyhitch.egress.caller_handler import CallerHandler
+from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.routing.models import CallerLimits
 
 MAX_HEAD_BYTES = 200
--- a/features/steps/caller_server_stop_steps.py
+++ b/features/steps/caller_server_stop_steps.py
@@ -7,7 +7,8 @@
 from behave import then
 
 from comfreyhitch.egress.caller_connections import ConnectionPhase
-from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
+from comfreyhitch.egress.caller_handler import CallerHandler
+from comfreyhitch.egress.caller_server import CallerServer
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 # More than the server reads at once.
--- a/features/steps/failing_stop_steps.py
+++ b/features/steps/failing_stop_steps.py
@@ -13,7 +13,8 @@
 from comfreyhitch.daemon import shutdown
 from comfreyhitch.daemon.announcements import handle_departure
 from comfreyhitch.daemon.assembly import Daemon
-from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
+from comfreyhitch.egress.caller_handler import CallerHandler
+from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.ingress.lifecycle import apply_health_response
 from comfreyhitch.ingress.state import attach_target
 from comfreyhitch.membership.detector import publish_own_record
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -9,7 +9,8 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
-from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
+from comfreyhitch.egress.caller_handler import CallerHandler
+from comfreyhitch.egress.caller_server import CallerServer
 
 MAX_EXAMPLES = 40
 LONGEST_WORK_SECONDS = 0.02
--- a/features/steps/sending_stop_steps.py
+++ b/features/steps/sending_stop_steps.py
@@ -8,7 +8,8 @@
 from behave import then, when
 
 from comfreyhitch.daemon.shutdown import stop_gracefully
-from comfreyhitch.egress.caller_server import CallerHandler, CallerServer
+from comfreyhitch.egress.caller_handler import CallerHandler
+from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.testing.http_requests import HTTP_PORT, request
 from comfreyhitch.testing.processes import resume, suspend
 from comfreyhitch.testing.processes import stop_gracefully as ask_to_stop
--- a/features/steps/slow_caller_steps.py
+++ b/features/steps/slow_caller_steps.py
@@ -9,13 +9,10 @@
 import gevent.socket
 from behave import given, then
 
-from comfreyhitch.egress import caller_server
+from comfreyhitch.egress import caller_handler
 from comfreyhitch.egress.caller_connections import EndReason
-from comfreyhitch.egress.caller_server import (
-    CONNECTION_ENVIRON_KEY,
-    CallerHandler,
-    CallerServer,
-)
+from comfreyhitch.egress.caller_handler import CONNECTION_ENVIRON_KEY, CallerHandler
+from comfreyhitch.egress.caller_server import CallerServer
 from comfreyhitch.wire import sockets
 from comfreyhitch.wire.sockets import STALL_CHECKS, send_while_read
 
@@ -129,7 +126,7 @@
 def check_stalled(context):
     # Guards against connections that hold a response forever, and against a response that is
     # filled up with an error page.
-    with patch.object(caller_server, "WRITE_STALL_SECONDS", STALL_SECONDS):
+    with patch.object(caller_handler, "WRITE_STALL_SECONDS", STALL_SECONDS):
         sock = send_request(context)
         started_at = time.monotonic()
         await_ends(context, 1)
@@ -145,7 +142,7 @@
 @then("a caller that reads slowly gets its whole response")
 def check_slow(context):
     # Guards against a limit on the time of a whole response.
-    with patch.object(caller_server, "WRITE_STALL_SECONDS", STALL_SECONDS):
+    with patch.object(caller_handler, "WRITE_STALL_SECONDS", STALL_SECONDS):
         sock = send_request(context)
         received = b""
         slow_until = time.monotonic() + 4 * STALL_SECONDS
