Go on from the revision of a linearizable watch without changes

A watch that ends at its time tells up to which revision the store has been read. It was dropped, so the next watch asked from the follower's revision, which stale reads may leave so far behind that the store has discarded its history.

--- a/comfreyhitch/watching/linearizable.py
+++ b/comfreyhitch/watching/linearizable.py
@@ -50,9 +50,12 @@
                 era, revision = follower.era, follower.revision
             revision = max(revision, follower.revision)
             batch = _wait(follower, revision)
-            if batch is not None and _apply(follower, batch, era):
+            if batch is not None and _is_current(follower, batch, era):
+                for change in batch.events:
+                    follower.on_change(change)
                 revision = max(revision, batch.revision)
-                continue
+                if batch.events:
+                    continue
         gevent.sleep(PAUSE_SECONDS)
 
 
@@ -79,19 +82,15 @@
     return None
 
 
-def _apply(follower: Follower, batch: ChangeBatch, era: int) -> bool:
-    """Apply changes if the era in which they were asked for goes on; return whether there are any.
+def _is_current(follower: Follower, batch: ChangeBatch, era: int) -> bool:
+    """Return whether the era in which changes were asked for goes on.
 
-    A later era means that the store has come back from a copy.
+    A later one means that the store has come back from a copy, so the kind is listed again.
     """
     if batch.era is not None and batch.era > follower.era:
         list_again(follower)
         return False
-    if follower.era != era or batch.era not in (None, era):
-        return False
-    for change in batch.events:
-        follower.on_change(change)
-    return bool(batch.events)
+    return follower.era == era and batch.era in (None, era)
 
 
 def _handle_error(follower: Follower, error: PlatformError, revision: int) -> None:
