Test requests that outlast the stop of their daemon

A GET at a slow target gets 504 at the end of the stop, although the other target has been free for a second and answers in 0.6 s. A GET that usually takes 1 s is taken although 0.6 s are left, and gets 504 as well.

--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -101,3 +101,33 @@
       | shop      | za   | 1     |                  |
     When the daemon of shop is suspended while 5 requests are sent to it, whose callers leave
     Then shop has sent none of them to catalogue
+
+  # Guards against requests that get 504 at the end of a stop though another target could answer in
+  # time (issue 51, LOST).
+  Scenario: A target is slow while the daemon of its callers stops
+    Given settings drain_timeout 1.7 and stop_linger 0.5
+    And a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 2     | --service-ms 600 |
+      | shop      | za   | 1     |                  |
+    And catalogue has answered 3 requests of shop, sent one after the other
+    When one target of catalogue is slow, and 2 GETs are at work as shop is asked to stop
+    Then each of these GETs is answered by a target
+    And the daemon of shop has exited with code 0 within 4 seconds
+
+  # Guards against requests that are taken during a stop though they usually outlast it (issue 51,
+  # LOST).
+  Scenario Outline: A request is sent to a daemon that stops
+    Given settings drain_timeout 0.5 and stop_linger 1.5
+    And a running fleet
+      | service   | zone | count | target arguments  |
+      | catalogue | za   | 2     | --service-ms 1000 |
+      | shop      | za   | 1     |                   |
+    And catalogue has answered 3 requests of shop, sent one after the other
+    When shop is asked to stop, and <seconds> s later a GET is sent to it
+    Then the GET is <outcome>
+
+    Examples:
+      | seconds | outcome                    |
+      | 0.2     | answered by a target       |
+      | 1.4     | refused at once as not run |
