Refuse requests that usually outlast the stop of their daemon

Callers got 504 at the end of a stop for requests that were taken within the linger although their usual latency was longer than the time left. The linger looked at the signal's age alone.

The usual latency of a route is known for hedges. A request whose deadline lies beyond the stop is now taken only if 1.5 times that is left, and is otherwise refused at once as not run, so that its caller goes elsewhere.

--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -8,7 +8,12 @@
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.models import Candidate, TargetView
-from comfreyhitch.egress.state import Egress, make_request_id, record_latency
+from comfreyhitch.egress.state import (
+    Egress,
+    get_latency_seconds,
+    make_request_id,
+    record_latency,
+)
 from comfreyhitch.egress.views import (
     apply_load_report,
     get_or_create_view,
@@ -191,7 +196,7 @@
 
 def get_late_after_seconds(egress: Egress, call: OutgoingCall) -> float:
     """Return the seconds after which an answer is late and a hedge or fence query is due."""
-    latency_seconds = egress.latency_seconds_by_route.get((call.service, call.route))
+    latency_seconds = get_latency_seconds(egress, call)
     if latency_seconds is None:
         return DEFAULT_LATE_AFTER_SECONDS
     return max(MIN_LATE_AFTER_SECONDS, LATE_LATENCY_FACTOR * latency_seconds)
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -36,7 +36,7 @@
 from comfreyhitch.egress.memory import record_give_way, route_within_memory
 from comfreyhitch.egress.request_bodies import read_body
 from comfreyhitch.egress.router import route
-from comfreyhitch.egress.state import Egress
+from comfreyhitch.egress.state import Egress, get_latency_seconds
 from comfreyhitch.egress.stopping import find_stop_refusal
 from comfreyhitch.ingress.target import RequestCancelledError
 from comfreyhitch.telemetry.decisions import admit_log_line, log_decision
@@ -173,7 +173,8 @@
     egress: Egress, call: OutgoingCall, connection: CallerConnection
 ) -> Outcome:
     now = egress.blackboard.clock.monotonic()
-    refusal = find_stop_refusal(egress.stop_plan, call.deadline, now)
+    usual_seconds = get_latency_seconds(egress, call)
+    refusal = find_stop_refusal(egress.stop_plan, call.deadline, now, usual_seconds)
     if refusal is not None:
         return Err(refusal)
     # The caller may have left while its request waited behind another one, or to be accepted.
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -113,6 +113,11 @@
     return f"{egress.blackboard.own_member.boot_id}:{next(egress.request_numbers)}"
 
 
+def get_latency_seconds(egress: Egress, call: OutgoingCall) -> float | None:
+    """Return the moving average of a route's latency in seconds, or None if it is not known."""
+    return egress.latency_seconds_by_route.get((call.service, call.route))
+
+
 def record_latency(egress: Egress, call: OutgoingCall, seconds: float) -> None:
     """Update the moving average of a route's latency."""
     key = (call.service, call.route)
--- a/comfreyhitch/egress/stopping.py
+++ b/comfreyhitch/egress/stopping.py
@@ -4,6 +4,9 @@
 
 from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
 
+# A request that may outlast the stop is taken only if this many times its usual latency is left.
+TAKEN_LATENCY_FACTOR = 1.5
+
 
 class DaemonStoppingError(Exception):
     """Signal that the daemon stops before the response to a request has come."""
@@ -13,9 +16,10 @@
 class StopPlan:
     """Hold the times of a stop in monotonic seconds.
 
-    Every request that arrives before `serves_until` is served. Requests that wait for a response
-    at `answers_until` are answered with a failure. Responses that are being received or sent then
-    have until `ends_at`.
+    Requests that arrive before `serves_until` are served if they usually end in time. From
+    `answers_until` on, no request is sent to a target, and those that may run only once get a
+    failure if they still wait for a response. The others get theirs just before `ends_at`, until
+    which responses are received and sent.
     """
 
     serves_until: float
@@ -23,9 +27,26 @@
     ends_at: float
 
 
-def find_stop_refusal(plan: StopPlan | None, deadline: float, now: float) -> Failure | None:
+def may_outlast(plan: StopPlan | None, deadline: float) -> bool:
+    """Return whether the daemon stops before a deadline in monotonic seconds."""
+    return plan is not None and deadline > plan.answers_until
+
+
+def can_end_in_time(plan: StopPlan, now: float, usual_seconds: float | None) -> bool:
+    """Return whether a request that is sent now usually ends before the daemon does.
+
+    `usual_seconds` is the usual latency of such requests, None if it is not known.
+    """
+    return now + TAKEN_LATENCY_FACTOR * (usual_seconds or 0.0) <= plan.answers_until
+
+
+def find_stop_refusal(
+    plan: StopPlan | None, deadline: float, now: float, usual_seconds: float | None
+) -> Failure | None:
     """Return the failure of a request that may not end before the daemon does, or None."""
-    if plan is None or now < plan.serves_until or deadline <= plan.answers_until:
+    if not may_outlast(plan, deadline):
+        return None
+    if now < plan.serves_until and can_end_in_time(plan, now, usual_seconds):
         return None
     return Failure(Verdict.NOT_RUN, Refusal.DRAINING, "this daemon stops")
 
