Hedge requests while another target can still answer before a stop ends

During a stop, a request that may outlast it is sent to another target once it takes 1.5 times as long as usual, but only when no more than 2.5 times the usual latency is left, and another target can still answer. It draws on the retry budget like other hedges. A pending request notices within a second that its daemon stops.

--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -1,6 +1,7 @@
 """Wait for the answer to an idempotent request, and hedge the request if it is late.
 
-A hedge is a second attempt at another target while the first is still pending.
+A hedge is a second attempt at another target while the first is still pending. When the daemon
+stops, an answer is late earlier: while there is still time for another target to answer.
 """
 
 from result import Err
@@ -18,8 +19,10 @@
     wait_for_any,
 )
 from comfreyhitch.egress.candidates import choose_for_call, count_exposure
+from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.retries import RequestProgress
-from comfreyhitch.egress.state import Egress, get_retry_budget
+from comfreyhitch.egress.state import Egress, get_latency_seconds, get_retry_budget
+from comfreyhitch.egress.stopping import find_hedge_time, may_outlast
 from comfreyhitch.utils.token_bucket import take_tokens
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -27,6 +30,8 @@
 STALLED_HEDGE_FRACTION = 0.5
 # Time allowed after the deadline for an ingress's refusal at the deadline to arrive.
 ANSWER_GRACE_SECONDS = 0.02
+# How often a pending request checks whether the daemon has begun to stop.
+STOP_POLL_SECONDS = 1.0
 
 
 def await_answer_with_hedging(
@@ -40,11 +45,14 @@
     give_up_at = call.deadline + ANSWER_GRACE_SECONDS
     late_at = attempt.sent_at + late_after_seconds
     hedge_at: float | None = attempt.sent_at + late_after_seconds * STALLED_HEDGE_FRACTION
+    next_stop_hedge_at = 0.0
     best_known: Outcome | None = None
     try:
         while attempts:
             now = clock.monotonic()
-            wait_until = give_up_at if hedge_at is None else min(give_up_at, hedge_at)
+            stop_hedge_at = _find_stop_hedge_time(egress, call, attempts, next_stop_hedge_at)
+            due_at = min(hedge_at or give_up_at, stop_hedge_at or give_up_at)
+            wait_until = min(give_up_at, due_at, now + STOP_POLL_SECONDS)
             answered = wait_for_any(attempts, wait_until - now)
             if answered is not None:
                 outcome = read_outcome(egress, answered, call)
@@ -57,6 +65,12 @@
             now = clock.monotonic()
             if now >= give_up_at:
                 break
+            if stop_hedge_at is not None and now >= stop_hedge_at:
+                _hedge(egress, progress, attempts, now)
+                next_stop_hedge_at = now + STOP_POLL_SECONDS
+                continue
+            if hedge_at is None or now < hedge_at:
+                continue
             if now < late_at and not is_target_stalled(attempt):
                 hedge_at = late_at
                 continue
@@ -72,6 +86,20 @@
     return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "no answer before the deadline"))
 
 
+def _find_stop_hedge_time(
+    egress: Egress, call: OutgoingCall, attempts: list[Attempt], not_before: float
+) -> float | None:
+    """Return when a request is hedged since its daemon stops, None for not at all.
+
+    A request that is hedged already is not hedged again.
+    """
+    if len(attempts) > 1 or not may_outlast(egress.stop_plan, call.deadline):
+        return None
+    usual_seconds = get_latency_seconds(egress, call)
+    hedge_at = find_hedge_time(egress.stop_plan, attempts[0].sent_at, usual_seconds)
+    return None if hedge_at is None else max(hedge_at, not_before)
+
+
 def _combine(best_known: Outcome | None, outcome: Outcome) -> Outcome:
     """Return a response if there is one, else the failure whose verdict is closer to `RAN`."""
     if best_known is None or outcome.is_ok():
--- a/comfreyhitch/egress/stopping.py
+++ b/comfreyhitch/egress/stopping.py
@@ -6,6 +6,10 @@
 
 # A request that may outlast the stop is taken only if this many times its usual latency is left.
 TAKEN_LATENCY_FACTOR = 1.5
+# An answer that takes this many times its usual latency is late for a daemon that stops.
+LATE_LATENCY_FACTOR = 1.5
+# While more than this many times the usual latency is left, a late answer may still come by itself.
+HEDGE_LATENCY_FACTOR = 2.5
 
 
 class DaemonStoppingError(Exception):
@@ -51,6 +55,20 @@
     return Failure(Verdict.NOT_RUN, Refusal.DRAINING, "this daemon stops")
 
 
+def find_hedge_time(plan: StopPlan, sent_at: float, usual_seconds: float | None) -> float | None:
+    """Return when a request without an answer is sent to another target because of the stop.
+
+    All times are monotonic seconds. None means never: the usual latency is not known, or no other
+    target would answer in time.
+    """
+    if usual_seconds is None:
+        return None
+    late_at = sent_at + LATE_LATENCY_FACTOR * usual_seconds
+    last_chance_at = plan.answers_until - HEDGE_LATENCY_FACTOR * usual_seconds
+    hedge_at = max(late_at, last_chance_at)
+    return hedge_at if hedge_at + usual_seconds <= plan.answers_until else None
+
+
 def has_ended(plan: StopPlan | None, now: float) -> bool:
     """Return whether the daemon stops and no longer waits for responses."""
     return plan is not None and now >= plan.answers_until
