Count only delivered attempts against the limit of hedges

A request that targets had refused as slow, without running it, was never hedged: the hedge counted these attempts against the route's limit, unlike retries.

Both now count the attempts that reached a target or may have. The limit of the route is on upstreams that run a request, so it still holds.

--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -20,7 +20,7 @@
 )
 from comfreyhitch.egress.candidates import choose_for_call, count_exposure
 from comfreyhitch.egress.classify import OutgoingCall
-from comfreyhitch.egress.retries import RequestProgress
+from comfreyhitch.egress.retries import RequestProgress, count_delivered_attempts
 from comfreyhitch.egress.state import Egress, get_latency_seconds, get_retry_budget
 from comfreyhitch.egress.stopping import find_hedge_time, may_outlast
 from comfreyhitch.utils.token_bucket import take_tokens
@@ -127,7 +127,7 @@
     retry_budget = get_retry_budget(egress, progress.call.service)
     budget = egress.hedge_budget if has_own_budget else retry_budget
     next_check_at = silent_at if now < silent_at else None
-    if progress.attempts >= progress.call.max_attempts:
+    if count_delivered_attempts(progress) >= progress.call.max_attempts:
         return None
     candidate = choose_for_call(egress, progress.call, progress.tried_addresses)
     if candidate is None or not take_tokens(budget, now):
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -151,6 +151,11 @@
     return True
 
 
+def count_delivered_attempts(progress: RequestProgress) -> int:
+    """Return the attempts that reached a target, or may have."""
+    return progress.attempts - progress.undelivered_attempts
+
+
 def back_off(egress: Egress, progress: RequestProgress) -> None:
     """Back off after repeated admission refusals, and allow all targets again."""
     if progress.admission_refusals < BACKOFF_MIN_REFUSALS:
@@ -187,10 +192,9 @@
 
 
 def _has_exhausted_attempts(progress: RequestProgress) -> bool:
-    failures = progress.attempts - progress.undelivered_attempts
     return (
         progress.admission_refusals > MAX_ADMISSION_REFUSALS
-        or failures >= progress.call.max_attempts
+        or count_delivered_attempts(progress) >= progress.call.max_attempts
     )
 
 
