Run no request on a slow instance that may outlast the stop

A request that may outlast the stop now always waits for the usual pace of an instance, and tries targets again until it can no longer end in time; then it is refused as not run. A hedge of a stop waits in the same way.

--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -20,7 +20,11 @@
 )
 from comfreyhitch.egress.candidates import choose_for_call, count_exposure
 from comfreyhitch.egress.classify import OutgoingCall
-from comfreyhitch.egress.retries import RequestProgress, count_delivered_attempts
+from comfreyhitch.egress.retries import (
+    RequestProgress,
+    count_delivered_attempts,
+    get_pace_wait_seconds,
+)
 from comfreyhitch.egress.state import Egress, get_latency_seconds, get_retry_budget
 from comfreyhitch.egress.stopping import find_hedge_time, may_outlast
 from comfreyhitch.utils.token_bucket import take_tokens
@@ -66,6 +70,7 @@
             if now >= give_up_at:
                 break
             if stop_hedge_at is not None and now >= stop_hedge_at:
+                call.patience_seconds = get_pace_wait_seconds(egress, progress)
                 _hedge(egress, progress, attempts, now)
                 next_stop_hedge_at = now + STOP_POLL_SECONDS
                 continue
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -7,8 +7,8 @@
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
 from comfreyhitch.egress.classify import OutgoingCall
-from comfreyhitch.egress.state import Egress, get_retry_budget
-from comfreyhitch.egress.stopping import has_ended
+from comfreyhitch.egress.state import Egress, get_latency_seconds, get_retry_budget
+from comfreyhitch.egress.stopping import can_end_in_time, has_ended, may_outlast
 from comfreyhitch.utils.token_bucket import take_tokens
 
 MAX_ADMISSION_REFUSALS = 8
@@ -128,26 +128,37 @@
 def get_pace_wait_seconds(egress: Egress, progress: RequestProgress) -> float | None:
     """Return how many seconds the ingress may delay the request while its instance is slow.
 
-    None means that the request runs at once, however slow the instance is.
+    None means that the request runs at once, however slow the instance is. A request that may
+    outlast the stop of this daemon never does.
     """
-    latency_objective_seconds = progress.call.latency_objective_seconds
-    if latency_objective_seconds is None or progress.slow_refusals >= MAX_SLOW_REFUSALS:
+    call = progress.call
+    if call.latency_objective_seconds is None:
+        return None
+    wait_seconds = PACE_WAIT_SHARE * call.latency_objective_seconds
+    if may_outlast(egress.stop_plan, call.deadline):
+        return wait_seconds
+    if progress.slow_refusals >= MAX_SLOW_REFUSALS:
         return None
-    if progress.slow_refusals > 0:
-        return 0.0
-    return PACE_WAIT_SHARE * latency_objective_seconds
+    return 0.0 if progress.slow_refusals > 0 else wait_seconds
 
 
-def allow_slow_targets(progress: RequestProgress) -> bool:
+def allow_slow_targets(egress: Egress, progress: RequestProgress) -> bool:
     """Allow targets again that refused for slowness, and return whether there are any.
 
-    If there are any, the request no longer waits for the usual pace of an instance.
+    If there are any, the request no longer waits for the usual pace of an instance. One that may
+    outlast the stop of this daemon still does, as long as it can end in time.
     """
     if not progress.slow_addresses:
         return False
+    call = progress.call
+    if may_outlast(egress.stop_plan, call.deadline):
+        now = egress.blackboard.clock.monotonic()
+        if not can_end_in_time(egress.stop_plan, now, get_latency_seconds(egress, call)):
+            return False
+    else:
+        progress.slow_refusals = MAX_SLOW_REFUSALS
     progress.tried_addresses -= progress.slow_addresses
     progress.slow_addresses.clear()
-    progress.slow_refusals = MAX_SLOW_REFUSALS
     return True
 
 
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -42,7 +42,7 @@
     call = progress.call
     while True:
         candidate = choose_for_call(egress, call, progress.tried_addresses)
-        if candidate is None and allow_slow_targets(progress):
+        if candidate is None and allow_slow_targets(egress, progress):
             candidate = choose_for_call(egress, call, progress.tried_addresses)
         if candidate is None:
             return make_final_outcome(progress)
