Wait for idempotent requests until just before the end of a stop

At the end of the drain timeout a stop withdrew the requests that may run only once, and at once gave 504 to all others that waited.

Now they wait as long as those: until 0.35 s before the end of the stop. A 504 and a closed connection promise the same, nothing, so an answer that comes in that time is a gain. The stop still ends before the grace period does.

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -64,7 +64,7 @@
     peer_server, caller_server, *other_servers = daemon.servers
     unregistering = gevent.spawn(_unregister, daemon)
     _serve_callers(daemon, caller_server, plan)
-    interrupted_count = _interrupt_waiting(daemon, caller_server)
+    interrupted_count = _withdraw_waiting(daemon, caller_server)
     handed_over = _leave_cluster(daemon)
     interrupted_count += _finish_sending(daemon, caller_server, plan)
     is_drained = _is_finished(daemon, caller_server)
@@ -130,29 +130,27 @@
     return busy == 0
 
 
-def _interrupt_waiting(daemon: Daemon, caller_server: CallerServer) -> int:
-    """Answer the requests that still wait for a response with a failure; return their number."""
-    count = 0
-    # Requests that may run only once are withdrawn first: the end of another request may free
-    # the slot that they wait for.
-    for may_repeat in (False, True):
-        waiting = [
-            connection
-            for connection in caller_server.connections.list_interruptible()
-            if is_idempotent(connection) is may_repeat and not is_receiving(connection)
-        ]
-        count += len(waiting)
-        interrupt_requests(waiting)
-        _wait_until(
-            lambda waiting=waiting: _are_answered(waiting),
-            daemon.clock,
-            daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
-        )
-    return count
+def _withdraw_waiting(daemon: Daemon, caller_server: CallerServer) -> int:
+    """End the requests that may run only once and still wait; return their number.
+
+    They end before the others, whose end may free the slot that they wait for.
+    """
+    waiting = [
+        connection
+        for connection in caller_server.connections.list_interruptible()
+        if not is_idempotent(connection) and not is_receiving(connection)
+    ]
+    interrupt_requests(waiting)
+    _wait_until(
+        lambda: _are_answered(waiting),
+        daemon.clock,
+        daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
+    )
+    return len(waiting)
 
 
 def _finish_sending(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> int:
-    """Wait for the responses that are being received or sent; return how many are interrupted."""
+    """Wait for the last responses; return the number of requests that get a failure instead."""
     clock = daemon.clock
     last_received_at = max(
         plan.ends_at - LAST_ANSWERS_SECONDS, clock.monotonic() + LAST_READS_SECONDS
