Log and count each signal, the plan of a stop and what outlasts it

Each signal now has a line (effect, number since the stop began, milliseconds since the first) and a count in comfreyhitch_signals_total. "draining" has the times of the plan, connections by phase and requests at work; requests that are interrupted or cut have a line each, up to 20 a time, with each attempt's target, time there and whether the daemon there drains; "stopped" has counts of how requests ended. "target's state" tells the time since the first signal. Nothing that a stop decides changes.

--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -19,6 +19,7 @@
 )
 from comfreyhitch.ingress.state import attach_target, set_slots
 from comfreyhitch.membership.detector import publish_own_record
+from comfreyhitch.telemetry.stops import get_stop_ms
 
 logger = logging.getLogger(__name__)
 
@@ -90,21 +91,27 @@
     return connections is None or (connections.host, connections.port) != (host, port)
 
 
+def _describe_target_state(daemon: Daemon, service: str) -> dict[str, object]:
+    lifecycle = daemon.ingress.lifecycle
+    fields: dict[str, object] = {
+        "service": service,
+        "version": lifecycle.version,
+        "instance_id": lifecycle.instance_id,
+        "sequence": lifecycle.sequence,
+        "state": lifecycle.state.value,
+    }
+    stop_ms = get_stop_ms(daemon.egress.stop_record, daemon.clock.monotonic())
+    if stop_ms is not None:
+        fields["stop_ms"] = stop_ms
+    return fields
+
+
 def _publish_target_state(daemon: Daemon, service: str) -> None:
     lifecycle = daemon.ingress.lifecycle
     is_departing = lifecycle.state in DEPARTING_STATES
     if is_departing:
         refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
-    logger.info(
-        "target's state",
-        extra={
-            "service": service,
-            "version": lifecycle.version,
-            "instance_id": lifecycle.instance_id,
-            "sequence": lifecycle.sequence,
-            "state": lifecycle.state.value,
-        },
-    )
+    logger.info("target's state", extra=_describe_target_state(daemon, service))
     # A daemon that has restarted knows no slots until the target's first heartbeat.
     slots = lifecycle.slots or daemon.blackboard.own_member.slots
     publish_own_record(
--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -13,6 +13,7 @@
 from comfreyhitch.daemon.reloading import reload_settings
 from comfreyhitch.daemon.shutdown import stop_gracefully
 from comfreyhitch.daemon.startup import start
+from comfreyhitch.daemon.stop_reports import handle_reload_signal, handle_stop_signal
 from comfreyhitch.telemetry.logs import configure_logging
 from comfreyhitch.utils.memory_allocator import return_freed_buffers
 
@@ -34,9 +35,9 @@
     return_freed_buffers()
     daemon = Daemon.from_settings(settings, Clock.from_system(), adapter)
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, daemon.stop_requested.set)
+        gevent.signal_handler(number, handle_stop_signal, daemon, number)
     daemon.read_settings = read_settings
-    gevent.signal_handler(signal.SIGHUP, reload_settings, daemon)
+    gevent.signal_handler(signal.SIGHUP, handle_reload_signal, daemon, signal.SIGHUP)
     if settings_path is not None:
         gevent.spawn(_watch_settings_file, daemon, settings_path)
     start(daemon)
--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -10,11 +10,16 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.core.verdicts import Refusal
 from comfreyhitch.daemon.assembly import Daemon
+from comfreyhitch.daemon.stop_reports import (
+    report_cut,
+    report_end,
+    report_interrupted,
+    report_start,
+)
 from comfreyhitch.daemon.usage import send_last_counts
 from comfreyhitch.egress.caller_connections import (
     CallerConnection,
     ConnectionPhase,
-    describe_request,
     interrupt_requests,
     is_idempotent,
     is_receiving,
@@ -31,7 +36,6 @@
 from comfreyhitch.membership.registration import unregister
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import FactKind
-from comfreyhitch.wire.sockets import has_unread_bytes
 
 logger = logging.getLogger(__name__)
 
@@ -54,33 +58,29 @@
 def stop_gracefully(daemon: Daemon) -> None:
     """Drain, hand over claims to other daemons, and leave the cluster."""
     started_at = daemon.clock.monotonic()
+    record = daemon.egress.stop_record
+    if record.began_at is None:
+        record.began_at = started_at
     plan = daemon.egress.stop_plan = _make_plan(daemon, started_at)
     daemon.blackboard.is_draining = True
     refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
-    logger.info("draining", extra={"in_flight": daemon.ingress.queue.running})
+    peer_server, caller_server, *other_servers = daemon.servers
+    report_start(daemon, caller_server, plan)
     _try_step(
         "publishing that it drains", lambda: publish_own_record(daemon.detector, draining=True)
     )
-    peer_server, caller_server, *other_servers = daemon.servers
     unregistering = gevent.spawn(_unregister, daemon)
     _serve_callers(daemon, caller_server, plan)
-    interrupted_count = _interrupt_waiting(daemon, caller_server)
+    _interrupt_waiting(daemon, caller_server)
     handed_over = _leave_cluster(daemon)
-    interrupted_count += _finish_sending(daemon, caller_server, plan)
+    _finish_sending(daemon, caller_server, plan)
     is_drained = _is_finished(daemon, caller_server)
-    _log_cut_requests(daemon, caller_server, started_at)
+    report_cut(daemon, caller_server)
     for server in (caller_server, peer_server, *other_servers):
         server.stop(timeout=0)
     gevent.killall([*daemon.greenlets, unregistering], timeout=KILL_SECONDS)
     daemon.pool.close()
-    logger.info(
-        "stopped",
-        extra={
-            "drained": is_drained,
-            "interrupted": interrupted_count,
-            "claims_handed_on": handed_over,
-        },
-    )
+    report_end(daemon, is_drained=is_drained, claims_handed_on=handed_over)
 
 
 def _make_plan(daemon: Daemon, started_at: float) -> StopPlan:
@@ -130,9 +130,8 @@
     return busy == 0
 
 
-def _interrupt_waiting(daemon: Daemon, caller_server: CallerServer) -> int:
-    """Answer the requests that still wait for a response with a failure; return their number."""
-    count = 0
+def _interrupt_waiting(daemon: Daemon, caller_server: CallerServer) -> None:
+    """Answer the requests that still wait for a response with a failure."""
     # Requests that may run only once are withdrawn first: the end of another request may free
     # the slot that they wait for.
     for may_repeat in (False, True):
@@ -141,28 +140,27 @@
             for connection in caller_server.connections.list_interruptible()
             if is_idempotent(connection) is may_repeat and not is_receiving(connection)
         ]
-        count += len(waiting)
+        report_interrupted(daemon, waiting)
         interrupt_requests(waiting)
         _wait_until(
             lambda waiting=waiting: _are_answered(waiting),
             daemon.clock,
             daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
         )
-    return count
 
 
-def _finish_sending(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> int:
-    """Wait for the responses that are being received or sent; return how many are interrupted."""
+def _finish_sending(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> None:
+    """Wait for the responses that are being received or sent, and interrupt the late ones."""
     clock = daemon.clock
     last_received_at = max(
         plan.ends_at - LAST_ANSWERS_SECONDS, clock.monotonic() + LAST_READS_SECONDS
     )
     _wait_until(lambda: _is_finished(daemon, caller_server), clock, last_received_at)
     late = caller_server.connections.list_interruptible()
+    report_interrupted(daemon, late)
     interrupt_requests(late)
     last_sent_at = clock.monotonic() + LAST_ANSWERS_SECONDS if late else plan.ends_at
     _wait_until(lambda: _is_finished(daemon, caller_server), clock, last_sent_at)
-    return len(late)
 
 
 def _are_answered(connections: list[CallerConnection]) -> bool:
@@ -190,20 +188,6 @@
         return None
 
 
-def _log_cut_requests(daemon: Daemon, caller_server: CallerServer, stop_began_at: float) -> None:
-    """Log each request whose connection ends without a response when the process ends."""
-    now = daemon.clock.monotonic()
-    for connection in caller_server.connections.by_socket.values():
-        is_waiting = connection.phase is ConnectionPhase.WAITING
-        if connection.phase is ConnectionPhase.CLOSING or (
-            is_waiting and not has_unread_bytes(connection.sock)
-        ):
-            continue
-        fields = describe_request(connection, now)
-        fields["stop_ms"] = round((now - stop_began_at) * 1000)
-        logger.warning("request is cut by the stop", extra=fields)
-
-
 def _announce_departure(daemon: Daemon) -> None:
     publish_own_record(daemon.detector, status=MemberStatus.LEFT, draining=True)
     own = daemon.store.facts_by_id[(FactKind.MEMBER, daemon.blackboard.own_member.address)]
--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -41,6 +41,7 @@
 from comfreyhitch.ingress.target import RequestCancelledError
 from comfreyhitch.telemetry.decisions import admit_log_line, log_decision
 from comfreyhitch.telemetry.metrics import observe_request
+from comfreyhitch.telemetry.stops import count_outcome
 from comfreyhitch.wire.sockets import is_disconnected, watch_disconnect
 
 logger = logging.getLogger(__name__)
@@ -211,6 +212,8 @@
     service = "" if call is None else call.service
     tenant = DEFAULT_TENANT if call is None else call.tenant
     observe_request(egress.metrics, service, tenant, verdict, seconds)
+    if egress.stop_plan is not None:
+        count_outcome(egress.stop_record, outcome)
     is_failure = outcome.is_err() or outcome.ok_value.status >= MIN_SERVER_ERROR_STATUS
     if admit_log_line(egress.decisions, is_failure=is_failure):
         fields = _describe_request(environ, call, outcome)
--- a/comfreyhitch/egress/state.py
+++ b/comfreyhitch/egress/state.py
@@ -18,6 +18,7 @@
 from comfreyhitch.rollouts.exposure import ExposureCounter
 from comfreyhitch.telemetry.decisions import DecisionLog
 from comfreyhitch.telemetry.metrics import Metrics
+from comfreyhitch.telemetry.stops import StopRecord
 from comfreyhitch.utils.token_bucket import TokenBucket
 from comfreyhitch.wire.connections import PeerPool
 
@@ -51,6 +52,7 @@
     response_sizes: ResponseSizes = field(default_factory=ResponseSizes)
     # None until the daemon is asked to stop.
     stop_plan: StopPlan | None = None
+    stop_record: StopRecord = field(default_factory=StopRecord)
 
     @classmethod
     def from_settings(
--- a/comfreyhitch/egress/stopping.py
+++ b/comfreyhitch/egress/stopping.py
@@ -4,6 +4,8 @@
 
 from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
 
+INTERRUPTED_DETAIL = "this daemon stopped before the response came"
+
 
 class DaemonStoppingError(Exception):
     """Signal that the daemon stops before the response to a request has come."""
@@ -38,4 +40,4 @@
 def make_interrupted_failure(*, may_have_run: bool) -> Failure:
     """Return the failure of a request that has no response when the daemon stops."""
     verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
-    return Failure(verdict, Refusal.DRAINING, "this daemon stopped before the response came")
+    return Failure(verdict, Refusal.DRAINING, INTERRUPTED_DETAIL)
--- a/comfreyhitch/telemetry/metrics.py
+++ b/comfreyhitch/telemetry/metrics.py
@@ -6,6 +6,7 @@
 
 from comfreyhitch.core.verdicts import Verdict
 from comfreyhitch.sections.models import TrafficClass
+from comfreyhitch.telemetry.stops import StopMetrics
 
 LATENCY_BUCKETS_SECONDS = [
     0.001,
@@ -105,6 +106,7 @@
     ingress: IngressMetrics
     control: ControlMetrics
     usage: UsageMetrics
+    stops: StopMetrics
     label_sets_by_key: dict[tuple[str, ...], dict[str, str]]
     tenant_labels_by_name: dict[str, str]
 
@@ -118,6 +120,7 @@
             ingress=_make_ingress_metrics(registry),
             control=_make_control_metrics(registry),
             usage=_make_usage_metrics(registry),
+            stops=StopMetrics.from_registry(registry),
             label_sets_by_key={},
             tenant_labels_by_name={},
         )
--- a/comfreyhitch/telemetry/request_traces.py
+++ b/comfreyhitch/telemetry/request_traces.py
@@ -21,6 +21,7 @@
         "process was paused",
         "daemon started",
         "draining",
+        "signal received",
         "settings reloaded",
     }
 )
