--- a/comfreyhitch/egress/stopping.py
+++ b/comfreyhitch/egress/stopping.py
@@ -4,6 +4,8 @@
 
 from comfreyhitch.core.verdicts import Failure, Refusal, Verdict
 
+INTERRUPTED_DETAIL = "this daemon stopped before the response came"
+
 # A request that may outlast the stop is taken only if this many times its usual latency is left.
 TAKEN_LATENCY_FACTOR = 1.5
 # An answer that takes this many times its usual latency is late for a daemon that stops.
@@ -77,4 +79,4 @@
 def make_interrupted_failure(*, may_have_run: bool) -> Failure:
     """Return the failure of a request that has no response when the daemon stops."""
     verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
-    return Failure(verdict, Refusal.DRAINING, "this daemon stopped before the response came")
+    return Failure(verdict, Refusal.DRAINING, INTERRUPTED_DETAIL)
