Take over settings that change while a daemon starts

What was seen: a settings file that changes between the first reading of the settings and the first look for changes, without a signal or with one that comes too early, was never taken over: the daemon kept the old settings until the next change.

Cause: the watch of the file took the content that it found first for the one that the settings had been read from.

The content is now read before the settings, and the watch compares with that, so a change at any later moment differs. It looks at once, then every second.

--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import gevent
@@ -21,15 +22,28 @@
 SETTINGS_POLL_SECONDS = 1.0
 
 
+@dataclass(slots=True)
+class SettingsFile:
+    """Hold the path of a settings file, and its content when it was last found to differ."""
+
+    path: Path
+    content: bytes | None
+
+    @classmethod
+    def from_path(cls, path: Path) -> "SettingsFile":
+        """Read the content of a file; the settings are read from the file after that."""
+        return cls(path, _read_content(path))
+
+
 def run(
     settings: Settings,
     adapter: PlatformAdapter = DEFAULT_ADAPTER,
     read_settings: Callable[[], Settings] | None = None,
-    settings_path: Path | None = None,
+    settings_file: SettingsFile | None = None,
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT arrives.
 
-    SIGHUP reloads the settings, and so does a change of the file at `settings_path`.
+    SIGHUP reloads the settings, and so does a change of `settings_file`.
     """
     handler = configure_logging(settings.log_level, settings.advertised_peer_address)
     return_freed_buffers()
@@ -38,22 +52,21 @@
         gevent.signal_handler(number, daemon.stop_requested.set)
     daemon.read_settings = read_settings
     gevent.signal_handler(signal.SIGHUP, reload_settings, daemon)
-    if settings_path is not None:
-        gevent.spawn(_watch_settings_file, daemon, settings_path)
+    if settings_file is not None:
+        gevent.spawn(_watch_settings_file, daemon, settings_file)
     start(daemon)
     daemon.stop_requested.wait()
     stop_gracefully(daemon)
     handler.flush_at_exit()
 
 
-def _watch_settings_file(daemon: Daemon, path: Path) -> None:
-    content = _read_content(path)
+def _watch_settings_file(daemon: Daemon, file: SettingsFile) -> None:
     while True:
-        gevent.sleep(SETTINGS_POLL_SECONDS)
-        found = _read_content(path)
-        if found is not None and found != content:
-            content = found
+        found = _read_content(file.path)
+        if found is not None and found != file.content:
+            file.content = found
             reload_settings(daemon)
+        gevent.sleep(SETTINGS_POLL_SECONDS)
 
 
 def _read_content(path: Path) -> bytes | None:
--- a/comfreyhitch/platform/startup.py
+++ b/comfreyhitch/platform/startup.py
@@ -8,7 +8,7 @@
 
 from comfreyhitch.conf.exceptions import SettingsError
 from comfreyhitch.daemon.adapter import PlatformAdapter
-from comfreyhitch.daemon.running import EXIT_INVALID_SETTINGS, run
+from comfreyhitch.daemon.running import EXIT_INVALID_SETTINGS, SettingsFile, run
 from comfreyhitch.platform.callers import make_platform_interface
 from comfreyhitch.platform.documents import DOCUMENT_SOURCES
 from comfreyhitch.platform.names import PLATFORM_TARGET_HEADERS
@@ -29,6 +29,8 @@
     # lookups in threads, which would delay each call to the store.
     gevent.config.resolver = "block"
     path = Path(os.environ.get(CONFIG_PATH_VARIABLE, DEFAULT_CONFIG_PATH))
+    # Read before the settings, so that no change of the file goes unseen.
+    file = SettingsFile.from_path(path)
     try:
         values = read_file(path)
         settings = make_settings(values, os.environ)
@@ -42,5 +44,5 @@
         documents=DOCUMENT_SOURCES,
         make_servers=lambda daemon: make_servers(daemon, addresses),
     )
-    run(settings, adapter, lambda: make_settings(read_file(path), os.environ), path)
+    run(settings, adapter, lambda: make_settings(read_file(path), os.environ), file)
     return 0
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -23,3 +23,14 @@
       | on the platform              | SIGTERM |
       | on the platform              | SIGINT  |
       | with settings in environment | SIGTERM |
+
+  # Guards against settings that a process never takes over, because they changed between its first
+  # reading of the file and its first look for changes.
+  Scenario Outline: The settings change while a daemon starts
+    When a daemon has read its settings with a grace period of 8 s, which becomes 1 s before it serves, <notice>
+    Then it stops within 2 seconds
+
+    Examples:
+      | notice          |
+      | without SIGHUP  |
+      | and SIGHUP says |
