Let no signal end a daemon that has finished its stop

No caller is affected, since the servers are closed by then; an operator is told of a failed stop.

Cause: when the interpreter ends, it gives signals back their default action.

A daemon now ignores further signals after its stop.

The scenario sends SIGTERM, SIGINT and SIGHUP every 5 ms until the process is gone, and changes the grace period in the settings file to 1 s and then 60 s: every request gets its answer and the stop keeps its first plan, as before the change.

--- a/comfreyhitch/daemon/early_signals.py
+++ b/comfreyhitch/daemon/early_signals.py
@@ -1,4 +1,4 @@
-"""Handle signals before a daemon has servers."""
+"""Handle signals before a daemon has servers, and after they are closed."""
 
 import os
 import signal
@@ -19,6 +19,12 @@
         signal.signal(number, _exit)
 
 
+def ignore_signals() -> None:
+    """Ignore further signals, since the process ends by itself."""
+    for number in (signal.SIGHUP, *STOP_SIGNALS):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _exit(number: int, frame: FrameType | None) -> None:
     # Nothing is served or announced yet. The interrupted code could catch an exception.
     os._exit(EXIT_STOPPED)
--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -11,7 +11,7 @@
 from comfreyhitch.core.clock import Clock
 from comfreyhitch.daemon.adapter import DEFAULT_ADAPTER, PlatformAdapter
 from comfreyhitch.daemon.assembly import Daemon
-from comfreyhitch.daemon.early_signals import STOP_SIGNALS
+from comfreyhitch.daemon.early_signals import STOP_SIGNALS, ignore_signals
 from comfreyhitch.daemon.reloading import reload_settings
 from comfreyhitch.daemon.shutdown import stop_gracefully
 from comfreyhitch.daemon.startup import start
@@ -57,6 +57,7 @@
     start(daemon)
     daemon.stop_requested.wait()
     stop_gracefully(daemon)
+    ignore_signals()
     handler.flush_at_exit()
 
 
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -34,3 +34,13 @@
       | notice          |
       | without SIGHUP  |
       | and SIGHUP says |
+
+  # Guards against a stop that takes another plan, or ends early, because of later signals.
+  Scenario: Signals arrive again and again during a stop, and the settings change
+    Given a fleet on the platform
+      | service   | zone | target arguments |
+      | catalogue | za   |                  |
+      | payments  | za   |                  |
+    When a daemon gets SIGTERM, SIGINT and SIGHUP every 5 ms until it is gone, while its grace period becomes 1 s and then 60 s
+    Then each request that it read was answered
+    And it has exited with code 0 after at least its linger time and before its grace period was over
