Keep a daemon that stops out of use while its target changes

What was seen: a daemon that stops publishes that it drains, and takes that back as soon as a heartbeat changes its target: another target, other slots. Peers then send it requests again, which it refuses as not run.

Cause: the state of the target alone decided what the record says, as if only one of the two, daemon or target, could leave.

The record of a daemon that stops now says that it drains, whatever its target does.

No finding in the rest: no record follows a departure that is not one itself, and versions only rise.

--- a/comfreyhitch/daemon/announcements.py
+++ b/comfreyhitch/daemon/announcements.py
@@ -112,5 +112,6 @@
         service=service,
         version=lifecycle.version,
         slots=slots,
-        draining=is_departing,
+        # A daemon that stops drains, whatever its target does.
+        draining=is_departing or daemon.blackboard.is_draining,
     )
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -63,6 +63,12 @@
   Scenario: Telling peers of the stop fails
     Then a request in progress is answered although the daemon's record can't be published
 
+  # Guards against peers that send requests to a daemon that stops, because a change of its target
+  # took back that it drains.
+  Scenario: A target leaves and comes back while its daemon stops
+    When targets leave, come back and leave again in any order while their daemons stop
+    Then each record that a daemon publishes says that it drains, and none follows its departure
+
   # Guards against answers of targets that are replaced by 504 at the end of the drain timeout, or cut
   # on their way to the caller, although the grace period goes on (issue 37, LOST).
   Scenario: Large answers are on their way when the drain timeout of a stop ends
