Send signals in series and overlapping stops to daemons under load

Cause: stops of our own rig had one clock.

Change: `--series` plans SIGTERM once, twice, three times and until the end, SIGHUP and SIGINT in between, gaps from 0 to the grace period; neighbours stopped meanwhile, a daemon stopped again as soon as it is back, targets that leave while their daemon stops. All signals are recorded. Plans without series are drawn as before. The checker excuses by the last SIGTERM; what only the first one covers is listed, and each stop has a line with its signals, length, 503, 504 and replaced answers. A request that ended before the last sixth of the grace is no longer excused by what its target would have done afterwards. Targets of the rig finish their work before they leave.

--- a/comfreyhitch/testing/platform_target.py
+++ b/comfreyhitch/testing/platform_target.py
@@ -198,6 +198,11 @@
     parser.add_argument("--work-ms", type=float, default=20.0)
     parser.add_argument("--cold-seconds", type=float, default=0.0)
     parser.add_argument("--cold-per-second", type=float, default=8.0)
+    parser.add_argument(
+        "--finish-work",
+        action="store_true",
+        help="leave only when no request runs or waits, however long that takes",
+    )
     parser.add_argument("--run-log", help="file to append the start of each run to")
     parser.add_argument("--end-log", help="file to append the end of each run to")
     return parser.parse_args()
@@ -227,6 +232,7 @@
         end_log=_open_log(arguments.end_log),
         random=Random(arguments.instance),
         slot_semaphore=BoundedSemaphore(arguments.slots),
+        is_finishing_work=arguments.finish_work,
     )
     host, _, port = arguments.address.partition(":")
     server = WSGIServer(
--- a/comfreyhitch/testing/stops/__main__.py
+++ b/comfreyhitch/testing/stops/__main__.py
@@ -7,7 +7,7 @@
 
 from comfreyhitch.testing.stops.callers import LONG_SHARE
 from comfreyhitch.testing.stops.records import CallerKind
-from comfreyhitch.testing.stops.report import describe_run, write_records
+from comfreyhitch.testing.stops.report import describe_run, list_bad_stops, write_records
 from comfreyhitch.testing.stops.runner import run_stops
 
 PLATFORM_GRACE_SECONDS = 6.0
@@ -15,7 +15,7 @@
 
 
 def main() -> int:
-    """Run the stops of one seed; return 1 if any request was left without an end."""
+    """Run the stops of one seed; return 1 if a request had no end or a process ended badly."""
     parser = argparse.ArgumentParser(
         description="Stop daemons under load, and find requests without an answer"
     )
@@ -29,6 +29,9 @@
     parser.add_argument(
         "--long-share", type=float, default=LONG_SHARE, help="share of long requests"
     )
+    parser.add_argument(
+        "--series", action="store_true", help="several signals in a stop, and overlapping stops"
+    )
     parser.add_argument("--keep", type=Path, help="folder for the records and the daemons' logs")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary_folder:
@@ -43,10 +46,11 @@
             grace_seconds=arguments.grace,
             kinds=kinds,
             long_share=arguments.long_share,
+            has_series=arguments.series,
         )
         write_records(run, folder / "records.jsonl")
         print(f"seed {arguments.seed}: {describe_run(run)}")
-    return 1 if run.findings.unended else 0
+    return 1 if run.findings.unended or list_bad_stops(run) else 0
 
 
 if __name__ == "__main__":
--- a/comfreyhitch/testing/stops/checker.py
+++ b/comfreyhitch/testing/stops/checker.py
@@ -26,9 +26,13 @@
     crossed: list[Exchange] = field(default_factory=list)
     unsent: list[Exchange] = field(default_factory=list)
     excused_at_work: list[Exchange] = field(default_factory=list)
+    # Excused by the time of the stop's first signal, but not by that of the last SIGTERM.
+    excused_by_first_signal: list[Exchange] = field(default_factory=list)
     excused_by_time: list[Exchange] = field(default_factory=list)
     # Answered with a failure of the daemon's own while a target was at work.
     replaced: list[Exchange] = field(default_factory=list)
+    # The same, but excused as if there had been no answer.
+    replaced_at_work: list[Exchange] = field(default_factory=list)
 
 
 def check_exchanges(
@@ -58,7 +62,12 @@
 ) -> list[Exchange]:
     runs = runs_by_id.get(exchange.request_id, [])
     if exchange.ending is Ending.ANSWERED:
-        return findings.replaced if _is_replaced(exchange, runs) else []
+        if not is_replaced(exchange, runs):
+            return []
+        excused = _find_excuse(findings, exchange, runs, stops, grace_seconds)
+        if excused is findings.excused_at_work:
+            return findings.replaced_at_work
+        return findings.replaced if excused is None else excused
     if exchange.kind is CallerKind.HALF_CLOSE:
         return findings.half_closed
     if not exchange.last_sent_at:
@@ -68,24 +77,42 @@
     unanswered_seconds = exchange.ended_at - exchange.last_sent_at - exchange.held_up_seconds
     if not runs and unanswered_seconds <= CROSSING_SECONDS:
         return findings.crossed
+    excused = _find_excuse(findings, exchange, runs, stops, grace_seconds)
+    return findings.unended if excused is None else excused
+
+
+def _find_excuse(
+    findings: Findings,
+    exchange: Exchange,
+    runs: list[Run],
+    stops: list[Stop],
+    grace_seconds: float,
+) -> list[Exchange] | None:
+    """Return the list of a request that was at work at the end of a stop, or None."""
     stop = find_stop(exchange, stops)
-    if stop is not None and _is_excused_at_work(exchange, runs, stop, grace_seconds):
+    if stop is None:
+        return None
+    if _is_excused_at_work(exchange, runs, stop.last_terminated_at, grace_seconds):
         return findings.excused_at_work
-    return findings.unended
+    if _is_excused_at_work(exchange, runs, stop.terminated_at, grace_seconds):
+        return findings.excused_by_first_signal
+    return None
 
 
 def _is_excused_at_work(
-    exchange: Exchange, runs: list[Run], stop: Stop, grace_seconds: float
+    exchange: Exchange, runs: list[Run], terminated_at: float, grace_seconds: float
 ) -> bool:
     early_seconds = min(EARLY_SECONDS, EARLY_SHARE * grace_seconds)
-    last_sixth_at = stop.terminated_at + WORK_END_SHARE * grace_seconds
-    is_at_work = any(
+    last_sixth_at = terminated_at + WORK_END_SHARE * grace_seconds
+    # The end of a request ends the work on it, so what a target does afterwards doesn't count.
+    is_at_work = exchange.ended_at >= last_sixth_at and any(
         run.started_at <= exchange.ended_at and run.ended_at >= last_sixth_at for run in runs
     )
-    return is_at_work and exchange.last_sent_at <= stop.terminated_at + early_seconds
+    return is_at_work and exchange.last_sent_at <= terminated_at + early_seconds
 
 
-def _is_replaced(exchange: Exchange, runs: list[Run]) -> bool:
+def is_replaced(exchange: Exchange, runs: list[Run]) -> bool:
+    """Return whether a daemon answered with its own failure while a target was at work."""
     return (
         exchange.status >= MIN_SERVER_ERROR_STATUS
         and exchange.kind is not CallerKind.HALF_CLOSE
--- a/comfreyhitch/testing/stops/joining.py
+++ b/comfreyhitch/testing/stops/joining.py
@@ -25,13 +25,21 @@
     return dict(runs_by_id)
 
 
-def record_hold_ups(exchanges: list[Exchange], hold_ups: list[tuple[float, float]]) -> None:
-    """Record for each request by how much its end may have been seen too late."""
+def record_hold_ups(
+    exchanges: list[Exchange], stops: list[Stop], hold_ups: list[tuple[float, float]]
+) -> None:
+    """Record for each request and stop by how much its end may have been seen too late."""
     for exchange in exchanges:
-        for start, end in hold_ups:
-            if start <= exchange.ended_at <= end + HOLD_UP_MARGIN_SECONDS:
-                exchange.held_up_seconds = exchange.ended_at - start
-                break
+        exchange.held_up_seconds = _find_held_up_seconds(exchange.ended_at, hold_ups)
+    for stop in stops:
+        stop.held_up_seconds = _find_held_up_seconds(stop.exited_at, hold_ups)
+
+
+def _find_held_up_seconds(seen_at: float, hold_ups: list[tuple[float, float]]) -> float:
+    for start, end in hold_ups:
+        if start <= seen_at <= end + HOLD_UP_MARGIN_SECONDS:
+            return seen_at - start
+    return 0.0
 
 
 def record_drained(stops: list[Stop], log_path: Path) -> None:
--- a/comfreyhitch/testing/stops/records.py
+++ b/comfreyhitch/testing/stops/records.py
@@ -1,8 +1,11 @@
 """Define what is recorded of requests and stops; all times are in Unix seconds."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from math import inf
+from signal import SIGTERM
+
+SIGTERM_NAME = SIGTERM.name
 
 
 class CallerKind(StrEnum):
@@ -63,9 +66,21 @@
     ended_at: float = inf
 
 
+@dataclass(frozen=True, slots=True)
+class SentSignal:
+    """Hold the name of a signal that a running process was sent, and when."""
+
+    name: str
+    sent_at: float
+
+
 @dataclass(slots=True)
 class Stop:
-    """Hold one stop of a daemon's process; `events` names what else happened during it."""
+    """Hold one stop of a daemon's process; `events` names what else happened during it.
+
+    `terminated_at` is the time of the first signal that ends a process. `held_up_seconds` is as
+    for requests.
+    """
 
     instance: str
     terminated_at: float
@@ -74,3 +89,16 @@
     # From the daemon's log: whether it ended with no request in progress.
     is_drained: bool | None = None
     events: tuple[str, ...] = ()
+    signals: list[SentSignal] = field(default_factory=list)
+    held_up_seconds: float = 0.0
+
+    @property
+    def last_terminated_at(self) -> float:
+        """Return the time of the last SIGTERM."""
+        times = [item.sent_at for item in self.signals if item.name == SIGTERM_NAME]
+        return max(times, default=self.terminated_at)
+
+    @property
+    def seconds(self) -> float:
+        """Return how long the process surely ran after the first signal."""
+        return self.exited_at - self.held_up_seconds - self.terminated_at
--- a/comfreyhitch/testing/stops/report.py
+++ b/comfreyhitch/testing/stops/report.py
@@ -4,10 +4,12 @@
 from collections import Counter
 from dataclasses import asdict, fields
 from pathlib import Path
+from statistics import median
 
 from comfreyhitch.testing.stops.checker import Findings, find_stop
 from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Run, Stop
-from comfreyhitch.testing.stops.runner import StopRun
+from comfreyhitch.testing.stops.state import StopRun
+from comfreyhitch.testing.stops.stop_counts import describe_stops
 
 # A connection that ends so shortly before its process, or later, ended with the process.
 PROCESS_END_SECONDS = 0.15
@@ -47,6 +49,7 @@
     lines = [
         f"{len(run.stops)} stops {dict(events)}, drained {dict(drained)}, "
         f"exit codes {dict(exit_codes)}",
+        f"stops took {_describe_lengths(run)}",
         f"{len(exchanges)} requests, {_get_rate(run):.0f}/s, {waited} waited over "
         f"{WAIT_SECONDS} s for a target; {run.load.refused_counts.total()} connections refused; "
         f"callers held up {max((end - start for start, end in hold_ups), default=0.0):.2f} s",
@@ -56,18 +59,29 @@
     ]
     lines += [f"  {count} x {cause}" for cause, count in count_causes(run).most_common()]
     lines += [f"  WITHOUT AN END {describe(item, run)}" for item in findings.unended]
+    lines += [
+        f"  excused by the first signal alone {describe(item, run)}"
+        for item in findings.excused_by_first_signal
+    ]
+    lines += describe_stops(run)
     lines += [
         f"  crossed {describe(item, run)}" for item in findings.crossed if not item.is_behind_close
     ]
     return "\n".join(lines)
 
 
+def list_bad_stops(run: StopRun) -> list[Stop]:
+    """Return the stops that lasted beyond the grace period or whose process ended with an error."""
+    grace = run.fleet.grace_seconds
+    return [stop for stop in run.stops if stop.seconds > grace or stop.exit_code != 0]
+
+
 def describe(exchange: Exchange, run: StopRun) -> str:
     """Return one line about a request without a complete answer."""
     connection = "new" if exchange.is_new_connection else "kept"
     return (
         f"{exchange.request_id} {exchange.instance} {exchange.kind} {connection} "
-        f"idle {exchange.idle_seconds:.3f}, {exchange.ending} after "
+        f"idle {exchange.idle_seconds:.3f}, {exchange.ending} {exchange.status or ''} after "
         f"{exchange.ended_at - exchange.last_sent_at:.3f} s, work {exchange.work_seconds}, "
         f"{_name_cause(exchange, run)}, "
         f"{_describe_stop(exchange, find_stop(exchange, run.stops))}"
@@ -114,6 +128,16 @@
     )
 
 
+def _describe_lengths(run: StopRun) -> str:
+    lengths = sorted(stop.seconds for stop in run.stops)
+    if not lengths:
+        return "no time"
+    return (
+        f"{median(lengths):.2f} s (median) to {lengths[-1]:.2f} s of {run.fleet.grace_seconds:g} s;"
+        f" {len(list_bad_stops(run))} lasted longer or ended with an error"
+    )
+
+
 def _count_endings(exchanges: list[Exchange]) -> dict[str, int]:
     return dict(
         Counter(
--- a/comfreyhitch/testing/target_heartbeats.py
+++ b/comfreyhitch/testing/target_heartbeats.py
@@ -12,6 +12,8 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 DRAIN_DURATION_SECONDS = 2.5
+# How long a finished answer may take until it is sent.
+LAST_ANSWER_SECONDS = 0.1
 # Written to the run log in place of a request id when the daemon has acknowledged a drain.
 DRAIN_MARKER = "#drain"
 
@@ -65,5 +67,9 @@
         line = f"{DRAIN_MARKER} {target.instance_id} {time.time():.3f}\n"
         os.write(target.run_log, line.encode())
     gevent.sleep(DRAIN_DURATION_SECONDS)
+    while target.is_finishing_work and target.running + target.waiting > 0:
+        gevent.sleep(LAST_ANSWER_SECONDS)
+    if target.is_finishing_work:
+        gevent.sleep(LAST_ANSWER_SECONDS)
     _call_daemon(control, "DELETE", target, b"")
     os._exit(0)
--- a/comfreyhitch/testing/target_models.py
+++ b/comfreyhitch/testing/target_models.py
@@ -45,6 +45,8 @@
     waiting: int = 0
     running: int = 0
     is_draining: bool = False
+    # Whether a target that leaves ends only once it has no more requests.
+    is_finishing_work: bool = False
     cold_arrival_times: list[float] = field(default_factory=list)
     faults: TargetFaults = field(default_factory=TargetFaults)
 
--- a/features/steps/stops_under_load_steps.py
+++ b/features/steps/stops_under_load_steps.py
@@ -1,12 +1,20 @@
 """Define steps that stop daemons while callers of several kinds send requests."""
 
+from collections import Counter
 from dataclasses import fields
 
 from behave import then, when
 
 from comfreyhitch.testing.stops.checker import Findings, check_exchanges
-from comfreyhitch.testing.stops.records import CallerKind, Ending, Exchange, Run, Stop
-from comfreyhitch.testing.stops.report import describe_run
+from comfreyhitch.testing.stops.records import (
+    CallerKind,
+    Ending,
+    Exchange,
+    Run,
+    SentSignal,
+    Stop,
+)
+from comfreyhitch.testing.stops.report import describe_run, list_bad_stops
 from comfreyhitch.testing.stops.runner import run_stops
 
 RATE_PER_SECOND = 450.0
@@ -16,18 +24,43 @@
 
 @when("daemons are stopped {count:d} times under the load of {kinds} callers")
 def stop_daemons(context, count, kinds):
+    run_with_kinds(context, count, kinds, grace_seconds=GRACE_SECONDS)
+
+
+@when(
+    "daemons are stopped {count:d} times by series of signals within {grace:g} s "
+    "under the load of {kinds} callers"
+)
+def stop_daemons_by_series(context, count, grace, kinds):
+    run_with_kinds(context, count, kinds, grace_seconds=grace, has_series=True)
+
+
+def run_with_kinds(context, count, kinds, **arguments):
+    """Run stops under callers of the kinds that a step names."""
     context.kinds = {CallerKind(kind) for kind in kinds.replace(" and ", ", ").split(", ")}
     context.stop_run = run_stops(
         context.seed,
         count,
         context.folder,
         rate=RATE_PER_SECOND,
-        grace_seconds=GRACE_SECONDS,
         kinds=sorted(context.kinds),
+        **arguments,
     )
     context.stop_count = count
 
 
+@then(
+    "processes got several signals, and each ended by itself within the grace period of its "
+    "first one"
+)
+def check_series(context):
+    run = context.stop_run
+    names = Counter(item.name for stop in run.stops for item in stop.signals)
+    assert any(len(stop.signals) > 2 for stop in run.stops), run.stops
+    assert set(names) == {"SIGTERM", "SIGINT", "SIGHUP"}, names
+    assert not list_bad_stops(run), describe_run(run)
+
+
 @then("requests waited for targets, and others were sent during stops")
 def check_load(context):
     run = context.stop_run
@@ -61,7 +94,23 @@
     "these are told apart"
 )
 def check_findings(context, grace, end):
-    stop = Stop("catalogue-1", TERMINATED_AT, TERMINATED_AT + end)
+    check_lists(context, grace, Stop("catalogue-1", TERMINATED_AT, TERMINATED_AT + end))
+
+
+@then(
+    "with a grace period of {grace:g} s and a process that got SIGTERM again after {again:g} s "
+    "and ended {end:g} s after the first, these are told apart"
+)
+def check_findings_of_series(context, grace, again, end):
+    # A SIGHUP later than the last SIGTERM changes nothing.
+    times = [("SIGTERM", 0.0), ("SIGTERM", again), ("SIGHUP", again + 1.0)]
+    signals = [SentSignal(name, TERMINATED_AT + at) for name, at in times]
+    stop = Stop("catalogue-1", TERMINATED_AT, TERMINATED_AT + end, signals=signals)
+    check_lists(context, grace, stop)
+
+
+def check_lists(context, grace, stop):
+    """Check that each request of the table is in the list that its row names."""
     for row in context.table:
         exchange = make_exchange(row)
         findings = check_exchanges([exchange], make_runs(row), [stop], grace)
