Add series of signals and leaving targets to the soak's faults

Change: three planned faults: SIGTERM twice, SIGTERM and then SIGHUP, a stop of a daemon whose target leaves; gaps 0 to 3 s, drawn from the fault's selector. Their stops count as planned for the checks. Stops, reloads and restarts moved to a module of their own.

--- a/comfreyhitch/testing/soak/actions.py
+++ b/comfreyhitch/testing/soak/actions.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from signal import SIGHUP
 from subprocess import Popen
 from time import time
 
@@ -30,7 +29,6 @@
 )
 from comfreyhitch.testing.platform_fleet import (
     PLATFORM_PORT,
-    is_ready,
     start_daemon,
     start_target,
 )
@@ -43,19 +41,25 @@
     is_running,
     kill,
     resume,
-    stop_gracefully,
     suspend,
-    wait_for_exit,
 )
 from comfreyhitch.testing.soak.plan import Fault, FaultKind
-from comfreyhitch.testing.soak.state import FaultInjector, record_unexpected_exit
+from comfreyhitch.testing.soak.state import FaultInjector
+from comfreyhitch.testing.soak.stop_actions import (
+    RESTART_DELAY_SECONDS,
+    drain_target,
+    reload_daemon,
+    restart_daemon,
+    restart_target,
+    stop_and_reload,
+    stop_daemon,
+    stop_leaving,
+    stop_twice,
+)
 
-RESTART_DELAY_SECONDS = 0.3
-RELOAD_WAIT_SECONDS = 0.2
 # Time for which a zone stays out, in addition to the fault's duration. It exceeds the time
 # for which targets may still get requests after their zone is out.
 ZONE_OUT_SECONDS = 6.0
-MAX_STOP_SECONDS = 8.0
 LINK_PORTS = (APP_PORT, PEER_PORT, PLATFORM_PORT)
 LINK_DELAY_SECONDS = 0.15
 STORE_DELAY_SECONDS = 1.0
@@ -71,67 +75,14 @@
         set_target_faults(instance, **faults)
 
 
-def _stop_daemon(injector: FaultInjector, instance: PlatformInstance, fault: Fault) -> None:
-    process = instance.daemon
-    stop_gracefully(process)
-    try:
-        wait_for_exit(process, MAX_STOP_SECONDS)
-    except TimeoutError:
-        injector.unexpected_exits.append(
-            f"{instance.name}: still running {MAX_STOP_SECONDS} s after SIGTERM"
-        )
-        kill(process)
-    _restart_daemon(injector, instance)
-
-
-def _reload_daemon(injector: FaultInjector, instance: PlatformInstance, fault: Fault) -> None:
-    if is_running(instance.daemon) and _is_listening(instance):
-        instance.daemon.send_signal(SIGHUP)
-    gevent.sleep(RELOAD_WAIT_SECONDS)
-
-
-def _is_listening(instance: PlatformInstance) -> bool:
-    """Return whether the daemon serves; before it does, SIGHUP would terminate it."""
-    try:
-        is_ready(instance)
-    except (OSError, HTTPParseError):
-        return False
-    return True
-
-
-def _drain_target(injector: FaultInjector, instance: PlatformInstance, fault: Fault) -> None:
-    stop_gracefully(instance.target)
-    # A draining target waits until its daemon acknowledges the drain. If the daemon is down,
-    # the target is killed after the timeout.
-    try:
-        wait_for_exit(instance.target, MAX_STOP_SECONDS)
-    except TimeoutError:
-        kill(instance.target)
-    _restart_target(injector, instance)
-
-
 def _kill_daemon(injector: FaultInjector, instance: PlatformInstance, fault: Fault) -> None:
     kill(instance.daemon)
-    _restart_daemon(injector, instance)
+    restart_daemon(injector, instance)
 
 
 def _kill_target(injector: FaultInjector, instance: PlatformInstance, fault: Fault) -> None:
     kill(instance.target)
-    _restart_target(injector, instance)
-
-
-def _restart_daemon(injector: FaultInjector, instance: PlatformInstance) -> None:
-    record_unexpected_exit(injector, instance.name, instance.daemon)
-    gevent.sleep(RESTART_DELAY_SECONDS)
-    if not is_running(instance.daemon):
-        start_daemon(injector.fleet, instance)
-
-
-def _restart_target(injector: FaultInjector, instance: PlatformInstance) -> None:
-    record_unexpected_exit(injector, instance.name, instance.target)
-    gevent.sleep(RESTART_DELAY_SECONDS)
-    if not is_running(instance.target):
-        start_target(injector.fleet, instance)
+    restart_target(injector, instance)
 
 
 def _pause_daemon(injector: FaultInjector, instance: PlatformInstance, fault: Fault) -> None:
@@ -260,9 +211,9 @@
 
 
 ACTIONS_BY_KIND: dict[FaultKind, Callable[[FaultInjector, PlatformInstance, Fault], None]] = {
-    FaultKind.STOP_DAEMON: _stop_daemon,
-    FaultKind.RELOAD_DAEMON: _reload_daemon,
-    FaultKind.DRAIN_TARGET: _drain_target,
+    FaultKind.STOP_DAEMON: stop_daemon,
+    FaultKind.RELOAD_DAEMON: reload_daemon,
+    FaultKind.DRAIN_TARGET: drain_target,
     FaultKind.CHANGE_ROUTES: _change_routes,
     FaultKind.ZONE_OUT: _zone_out,
     FaultKind.KILL_DAEMON: _kill_daemon,
@@ -275,6 +226,9 @@
     FaultKind.CUT_RETURN: _cut_return,
     FaultKind.LOSE_DATAGRAMS: _lose_datagrams,
     FaultKind.STEP_CLOCK: _step_clock,
+    FaultKind.STOP_TWICE: stop_twice,
+    FaultKind.STOP_AND_RELOAD: stop_and_reload,
+    FaultKind.STOP_LEAVING: stop_leaving,
     FaultKind.STORE_DOWN: _store_down,
     FaultKind.STORE_SLOW: _store_slow,
     FaultKind.STORE_LOSES_ANSWERS: _store_loses_answers,
--- a/comfreyhitch/testing/soak/checks.py
+++ b/comfreyhitch/testing/soak/checks.py
@@ -9,7 +9,7 @@
 )
 from comfreyhitch.testing.platform_target import OVERLOAD_EXIT_CODE
 from comfreyhitch.testing.soak.callers import SentRequest, is_matching_response
-from comfreyhitch.testing.soak.plan import FaultKind
+from comfreyhitch.testing.soak.plan import STOP_KINDS, FaultKind
 from comfreyhitch.testing.soak.state import FaultSpan, is_unplanned
 from comfreyhitch.testing.target_heartbeats import DRAIN_MARKER
 
@@ -93,7 +93,7 @@
     A request that did not run and failed within `LOSS_SLACK_SECONDS` is no violation.
     """
     ran = {run.request_id for run in observations.runs}
-    stops = [span for span in observations.spans if span.kind is FaultKind.STOP_DAEMON]
+    stops = [span for span in observations.spans if span.kind in STOP_KINDS]
     for sent in observations.sent_requests:
         if sent.status or not sent.is_connection_reused:
             continue
--- a/comfreyhitch/testing/soak/faults.py
+++ b/comfreyhitch/testing/soak/faults.py
@@ -29,15 +29,15 @@
     """Inject one fault, and undo it after its duration; skip it during a conflicting fault."""
     instances = list(injector.fleet.instances_by_name.values())
     instance = instances[fault.selector % len(instances)]
-    key = _get_exclusion_key(fault.kind, instance)
-    if key in injector.active_fault_keys or FaultKind.POWER_LOSS in injector.active_fault_keys:
+    keys = _get_exclusion_keys(fault.kind, instance)
+    if injector.active_fault_keys & {*keys, FaultKind.POWER_LOSS.value}:
         return
-    injector.active_fault_keys.add(key)
+    injector.active_fault_keys |= keys
     started_at = time()
     try:
         ACTIONS_BY_KIND[fault.kind](injector, instance, fault)
     finally:
-        injector.active_fault_keys.discard(key)
+        injector.active_fault_keys -= keys
         injector.spans.append(FaultSpan(fault.kind, instance.name, started_at, time()))
 
 
@@ -56,12 +56,14 @@
         set_target_faults_if_up(instance, lost_answer_share=0.0)
 
 
-def _get_exclusion_key(kind: FaultKind, instance: PlatformInstance) -> str:
-    """Return the key of a fault; faults with the same key are never in progress together."""
+def _get_exclusion_keys(kind: FaultKind, instance: PlatformInstance) -> set[str]:
+    """Return the keys of a fault; faults with a key in common are never in progress together."""
     name = kind.value
     if name.startswith("store-") or kind in (FaultKind.CHANGE_ROUTES, FaultKind.POWER_LOSS):
-        return kind.value
+        return {kind.value}
     if kind is FaultKind.ZONE_OUT:
-        return kind.value
+        return {kind.value}
+    if kind is FaultKind.STOP_LEAVING:
+        return {f"{instance.name} daemon", f"{instance.name} target"}
     part = "daemon" if name.endswith("daemon") else "target" if name.endswith("target") else name
-    return f"{instance.name} {part}"
+    return {f"{instance.name} {part}"}
--- a/comfreyhitch/testing/soak/plan.py
+++ b/comfreyhitch/testing/soak/plan.py
@@ -31,6 +31,9 @@
     # kinds that existed then.
     LOSE_DATAGRAMS = "lose-datagrams"
     STEP_CLOCK = "step-clock"
+    STOP_TWICE = "stop-twice-daemon"
+    STOP_AND_RELOAD = "stop-and-reload-daemon"
+    STOP_LEAVING = "stop-leaving-daemon"
 
 
 PLANNED_KINDS = (
@@ -39,6 +42,16 @@
     FaultKind.DRAIN_TARGET,
     FaultKind.CHANGE_ROUTES,
     FaultKind.ZONE_OUT,
+    FaultKind.STOP_TWICE,
+    FaultKind.STOP_AND_RELOAD,
+    FaultKind.STOP_LEAVING,
+)
+# All that send SIGTERM to a daemon.
+STOP_KINDS = (
+    FaultKind.STOP_DAEMON,
+    FaultKind.STOP_TWICE,
+    FaultKind.STOP_AND_RELOAD,
+    FaultKind.STOP_LEAVING,
 )
 UNPLANNED_KINDS = tuple(kind for kind in FaultKind if kind not in PLANNED_KINDS)
 
@@ -55,7 +68,8 @@
     """Hold one fault.
 
     `at_seconds` counts from the start of the soak. `selector` is a random number that picks
-    the fault's instance, the relayed port and the direction of a clock step.
+    the fault's instance, the relayed port, the direction of a clock step and the time between
+    two signals.
     """
 
     at_seconds: float
@@ -71,11 +85,12 @@
     """
     random = Random(seed)
     kinds = tuple(FaultKind)[:kind_count]
+    planned_kinds = [kind for kind in PLANNED_KINDS if kind in kinds]
     faults = []
     at_seconds = 1.0
     while at_seconds < seconds:
         is_planned_phase = int(at_seconds / PHASE_SECONDS) % 2 == 0
-        kind = random.choice(PLANNED_KINDS if is_planned_phase else kinds)
+        kind = random.choice(planned_kinds if is_planned_phase else kinds)
         duration_seconds = random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         if not is_planned_phase:
             # A fault that starts late in this phase ends with the phase.
--- a/comfreyhitch/testing/soak/runner.py
+++ b/comfreyhitch/testing/soak/runner.py
@@ -24,7 +24,7 @@
 from comfreyhitch.testing.soak.callers import Caller, SentRequest, call_forever
 from comfreyhitch.testing.soak.checks import Observations, find_violations
 from comfreyhitch.testing.soak.faults import inject_fault, restore_fleet
-from comfreyhitch.testing.soak.plan import Fault, FaultKind, generate_fault_plan
+from comfreyhitch.testing.soak.plan import STOP_KINDS, Fault, generate_fault_plan
 from comfreyhitch.testing.soak.state import FaultInjector, record_unexpected_exit
 from comfreyhitch.watching.waits import NEW_READER_SECONDS
 
@@ -155,7 +155,7 @@
         is_recovered_by_instance_name=is_recovered_by_instance_name,
     )
     fault_counts = Counter(span.kind.value for span in injector.spans)
-    stops = [span for span in injector.spans if span.kind is FaultKind.STOP_DAEMON]
+    stops = [span for span in injector.spans if span.kind in STOP_KINDS]
     return SoakResult(
         seed=seed,
         violations=find_violations(observations),
