--- a/comfreyhitch/testing/processes.py
+++ b/comfreyhitch/testing/processes.py
@@ -12,6 +12,8 @@
 import gevent
 
 POLL_SECONDS = 0.02
+# Processor time that the interpreter needs at most before it runs a program's own code.
+INTERPRETER_START_SECONDS = 0.1
 
 
 def spawn(
@@ -75,6 +77,12 @@
     wait_until(lambda: not is_running(process), timeout_seconds, "exit of a process")
 
 
+def get_processor_seconds(process: subprocess.Popen) -> float:
+    """Return the processor time that a running process has used."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def is_running(process: subprocess.Popen | None) -> bool:
     """Return whether a process was started and has not exited."""
     return process is not None and process.poll() is None
--- a/features/steps/signal_steps.py
+++ b/features/steps/signal_steps.py
@@ -1,10 +1,8 @@
 """Send signals to daemons that start or stop, at any moment and in series."""
 
-import os
 import signal
 import socket
 import time
-from pathlib import Path
 
 import gevent
 from behave import then, when
@@ -22,6 +20,8 @@
     PlatformInstance,
 )
 from comfreyhitch.testing.processes import (
+    INTERPRETER_START_SECONDS,
+    get_processor_seconds,
     is_running,
     kill,
     resume,
@@ -32,8 +32,6 @@
 )
 from features.platform_helpers import list_instances
 
-# The interpreter itself needs less processor time than this, the imports need more.
-FIRST_PROCESSOR_SECONDS = 0.1
 START_SECONDS = 15.0
 SIGNAL_GAP_SECONDS = 0.005
 # The stop has begun before the first change, and goes on after the second.
@@ -93,13 +91,9 @@
     replace_file(path, "".join(f"{line}\n" for line in [*kept, f"Bounds.Grace={text}"]))
 
 
-def wait_for_processor_time(process, seconds):
-    """Wait until a process has used some processor time."""
-    ticks_per_second = os.sysconf("SC_CLK_TCK")
-    while True:
-        fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-        if (int(fields[11]) + int(fields[12])) / ticks_per_second >= seconds:
-            return
+def wait_for_own_code(process):
+    """Wait until the interpreter has started, so that the process loads its own code."""
+    while get_processor_seconds(process) < INTERPRETER_START_SECONDS:
         time.sleep(0.001)
 
 
@@ -114,7 +108,7 @@
 @when("a daemon {kind} starts, and gets SIGHUP every 10 ms from its first tenth of a second on")
 def start_under_hangups(context, kind):
     context.process = process = start_single_daemon(context, kind)
-    wait_for_processor_time(process, FIRST_PROCESSOR_SECONDS)
+    wait_for_own_code(process)
 
     def is_ended_or_serving():
         if not is_running(process):
@@ -135,7 +129,7 @@
 @when("a daemon {kind} starts, and gets {name} after its first tenth of a second")
 def stop_during_imports(context, kind, name):
     context.process = start_single_daemon(context, kind)
-    wait_for_processor_time(context.process, FIRST_PROCESSOR_SECONDS)
+    wait_for_own_code(context.process)
     context.process.send_signal(getattr(signal, name))
 
 
