Hold the times of hedges in a schedule

The loop that waits for an answer had grown four times and two reasons for a hedge. Each reason has a function now, and a hedge of a stop may go to targets that have refused the request as slow before.

--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -4,6 +4,8 @@
 stops, an answer is late earlier: while there is still time for another target to answer.
 """
 
+from dataclasses import dataclass
+
 from result import Err
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
@@ -22,6 +24,7 @@
 from comfreyhitch.egress.classify import OutgoingCall
 from comfreyhitch.egress.retries import (
     RequestProgress,
+    allow_slow_targets,
     count_delivered_attempts,
     get_pace_wait_seconds,
 )
@@ -38,6 +41,27 @@
 STOP_POLL_SECONDS = 1.0
 
 
+@dataclass(slots=True)
+class HedgeSchedule:
+    """Hold when a request without an answer is hedged; times are monotonic seconds.
+
+    `next_at` is the next check whether the answer is late, None if there is none. No hedge is sent
+    because of a stop before `stop_hedge_not_before`.
+    """
+
+    late_at: float
+    next_at: float | None
+    stop_hedge_not_before: float = 0.0
+
+    @classmethod
+    def from_attempt(cls, attempt: Attempt, late_after_seconds: float) -> "HedgeSchedule":
+        """Return the schedule for the first attempt of a request."""
+        return cls(
+            late_at=attempt.sent_at + late_after_seconds,
+            next_at=attempt.sent_at + late_after_seconds * STALLED_HEDGE_FRACTION,
+        )
+
+
 def await_answer_with_hedging(
     egress: Egress, progress: RequestProgress, attempt: Attempt
 ) -> Outcome:
@@ -45,18 +69,19 @@
     clock = egress.blackboard.clock
     call = progress.call
     attempts = [attempt]
-    late_after_seconds = get_late_after_seconds(egress, call)
+    schedule = HedgeSchedule.from_attempt(attempt, get_late_after_seconds(egress, call))
     give_up_at = call.deadline + ANSWER_GRACE_SECONDS
-    late_at = attempt.sent_at + late_after_seconds
-    hedge_at: float | None = attempt.sent_at + late_after_seconds * STALLED_HEDGE_FRACTION
-    next_stop_hedge_at = 0.0
     best_known: Outcome | None = None
     try:
         while attempts:
             now = clock.monotonic()
-            stop_hedge_at = _find_stop_hedge_time(egress, call, attempts, next_stop_hedge_at)
-            due_at = min(hedge_at or give_up_at, stop_hedge_at or give_up_at)
-            wait_until = min(give_up_at, due_at, now + STOP_POLL_SECONDS)
+            stop_hedge_at = _find_stop_hedge_time(egress, call, attempts, schedule)
+            wait_until = min(
+                give_up_at,
+                schedule.next_at or give_up_at,
+                stop_hedge_at or give_up_at,
+                now + STOP_POLL_SECONDS,
+            )
             answered = wait_for_any(attempts, wait_until - now)
             if answered is not None:
                 outcome = read_outcome(egress, answered, call)
@@ -70,18 +95,9 @@
             if now >= give_up_at:
                 break
             if stop_hedge_at is not None and now >= stop_hedge_at:
-                call.patience_seconds = get_pace_wait_seconds(egress, progress)
-                _hedge(egress, progress, attempts, now)
-                next_stop_hedge_at = now + STOP_POLL_SECONDS
-                continue
-            if hedge_at is None or now < hedge_at:
-                continue
-            if now < late_at and not is_target_stalled(attempt):
-                hedge_at = late_at
-                continue
-            for item in attempts:
-                mark_overdue(item)
-            hedge_at = _hedge(egress, progress, attempts, now)
+                _hedge_for_stop(egress, progress, attempts, schedule, now)
+            elif schedule.next_at is not None and now >= schedule.next_at:
+                _hedge_if_late(egress, progress, attempts, schedule, now)
     finally:
         for item in attempts:
             abandon_attempt(item)
@@ -92,9 +108,9 @@
 
 
 def _find_stop_hedge_time(
-    egress: Egress, call: OutgoingCall, attempts: list[Attempt], not_before: float
+    egress: Egress, call: OutgoingCall, attempts: list[Attempt], schedule: HedgeSchedule
 ) -> float | None:
-    """Return when a request is hedged since its daemon stops, None for not at all.
+    """Return when a request is hedged because its daemon stops, None for not at all.
 
     A request that is hedged already is not hedged again.
     """
@@ -102,7 +118,37 @@
         return None
     usual_seconds = get_latency_seconds(egress, call)
     hedge_at = find_hedge_time(egress.stop_plan, attempts[0].sent_at, usual_seconds)
-    return None if hedge_at is None else max(hedge_at, not_before)
+    return None if hedge_at is None else max(hedge_at, schedule.stop_hedge_not_before)
+
+
+def _hedge_for_stop(
+    egress: Egress,
+    progress: RequestProgress,
+    attempts: list[Attempt],
+    schedule: HedgeSchedule,
+    now: float,
+) -> None:
+    """Send a hedge, if the budget allows, to a target at its usual pace."""
+    allow_slow_targets(egress, progress)
+    progress.call.patience_seconds = get_pace_wait_seconds(egress, progress)
+    _hedge(egress, progress, attempts, now)
+    schedule.stop_hedge_not_before = now + STOP_POLL_SECONDS
+
+
+def _hedge_if_late(
+    egress: Egress,
+    progress: RequestProgress,
+    attempts: list[Attempt],
+    schedule: HedgeSchedule,
+    now: float,
+) -> None:
+    """Send a hedge, if the budget allows, once the answer is late or its target stalls."""
+    if now < schedule.late_at and not is_target_stalled(attempts[0]):
+        schedule.next_at = schedule.late_at
+        return
+    for item in attempts:
+        mark_overdue(item)
+    schedule.next_at = _hedge(egress, progress, attempts, now)
 
 
 def _combine(best_known: Outcome | None, outcome: Outcome) -> Outcome:
