Leave no registration behind when a daemon stops

What was seen: the store holds the registration of a daemon that is gone. Daemons that start later try to join through it, until a reader deletes it.

Cause: a stop deletes the registration once, while the controller that keeps it goes on until the end of the stop: its next cycle (every second for a daemon without peers, every 60 s else) registers again. And a registration that was still on its way to the store was not deleted, since the daemon did not count as registered yet.

A daemon that leaves now says so to its registration: no cycle registers again, and one that was on its way is deleted when its call has ended, whatever the call's result.

Measured: four examples with a store that takes 0, 0.4 and 1 s, and SIGTERM 0, 0.1 and 0.5 s after the daemon serves: all four fail before, all pass now. features/documents, graceful_shutdown and signals pass (36 scenarios), and "A lost registration is written again".

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -28,7 +28,7 @@
 )
 from comfreyhitch.membership.models import MemberStatus
 from comfreyhitch.membership.queries import list_reachable_peers
-from comfreyhitch.membership.registration import unregister
+from comfreyhitch.membership.registration import leave
 from comfreyhitch.replication.broadcast import send_facts
 from comfreyhitch.replication.facts import FactKind
 from comfreyhitch.wire.sockets import has_unread_bytes
@@ -93,7 +93,7 @@
 def _unregister(daemon: Daemon) -> None:
     # Runs in a separate greenlet, since a slow store must not delay the shutdown.
     if daemon.registration is not None:
-        unregister(daemon.registration)
+        leave(daemon.registration)
 
 
 def _serve_callers(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> None:
--- a/comfreyhitch/membership/registration.py
+++ b/comfreyhitch/membership/registration.py
@@ -51,6 +51,8 @@
     random: Random
     is_required: bool = False
     is_registered: bool = False
+    # Whether this daemon stops, so that it must not register again.
+    is_leaving: bool = False
     # Whether the registrations were listed, and no sync with an unknown daemon failed.
     is_joined: bool = False
     has_listed: bool = False
@@ -67,6 +69,8 @@
     Only readers list the registrations periodically, so that the number of store calls
     grows with the number of availability zones and not with the number of daemons.
     """
+    if registration.is_leaving:
+        return REGISTRATION_INTERVAL
     if not _is_registration_complete(registration) or is_platform_reader(registration.blackboard):
         sync_registrations(registration)
     elif registration.is_required:
@@ -132,11 +136,23 @@
     return is_joined
 
 
+def leave(registration: Registration) -> None:
+    """Delete this daemon's registration for good, even one that the store may still get."""
+    registration.is_leaving = True
+    registration.is_doubtful.clear()
+    if registration.is_registered or registration.is_required:
+        _delete_own(registration)
+
+
 def unregister(registration: Registration) -> None:
     """Delete this daemon's registration from the store, if it has one."""
     if registration.is_registered:
-        _delete(registration, registration.blackboard.own_member.address)
-        registration.is_registered = False
+        _delete_own(registration)
+
+
+def _delete_own(registration: Registration) -> None:
+    _delete(registration, registration.blackboard.own_member.address)
+    registration.is_registered = False
 
 
 def _is_registration_complete(registration: Registration) -> bool:
@@ -201,12 +217,20 @@
 
 def _register(registration: Registration, address: str) -> bool:
     """Register a daemon, and return whether the store holds its registration."""
+    if registration.is_leaving:
+        return False
     own = registration.blackboard.own_member
     item = PlatformObject(
         metadata=Metadata(name=_make_name(address)),
         spec={"address": address, "zone": own.zone, "region": own.region},
     )
-    match create_object(registration.client, DAEMONS, item):
+    created = create_object(registration.client, DAEMONS, item)
+    if registration.is_leaving:
+        # Meanwhile this daemon has begun to leave. The store may have got the registration after
+        # its deletion, even if no answer says so.
+        _delete_own(registration)
+        return False
+    match created:
         case Ok(_) | Err(PlatformError(failure=PlatformFailure.CONFLICT)):
             registration.is_registered = True
             return True
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -44,3 +44,16 @@
     When a daemon gets SIGTERM, SIGINT and SIGHUP every 5 ms until it is gone, while its grace period becomes 1 s and then 60 s
     Then each request that it read was answered
     And it has exited with code 0 after at least its linger time and before its grace period was over
+
+  # Guards against registrations of daemons that are gone: one that starts later tries to join
+  # through them.
+  Scenario Outline: SIGTERM arrives in the first second, while the store answers slowly
+    When the store takes <delay> s, and a daemon gets SIGTERM <after> s after it serves
+    Then it has exited with code 0 within 5 seconds, and the store holds no registration of it 2 seconds later
+
+    Examples:
+      | delay | after |
+      | 0     | 0     |
+      | 0.4   | 0.1   |
+      | 1     | 0     |
+      | 1     | 0.5   |
--- a/features/steps/signal_steps.py
+++ b/features/steps/signal_steps.py
@@ -11,7 +11,7 @@
 
 from comfreyhitch.platform.client import DAEMONS, list_objects
 from comfreyhitch.platform.models import FRESH
-from comfreyhitch.testing.fleet import Fleet, start_platform
+from comfreyhitch.testing.fleet import Fleet, set_platform_faults, start_platform
 from comfreyhitch.testing.http_requests import HTTP_PORT
 from comfreyhitch.testing.platform_fleet import format_settings, send
 from comfreyhitch.testing.platform_models import (
@@ -241,3 +241,25 @@
     assert min(LINGER_SECONDS, 0.45 * grace_seconds) <= context.stop_seconds < grace_seconds, (
         context.stop_seconds
     )
+
+
+@when("the store takes {delay:g} s, and a daemon gets SIGTERM {after:g} s after it serves")
+def stop_before_store_answers(context, delay, after):
+    context.process = start_single_daemon(context, "on the platform")
+    set_platform_faults(context.single_fleet.fleet, delay_seconds=delay)
+    wait_until(lambda: is_serving(context), START_SECONDS, "start of the daemon")
+    gevent.sleep(after)
+    context.process.send_signal(signal.SIGTERM)
+
+
+@then(
+    "it has exited with code 0 within {seconds:g} seconds, and the store holds no registration of "
+    "it {later:g} seconds later"
+)
+def check_not_registered(context, seconds, later):
+    wait_for_exit(context.process, seconds)
+    assert context.process.returncode == 0, context.process.returncode
+    gevent.sleep(later)
+    set_platform_faults(context.single_fleet.fleet, delay_seconds=0.0)
+    items = list_objects(context.single_fleet.client, DAEMONS, FRESH).unwrap().items
+    assert not items, items
