Watch the settings file beyond a content that is no text

What was seen: a daemon that finds its settings file with bytes that are no UTF-8 text, such as half of a character, never looks at the file again: later changes are taken over only on SIGHUP.

Cause: reading the file raised an error other than `SettingsError`, which ended the greenlet that watches it.

`read_file` now raises `SettingsError` for it, as its comment says (at a start: exit code 2 and one line), and the watch goes on after any error of a reload.

Measured: the new scenario (five contents that can't be used, then one that can) fails before, with the watch ended by UnicodeDecodeError, and passes now.

--- a/comfreyhitch/daemon/running.py
+++ b/comfreyhitch/daemon/running.py
@@ -1,5 +1,6 @@
 """Run one daemon until a signal stops it."""
 
+import logging
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,8 @@
 from comfreyhitch.telemetry.logs import configure_logging
 from comfreyhitch.utils.memory_allocator import return_freed_buffers
 
+logger = logging.getLogger(__name__)
+
 EXIT_INVALID_SETTINGS = 2
 SETTINGS_POLL_SECONDS = 1.0
 
@@ -66,10 +69,18 @@
         found = _read_content(file.path)
         if found is not None and found != file.content:
             file.content = found
-            reload_settings(daemon)
+            _try_to_reload(daemon)
         gevent.sleep(SETTINGS_POLL_SECONDS)
 
 
+def _try_to_reload(daemon: Daemon) -> None:
+    try:
+        reload_settings(daemon)
+    except Exception:
+        # The watch goes on: the next change of the file may be readable.
+        logger.exception("settings could not be reloaded")
+
+
 def _read_content(path: Path) -> bytes | None:
     try:
         return path.read_bytes()
--- a/comfreyhitch/platform/settings.py
+++ b/comfreyhitch/platform/settings.py
@@ -42,6 +42,8 @@
         raise SettingsError(
             f"{path}: {error.strerror}; {CONFIG_PATH_VARIABLE} sets the path"
         ) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
     values = {}
     for number, line in enumerate(text.splitlines(), 1):
         if not line.strip():
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -35,6 +35,11 @@
       | without SIGHUP  |
       | and SIGHUP says |
 
+  # Guards against a watch of the file that ends at the first content that it can't read.
+  Scenario: The settings file is found half written, and complete later
+    When a daemon serves with a grace period of 8 s, and its file becomes unreadable text, and then says 1 s
+    Then it stops within 2 seconds
+
   # Guards against a stop that takes another plan, or ends early, because of later signals.
   Scenario: Signals arrive again and again during a stop, and the settings change
     Given a fleet on the platform
--- a/features/steps/signal_steps.py
+++ b/features/steps/signal_steps.py
@@ -166,6 +166,24 @@
     gevent.sleep(1.5)
 
 
+@when(
+    "a daemon serves with a grace period of 8 s, and its file becomes unreadable text, and then "
+    "says 1 s"
+)
+def change_settings_by_pieces(context):
+    context.process = start_single_daemon(context, "on the platform", grace_seconds=8.0)
+    wait_until(lambda: is_serving(context), START_SECONDS, "start of the daemon")
+    gevent.sleep(1.5)
+    path = context.settings_path
+    text = path.read_text()
+    for content in (text.encode()[:40], b"", b"Zone=\xc3", b"\xff\xfe\x00", b"Bounds.Grace=9e9s\n"):
+        path.write_bytes(content)
+        gevent.sleep(1.2)
+    replace_file(path, text)
+    change_grace(path, "1000ms")
+    gevent.sleep(1.5)
+
+
 def wait_until_bound(host, port):
     """Wait without pauses until a socket for datagrams is bound to an address."""
     ends_at = time.monotonic() + START_SECONDS
