Let a daemon replace the record of a process whose clock was ahead

Cause: it answers the earlier record with one of a higher incarnation, but took the incarnation to exceed from its list of members, which leaves out records of earlier processes. The answer was lower and was dropped.

The incarnation now exceeds that of the stored record, whose ever it is.

Measured: of five examples four fail before (the record of the earlier process stays, left, unreachable or suspected, 5 and 600 s ahead), and all five pass now; the fifth has no difference of clocks.

--- a/comfreyhitch/membership/detector.py
+++ b/comfreyhitch/membership/detector.py
@@ -19,7 +19,13 @@
 from result import Err, Ok
 
 from comfreyhitch.core.blackboard import Blackboard
-from comfreyhitch.membership.models import Member, MemberStatus, decode_member, encode_member
+from comfreyhitch.membership.models import (
+    STATUS_COUNT,
+    Member,
+    MemberStatus,
+    decode_member,
+    encode_member,
+)
 from comfreyhitch.membership.queries import group_reachable_peers, list_reachable_peers
 from comfreyhitch.replication.broadcast import Broadcaster, send_facts, take_piggybacked_facts
 from comfreyhitch.replication.facts import (
@@ -111,10 +117,11 @@
 def publish_own_record(detector: FailureDetector, **changes: object) -> None:
     """Apply changes to the daemon's own record, and publish it at a higher incarnation."""
     own = detector.blackboard.own_member
-    stored = detector.blackboard.members_by_address.get(own.address)
+    # The stored record may be that of an earlier process, whose clock was ahead.
+    stored = detector.store.facts_by_id.get((FactKind.MEMBER, own.address))
     incarnation = own.incarnation
     if stored is not None:
-        incarnation = max(incarnation, stored.incarnation)
+        incarnation = max(incarnation, stored.version // STATUS_COUNT)
     now_ms = int(detector.blackboard.clock.now().timestamp() * 1000)
     changed = replace(own, incarnation=max(incarnation + 1, now_ms), **changes)
     lifetime = LEFT_RECORD_LIFETIME if changed.status is MemberStatus.LEFT else None
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -33,6 +33,20 @@
     When the partition heals
     Then every daemon marks all others as alive within 15 seconds
 
+  # Guards against a daemon that is missing from all lists of members, its own included, because its
+  # clock is behind that of the process before it, which has left (review, "Seen, and left out").
+  Scenario Outline: A daemon starts after a departure that is in its future
+    When a daemon whose clock is <seconds> s behind gets the record of an earlier process that <status>
+    Then its own record and those that it publishes later replace that record
+
+    Examples:
+      | seconds | status          |
+      | 5       | has left        |
+      | 600     | has left        |
+      | 5       | was unreachable |
+      | 5       | was suspected   |
+      | 0       | has left        |
+
   # Guards against daemons that joined without one of their configured peers and never meet it.
   Scenario: A configured peer starts after those that name it have met each other
     Given a fleet that is not started
