Keep a departure in force that is told again

What was seen, with the classes alone: a target leaves, another one is known, the departure is told once more, and 30 s later a late heartbeat of the target that has left makes it this daemon's target again. Only if its heartbeats name no start time; with start times it is refused as older.

Cause: the departure of the daemon's own target never expires, but telling it again, when another target is known, replaced it by that of an unknown target, which is forgotten after 30 s.

What was recorded first now stays in force.

--- a/comfreyhitch/ingress/lifecycle.py
+++ b/comfreyhitch/ingress/lifecycle.py
@@ -99,6 +99,10 @@
 def record_departure(lifecycle: TargetLifecycle, instance_id: str, now: float) -> bool:
     """Record that an incarnation leaves, and return whether it is this daemon's target."""
     is_current = instance_id == lifecycle.instance_id
+    known = lifecycle.departures_by_id.get(instance_id)
+    if not is_current and known is not None and known.expires_at is None:
+        # Told again: what was recorded while the target was this daemon's stays in force.
+        return False
     departure = (
         Departure(lifecycle.start_time_ms, None)
         if is_current
--- a/features/steps/target_life_steps.py
+++ b/features/steps/target_life_steps.py
@@ -113,6 +113,27 @@
     check()
 
 
+@then(
+    "a target whose departure was told again is not taken for a new one, however late its heartbeat"
+)
+def check_repeated_departure(context):
+    @seed(context.seed)
+    @given(st.booleans(), st.integers(1, 3), st.floats(0.0, 100.0))
+    def check(has_start_time, repeats, delay_seconds):
+        times = {} if has_start_time else {"start_time_ms": None}
+        lifecycle = TargetLifecycle()
+        apply_heartbeat(lifecycle, make_heartbeat(1, **times), 0.0)
+        assert record_departure(lifecycle, "i-1", 1.0)
+        apply_heartbeat(lifecycle, make_heartbeat(2, **times), 2.0)
+        for _ in range(repeats):
+            assert not record_departure(lifecycle, "i-1", 3.0)
+        late = make_heartbeat(1, sequence=9, **times)
+        assert apply_heartbeat(lifecycle, late, 3.0 + delay_seconds) is HeartbeatResult.STALE
+        assert (lifecycle.instance_id, lifecycle.state) == ("i-2", TargetState.READY)
+
+    check()
+
+
 @then(
     "a healthy response or a heartbeat makes the target ready, and a healthy response ends "
     "suspicion unless another incarnation sent it"
--- a/features/target_life.feature
+++ b/features/target_life.feature
@@ -6,6 +6,10 @@
   Scenario: A target that leaves
     Then a target that has announced its departure is not ready again in that incarnation
 
+  # Guards against a target that has left and comes back, because its departure arrived twice.
+  Scenario: A target's departure arrives again when another target is known
+    Then a target whose departure was told again is not taken for a new one, however late its heartbeat
+
   Scenario: A daemon that restarts beside a target
     Then a healthy response or a heartbeat makes the target ready, and a healthy response ends suspicion unless another incarnation sent it
 
