--- a/features/signals.feature
+++ b/features/signals.feature
@@ -35,6 +35,11 @@
       | without SIGHUP  |
       | and SIGHUP says |
 
+  # Guards against a watch of the file that ends at the first content that it can't read.
+  Scenario: The settings file is found half written, and complete later
+    When a daemon serves with a grace period of 8 s, and its file becomes unreadable text, and then says 1 s
+    Then it stops within 2 seconds
+
   # Guards against a stop that takes another plan, or ends early, because of later signals.
   Scenario: Signals arrive again and again during a stop, and the settings change
     Given a fleet on the platform
@@ -44,3 +49,16 @@
     When a daemon gets SIGTERM, SIGINT and SIGHUP every 5 ms until it is gone, while its grace period becomes 1 s and then 60 s
     Then each request that it read was answered
     And it has exited with code 0 after at least its linger time and before its grace period was over
+
+  # Guards against registrations of daemons that are gone: one that starts later tries to join
+  # through them.
+  Scenario Outline: SIGTERM arrives in the first second, while the store answers slowly
+    When the store takes <delay> s, and a daemon gets SIGTERM <after> s after it serves
+    Then it has exited with code 0 within 5 seconds, and the store holds no registration of it 2 seconds later
+
+    Examples:
+      | delay | after |
+      | 0     | 0     |
+      | 0.4   | 0.1   |
+      | 1     | 0     |
+      | 1     | 0.5   |
