Log hedges among the tries of a request

And when a hedge was faster, its outcome and time were logged as those of the first attempt.

Each hedge has a record now (`is_hedge`), and the first attempt ends with its own outcome or as "answered elsewhere". Nothing that is sent changes.

--- a/comfreyhitch/egress/attempts.py
+++ b/comfreyhitch/egress/attempts.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
-from comfreyhitch.egress.classify import OutgoingCall
+from comfreyhitch.egress.classify import AttemptRecord, OutgoingCall
 from comfreyhitch.egress.models import Candidate, TargetView
 from comfreyhitch.egress.state import Egress, make_request_id, record_latency
 from comfreyhitch.egress.views import (
@@ -64,6 +64,7 @@
     sent_at: float
     is_ended: bool = False
     is_overdue: bool = False
+    record: AttemptRecord | None = None
 
 
 def start_attempt(egress: Egress, call: OutgoingCall, candidate: Candidate) -> Attempt:
--- a/comfreyhitch/egress/classify.py
+++ b/comfreyhitch/egress/classify.py
@@ -48,12 +48,14 @@
     in_flight: float
     report_age_seconds: float
     sent_at: float
+    is_hedge: bool = False
     seconds: float = 0.0
+    # Empty while the answer is awaited.
     outcome: str = ""
 
     def describe(self) -> dict[str, object]:
         """Return the log fields of this attempt."""
-        return {
+        fields: dict[str, object] = {
             "target": self.target,
             "zone": self.zone,
             "version": self.version,
@@ -62,6 +64,9 @@
             "ms": round(self.seconds * 1000, 1),
             "outcome": self.outcome,
         }
+        if self.is_hedge:
+            fields["is_hedge"] = True
+        return fields
 
 
 @dataclass(slots=True)
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -6,6 +6,11 @@
 from result import Err
 
 from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
+from comfreyhitch.egress.attempt_records import (
+    add_attempt_record,
+    end_attempt_record,
+    give_up_attempt_record,
+)
 from comfreyhitch.egress.attempts import (
     Attempt,
     abandon_attempt,
@@ -49,9 +54,12 @@
             if answered is not None:
                 outcome = read_outcome(egress, answered, call)
                 attempts.remove(answered)
+                end_attempt_record(answered.record, outcome, clock.monotonic())
                 _invalidate_silent_connections(egress, attempts)
                 best_known = _combine(best_known, outcome)
                 if outcome.is_ok() or not attempts:
+                    for item in attempts:
+                        give_up_attempt_record(item.record, clock.monotonic())
                     return best_known
                 continue
             now = clock.monotonic()
@@ -108,9 +116,14 @@
     progress.call.attempt_number += 1
     progress.tried_addresses.add(candidate.address)
     count_exposure(egress, progress.call.service, candidate.version)
+    record = add_attempt_record(egress, progress.call, candidate, is_hedge=True)
     try:
-        attempts.append(start_attempt(egress, progress.call, candidate))
+        hedge = start_attempt(egress, progress.call, candidate)
+        hedge.record = record
+        attempts.append(hedge)
         egress.metrics.egress.hedges.inc({"service": progress.call.service})
-    except PeerError:
+    except PeerError as error:
+        failure = Failure(Verdict.NOT_RUN, Refusal.PEER_UNREACHABLE, str(error))
+        end_attempt_record(record, Err(failure), egress.blackboard.clock.monotonic())
         return next_check_at
     return None
--- a/comfreyhitch/egress/router.py
+++ b/comfreyhitch/egress/router.py
@@ -2,7 +2,8 @@
 
 from result import Err
 
-from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict, describe_outcome
+from comfreyhitch.core.verdicts import Failure, Outcome, Refusal, Verdict
+from comfreyhitch.egress.attempt_records import add_attempt_record, end_attempt_record
 from comfreyhitch.egress.attempts import start_attempt
 from comfreyhitch.egress.candidates import choose_for_call, count_exposure, end_trial
 from comfreyhitch.egress.classify import AttemptRecord, OutgoingCall
@@ -20,7 +21,6 @@
 )
 from comfreyhitch.egress.state import REFUSAL_RETRY_RATIO, Egress, get_retry_budget
 from comfreyhitch.egress.stopping import DaemonStoppingError, make_interrupted_failure
-from comfreyhitch.egress.views import estimate_in_flight, get_or_create_view
 from comfreyhitch.utils.token_bucket import deposit_tokens
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -59,32 +59,24 @@
 
 def _attempt_candidate(egress: Egress, progress: RequestProgress, candidate: Candidate) -> Outcome:
     call = progress.call
-    now = egress.blackboard.clock.monotonic()
-    view = get_or_create_view(egress.blackboard.views_by_address, candidate.address)
     count_exposure(egress, call.service, candidate.version)
-    record = AttemptRecord(
-        target=candidate.address,
-        zone=candidate.zone,
-        version=candidate.version,
-        in_flight=estimate_in_flight(view, now),
-        report_age_seconds=now - view.reported_at,
-        sent_at=now,
-    )
-    call.attempt_records.append(record)
-    outcome = _send_and_wait(egress, progress, candidate)
+    record = add_attempt_record(egress, call, candidate)
+    outcome = _send_and_wait(egress, progress, candidate, record)
     if outcome.is_err() and outcome.err_value.refusal is Refusal.VERSION_ON_TRIAL:
         end_trial(egress, call.service)
-    record.seconds = egress.blackboard.clock.monotonic() - now
-    record.outcome = describe_outcome(outcome)
+    end_attempt_record(record, outcome, egress.blackboard.clock.monotonic())
     return outcome
 
 
-def _send_and_wait(egress: Egress, progress: RequestProgress, candidate: Candidate) -> Outcome:
+def _send_and_wait(
+    egress: Egress, progress: RequestProgress, candidate: Candidate, record: AttemptRecord
+) -> Outcome:
     call = progress.call
     try:
         attempt = start_attempt(egress, call, candidate)
     except PeerError as error:
         return Err(Failure(Verdict.NOT_RUN, Refusal.PEER_UNREACHABLE, str(error)))
+    attempt.record = record
     if call.is_idempotent:
         return await_answer_with_hedging(egress, progress, attempt)
     return await_answer_with_fencing(egress, progress, attempt)
--- a/features/steps/stop_report_steps.py
+++ b/features/steps/stop_report_steps.py
@@ -13,7 +13,7 @@
 from comfreyhitch.testing.fleet import ADMIN_PORT, call_service, set_faults
 from comfreyhitch.testing.http_requests import HTTP_PORT, request
 from comfreyhitch.testing.processes import stop_gracefully, wait_for_exit, wait_until
-from features.steps.fleet_steps import get_instance
+from features.steps.fleet_steps import get_instance, list_instances
 
 EXIT_SECONDS = 10.0
 SIGNALS_METRIC = "comfreyhitch_signals_total"
@@ -181,3 +181,37 @@
     assert len(lines) == logged, len(lines)
     assert read_one(context, "further requests")["lines_left_out"] == left_out
     assert read_one(context, "stopped")["interrupted"] == logged + left_out
+
+
+@then("its log tells that the GET was at both targets, at the second one as a hedge")
+def check_hedge(context):
+    line = read_one(context, "request is interrupted by the stop")
+    first, hedge = line["tries"]
+    addresses = {item.peer_address for item in list_instances(context, "catalogue")}
+    assert {first["target"], hedge["target"]} == addresses, line
+    assert "is_hedge" not in first and hedge["is_hedge"], line
+    assert 500 <= hedge["ms"] < first["ms"] <= line["age_ms"], line
+
+
+@when("one target of catalogue takes 100 times as long, and GETs are sent until one is hedged")
+def send_until_hedged(context):
+    slow = get_instance(context, "catalogue")
+    set_faults(slow, slow_factor=100.0, slow_seconds=60.0)
+    shop = get_instance(context, "shop")
+
+    def find_hedged():
+        assert call_service(shop, "catalogue").status == 200
+        lines = read_log(context, shop, "request")
+        context.hedged = next((line["tries"] for line in lines if len(line["tries"]) > 1), None)
+        return context.hedged is not None
+
+    wait_until(find_hedged, 10.0, "hedged request")
+
+
+@then("the log tells that the hedge ran and that the first attempt was answered elsewhere")
+def check_answered_hedge(context):
+    first, hedge = context.hedged
+    assert first["target"] == get_instance(context, "catalogue").peer_address, context.hedged
+    assert first["outcome"] == "answered elsewhere", context.hedged
+    assert hedge["is_hedge"] and hedge["outcome"] == "200", context.hedged
+    assert hedge["ms"] < first["ms"], context.hedged
--- a/features/stop_reports.feature
+++ b/features/stop_reports.feature
@@ -30,3 +30,21 @@
       | shop      | za   | 1     | 10    |                   |
     When 25 GETs run at catalogue through shop, whose daemon is asked to stop
     Then its log has lines for 20 of them, and a line for the other 5
+
+  # Guards against hedges that no log line shows (issue 51).
+  Scenario: A hedged request outlasts a stop
+    Given settings drain_timeout 0.5 and stop_linger 0.3
+    And a running fleet
+      | service   | zone | count | target arguments  |
+      | catalogue | za   | 2     | --service-ms 8000 |
+      | shop      | za   | 1     |                   |
+    When 1 GETs run at catalogue through shop, whose daemon is asked to stop
+    Then its log tells that the GET was at both targets, at the second one as a hedge
+
+  Scenario: A hedge is answered first
+    Given a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 2     | --service-ms 20  |
+      | shop      | za   | 1     |                  |
+    When one target of catalogue takes 100 times as long, and GETs are sent until one is hedged
+    Then the log tells that the hedge ran and that the first attempt was answered elsewhere
