--- a/comfreyhitch/telemetry/stops.py
+++ b/comfreyhitch/telemetry/stops.py
@@ -9,6 +9,7 @@
 
 from comfreyhitch.core.verdicts import Outcome, Verdict
 from comfreyhitch.egress.stopping import INTERRUPTED_DETAIL
+from comfreyhitch.telemetry.metric_kinds import make_counter
 
 # Reason of requests that this daemon's stop ended, which are answered as draining.
 INTERRUPTED = "interrupted"
@@ -32,10 +33,8 @@
     def from_registry(cls, registry: Registry) -> "StopMetrics":
         """Return new metrics in a registry."""
         return cls(
-            signals=MetricCounter(
-                "comfreyhitch_signals_total",
-                "Signals that reached the process, by name and effect.",
-                registry=registry,
+            signals=make_counter(
+                registry, "signals_total", "Signals that reached the process, by name and effect."
             )
         )
 
