Leave the cluster while the last responses are sent

Found by review: callers of a daemon that stops got their 504 only after claims had been handed over, which takes up to half a second for each registrar that does not answer: 6.22 s after the signal with three such registrars and a grace period of 6 s, and the process ended at 6.60 s, or 6.88 s on. A daemon that is killed meanwhile leaves its callers without an answer.

The daemon leaves in a greenlet of its own now, and no wait goes on beyond the end of the plan. A report that fails ends no stop.

--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -65,20 +65,23 @@
     daemon.blackboard.is_draining = True
     refuse_all_waiting(daemon.ingress.queue, Refusal.DRAINING)
     peer_server, caller_server, *other_servers = daemon.servers
-    report_start(daemon, caller_server, plan)
+    _try_step("reporting its start", lambda: report_start(daemon, caller_server, plan))
     _try_step(
         "publishing that it drains", lambda: publish_own_record(daemon.detector, draining=True)
     )
     unregistering = gevent.spawn(_unregister, daemon)
     _serve_callers(daemon, caller_server, plan)
     _withdraw_waiting(daemon, caller_server)
-    handed_over = _leave_cluster(daemon)
+    # Peers may answer slowly, which must not delay the last responses.
+    leaving = gevent.spawn(_leave_cluster, daemon)
     _finish_sending(daemon, caller_server, plan)
+    leaving.join(max(0.0, plan.ends_at - daemon.clock.monotonic()))
+    handed_over = leaving.value or 0
     is_drained = _is_finished(daemon, caller_server)
-    report_cut(daemon, caller_server)
+    _try_step("reporting cut requests", lambda: report_cut(daemon, caller_server))
     for server in (caller_server, peer_server, *other_servers):
         server.stop(timeout=0)
-    gevent.killall([*daemon.greenlets, unregistering], timeout=KILL_SECONDS)
+    gevent.killall([*daemon.greenlets, unregistering, leaving], timeout=KILL_SECONDS)
     daemon.pool.close()
     report_end(daemon, is_drained=is_drained, claims_handed_on=handed_over)
 
@@ -140,8 +143,7 @@
         for connection in caller_server.connections.list_interruptible()
         if not is_idempotent(connection) and not is_receiving(connection)
     ]
-    report_interrupted(daemon, waiting)
-    interrupt_requests(waiting)
+    _interrupt(daemon, waiting)
     _wait_until(
         lambda: _are_answered(waiting),
         daemon.clock,
@@ -152,17 +154,19 @@
 def _finish_sending(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> None:
     """Wait for the last responses, and interrupt the requests that have none in time."""
     clock = daemon.clock
-    last_received_at = max(
-        plan.ends_at - LAST_ANSWERS_SECONDS, clock.monotonic() + LAST_READS_SECONDS
-    )
+    last_received_at = plan.ends_at - LAST_ANSWERS_SECONDS
     _wait_until(lambda: _is_finished(daemon, caller_server), clock, last_received_at)
     late = caller_server.connections.list_interruptible()
-    report_interrupted(daemon, late)
-    interrupt_requests(late)
+    _interrupt(daemon, late)
     last_sent_at = clock.monotonic() + LAST_ANSWERS_SECONDS if late else plan.ends_at
     _wait_until(lambda: _is_finished(daemon, caller_server), clock, last_sent_at)
 
 
+def _interrupt(daemon: Daemon, connections: list[CallerConnection]) -> None:
+    _try_step("reporting interrupted requests", lambda: report_interrupted(daemon, connections))
+    interrupt_requests(connections)
+
+
 def _are_answered(connections: list[CallerConnection]) -> bool:
     return all(connection.phase is not ConnectionPhase.HANDLING for connection in connections)
 
