Take calls of the own target whatever their usual latency during a stop

A target that runs a request has no other daemon for the calls that this request needs. Such a call was refused if its route is usually slow, and the request failed with it. Found by review, by reading.

--- a/comfreyhitch/egress/frontend.py
+++ b/comfreyhitch/egress/frontend.py
@@ -174,7 +174,8 @@
     egress: Egress, call: OutgoingCall, connection: CallerConnection
 ) -> Outcome:
     now = egress.blackboard.clock.monotonic()
-    usual_seconds = get_latency_seconds(egress, call)
+    # A target that runs a request has no other daemon for the calls that this request needs.
+    usual_seconds = None if call.is_nested else get_latency_seconds(egress, call)
     refusal = find_stop_refusal(egress.stop_plan, call.deadline, now, usual_seconds)
     if refusal is not None:
         return Err(refusal)
