Send hedges of a stop only while they can help

Found by review: a hedge that was refused, or for which there was no budget, was tried again each second until after the end of the drain timeout, and each refused hedge counted against the attempts of the route.

The time of the next try is checked against the plan like that of the first, no hedge is sent once the daemon awaits no responses, and refused hedges do not count as delivered. features/stop_decisions.feature has the cases.

--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -31,10 +31,11 @@
     RequestProgress,
     allow_slow_targets,
     count_delivered_attempts,
+    count_undelivered,
     get_pace_wait_seconds,
 )
 from comfreyhitch.egress.state import Egress, get_latency_seconds, get_retry_budget
-from comfreyhitch.egress.stopping import find_hedge_time, may_outlast
+from comfreyhitch.egress.stopping import find_hedge_time, has_ended, may_outlast
 from comfreyhitch.utils.token_bucket import take_tokens
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -91,6 +92,8 @@
             if answered is not None:
                 outcome = read_outcome(egress, answered, call)
                 attempts.remove(answered)
+                if attempts:
+                    count_undelivered(progress, outcome)
                 end_attempt_record(answered.record, outcome, clock.monotonic())
                 _invalidate_silent_connections(egress, attempts)
                 best_known = _combine(best_known, outcome)
@@ -124,9 +127,12 @@
     """
     if len(attempts) > 1 or not may_outlast(egress.stop_plan, call.deadline):
         return None
-    usual_seconds = get_latency_seconds(egress, call)
-    hedge_at = find_hedge_time(egress.stop_plan, attempts[0].sent_at, usual_seconds)
-    return None if hedge_at is None else max(hedge_at, schedule.stop_hedge_not_before)
+    return find_hedge_time(
+        egress.stop_plan,
+        attempts[0].sent_at,
+        get_latency_seconds(egress, call),
+        schedule.stop_hedge_not_before,
+    )
 
 
 def _hedge_for_stop(
@@ -186,6 +192,8 @@
     retry_budget = get_retry_budget(egress, progress.call.service)
     budget = egress.hedge_budget if has_own_budget else retry_budget
     next_check_at = silent_at if now < silent_at else None
+    if has_ended(egress.stop_plan, now):
+        return None
     if count_delivered_attempts(progress) >= progress.call.max_attempts:
         return None
     candidate = choose_for_call(egress, progress.call, progress.tried_addresses)
@@ -204,5 +212,6 @@
     except PeerError as error:
         failure = Failure(Verdict.NOT_RUN, Refusal.PEER_UNREACHABLE, str(error))
         end_attempt_record(record, Err(failure), egress.blackboard.clock.monotonic())
+        progress.undelivered_attempts += 1
         return next_check_at
     return None
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -97,6 +97,12 @@
             progress.suspected_crashes += failure.refusal in SUSPECTED_CRASH_REFUSALS
 
 
+def count_undelivered(progress: RequestProgress, outcome: Outcome) -> None:
+    """Count an attempt that ends while another one is pending, if it has reached no target."""
+    if outcome.is_err():
+        progress.undelivered_attempts += outcome.err_value.refusal in UNDELIVERED_REFUSALS
+
+
 def should_retry(egress: Egress, progress: RequestProgress) -> bool:
     """Return whether the request is retried, and take the retry from its budget."""
     call = progress.call
--- a/comfreyhitch/egress/stopping.py
+++ b/comfreyhitch/egress/stopping.py
@@ -57,7 +57,9 @@
     return Failure(Verdict.NOT_RUN, Refusal.DRAINING, "this daemon stops")
 
 
-def find_hedge_time(plan: StopPlan, sent_at: float, usual_seconds: float | None) -> float | None:
+def find_hedge_time(
+    plan: StopPlan, sent_at: float, usual_seconds: float | None, not_before: float = 0.0
+) -> float | None:
     """Return when a request without an answer is sent to another target because of the stop.
 
     All times are monotonic seconds. None means never: the usual latency is not known, or no other
@@ -67,7 +69,7 @@
         return None
     late_at = sent_at + LATE_LATENCY_FACTOR * usual_seconds
     last_chance_at = plan.answers_until - HEDGE_LATENCY_FACTOR * usual_seconds
-    hedge_at = max(late_at, last_chance_at)
+    hedge_at = max(late_at, last_chance_at, not_before)
     return hedge_at if hedge_at + usual_seconds <= plan.answers_until else None
 
 
--- a/features/steps/stop_decision_steps.py
+++ b/features/steps/stop_decision_steps.py
@@ -10,6 +10,7 @@
     RequestProgress,
     allow_slow_targets,
     count_delivered_attempts,
+    count_undelivered,
     get_pace_wait_seconds,
     make_final_outcome,
     record_attempt,
@@ -33,7 +34,8 @@
 def check_hedge_times(context, until):
     plan = StopPlan(serves_until=2.7, answers_until=until, ends_at=until + SEND_SECONDS)
     for row in context.table:
-        found = find_hedge_time(plan, float(row["sent"]), read_seconds(row["usual latency"]))
+        usual_seconds = read_seconds(row["usual latency"])
+        found = find_hedge_time(plan, float(row["sent"]), usual_seconds, float(row["not before"]))
         expected = read_seconds(row["sent once more"])
         assert found == expected or abs(found - expected) < 1e-9, (row, found)
 
@@ -121,3 +123,15 @@
     refuse_as_slow(progress, refused)
     progress.attempts += attempts - refused
     assert count_delivered_attempts(progress) == delivered
+
+
+@then(
+    "a hedge that is refused as slow while another attempt is pending does not count as delivered"
+)
+def check_refused_hedge(context):
+    progress = RequestProgress(make_call(2))
+    progress.attempts = 2
+    count_undelivered(progress, Err(Failure(Verdict.NOT_RUN, Refusal.TARGET_SLOW, "")))
+    assert count_delivered_attempts(progress) == 1
+    count_undelivered(progress, Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.PEER_FAILED, "")))
+    assert count_delivered_attempts(progress) == 1
--- a/features/stop_decisions.feature
+++ b/features/stop_decisions.feature
@@ -4,14 +4,16 @@
   # LOST).
   Scenario: When a late request is sent to another target
     Then in a stop that answers until 5.1 s, a request is sent once more at these times
-      | sent | usual latency | sent once more |
-      | 0.5  | 1.0           | 2.6            |
-      | -3.0 | 1.0           | 2.6            |
-      | 2.0  | 1.0           | 3.5            |
-      | 2.6  | 1.0           | 4.1            |
-      | 2.7  | 1.0           | never          |
-      | 0.5  | 4.7           | never          |
-      | 0.5  | unknown       | never          |
+      | sent | usual latency | not before | sent once more |
+      | 0.5  | 1.0           | 0          | 2.6            |
+      | -3.0 | 1.0           | 0          | 2.6            |
+      | 2.0  | 1.0           | 0          | 3.5            |
+      | 2.6  | 1.0           | 0          | 4.1            |
+      | 2.7  | 1.0           | 0          | never          |
+      | 0.5  | 4.7           | 0          | never          |
+      | 0.5  | unknown       | 0          | never          |
+      | 0.5  | 1.0           | 3.6        | 3.6            |
+      | 0.5  | 1.0           | 4.2        | never          |
 
   Scenario: Which requests are taken
     Then in a stop that serves until 2.7 s and answers until 5.1 s, these requests are taken
@@ -35,3 +37,4 @@
   # Guards against requests that are never hedged since targets refused them as slow (issue 51, LOST).
   Scenario: Targets refuse a request as slow before another one runs it
     Then of 3 attempts of which 2 were refused as slow, 1 counts as delivered
+    And a hedge that is refused as slow while another attempt is pending does not count as delivered
