--- a/comfreyhitch/daemon/shutdown.py
+++ b/comfreyhitch/daemon/shutdown.py
@@ -71,7 +71,7 @@
     )
     unregistering = gevent.spawn(_unregister, daemon)
     _serve_callers(daemon, caller_server, plan)
-    _interrupt_waiting(daemon, caller_server)
+    _withdraw_waiting(daemon, caller_server)
     handed_over = _leave_cluster(daemon)
     _finish_sending(daemon, caller_server, plan)
     is_drained = _is_finished(daemon, caller_server)
@@ -130,27 +130,27 @@
     return busy == 0
 
 
-def _interrupt_waiting(daemon: Daemon, caller_server: CallerServer) -> None:
-    """Answer the requests that still wait for a response with a failure."""
-    # Requests that may run only once are withdrawn first: the end of another request may free
-    # the slot that they wait for.
-    for may_repeat in (False, True):
-        waiting = [
-            connection
-            for connection in caller_server.connections.list_interruptible()
-            if is_idempotent(connection) is may_repeat and not is_receiving(connection)
-        ]
-        report_interrupted(daemon, waiting)
-        interrupt_requests(waiting)
-        _wait_until(
-            lambda waiting=waiting: _are_answered(waiting),
-            daemon.clock,
-            daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
-        )
+def _withdraw_waiting(daemon: Daemon, caller_server: CallerServer) -> None:
+    """End the requests that may run only once and still wait for a response.
+
+    They end before the others, whose end may free the slot that they wait for.
+    """
+    waiting = [
+        connection
+        for connection in caller_server.connections.list_interruptible()
+        if not is_idempotent(connection) and not is_receiving(connection)
+    ]
+    report_interrupted(daemon, waiting)
+    interrupt_requests(waiting)
+    _wait_until(
+        lambda: _are_answered(waiting),
+        daemon.clock,
+        daemon.clock.monotonic() + LAST_ANSWERS_SECONDS,
+    )
 
 
 def _finish_sending(daemon: Daemon, caller_server: CallerServer, plan: StopPlan) -> None:
-    """Wait for the responses that are being received or sent, and interrupt the late ones."""
+    """Wait for the last responses, and interrupt the requests that have none in time."""
     clock = daemon.clock
     last_received_at = max(
         plan.ends_at - LAST_ANSWERS_SECONDS, clock.monotonic() + LAST_READS_SECONDS
--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -1,6 +1,7 @@
 """Wait for the answer to an idempotent request, and hedge the request if it is late.
 
-A hedge is a second attempt at another target while the first is still pending.
+A hedge is a second attempt at another target while the first is still pending. When the daemon
+stops, an answer is late earlier: while there is still time for another target to answer.
 """
 
 from result import Err
@@ -23,8 +24,14 @@
     wait_for_any,
 )
 from comfreyhitch.egress.candidates import choose_for_call, count_exposure
-from comfreyhitch.egress.retries import RequestProgress
-from comfreyhitch.egress.state import Egress, get_retry_budget
+from comfreyhitch.egress.classify import OutgoingCall
+from comfreyhitch.egress.retries import (
+    RequestProgress,
+    count_delivered_attempts,
+    get_pace_wait_seconds,
+)
+from comfreyhitch.egress.state import Egress, get_latency_seconds, get_retry_budget
+from comfreyhitch.egress.stopping import find_hedge_time, may_outlast
 from comfreyhitch.utils.token_bucket import take_tokens
 from comfreyhitch.wire.exceptions import PeerError
 
@@ -32,6 +39,8 @@
 STALLED_HEDGE_FRACTION = 0.5
 # Time allowed after the deadline for an ingress's refusal at the deadline to arrive.
 ANSWER_GRACE_SECONDS = 0.02
+# How often a pending request checks whether the daemon has begun to stop.
+STOP_POLL_SECONDS = 1.0
 
 
 def await_answer_with_hedging(
@@ -45,11 +54,14 @@
     give_up_at = call.deadline + ANSWER_GRACE_SECONDS
     late_at = attempt.sent_at + late_after_seconds
     hedge_at: float | None = attempt.sent_at + late_after_seconds * STALLED_HEDGE_FRACTION
+    next_stop_hedge_at = 0.0
     best_known: Outcome | None = None
     try:
         while attempts:
             now = clock.monotonic()
-            wait_until = give_up_at if hedge_at is None else min(give_up_at, hedge_at)
+            stop_hedge_at = _find_stop_hedge_time(egress, call, attempts, next_stop_hedge_at)
+            due_at = min(hedge_at or give_up_at, stop_hedge_at or give_up_at)
+            wait_until = min(give_up_at, due_at, now + STOP_POLL_SECONDS)
             answered = wait_for_any(attempts, wait_until - now)
             if answered is not None:
                 outcome = read_outcome(egress, answered, call)
@@ -65,6 +77,13 @@
             now = clock.monotonic()
             if now >= give_up_at:
                 break
+            if stop_hedge_at is not None and now >= stop_hedge_at:
+                call.patience_seconds = get_pace_wait_seconds(egress, progress)
+                _hedge(egress, progress, attempts, now)
+                next_stop_hedge_at = now + STOP_POLL_SECONDS
+                continue
+            if hedge_at is None or now < hedge_at:
+                continue
             if now < late_at and not is_target_stalled(attempt):
                 hedge_at = late_at
                 continue
@@ -80,6 +99,20 @@
     return Err(Failure(Verdict.MAY_HAVE_RUN, Refusal.DEADLINE, "no answer before the deadline"))
 
 
+def _find_stop_hedge_time(
+    egress: Egress, call: OutgoingCall, attempts: list[Attempt], not_before: float
+) -> float | None:
+    """Return when a request is hedged since its daemon stops, None for not at all.
+
+    A request that is hedged already is not hedged again.
+    """
+    if len(attempts) > 1 or not may_outlast(egress.stop_plan, call.deadline):
+        return None
+    usual_seconds = get_latency_seconds(egress, call)
+    hedge_at = find_hedge_time(egress.stop_plan, attempts[0].sent_at, usual_seconds)
+    return None if hedge_at is None else max(hedge_at, not_before)
+
+
 def _combine(best_known: Outcome | None, outcome: Outcome) -> Outcome:
     """Return a response if there is one, else the failure whose verdict is closer to `RAN`."""
     if best_known is None or outcome.is_ok():
@@ -107,7 +140,7 @@
     retry_budget = get_retry_budget(egress, progress.call.service)
     budget = egress.hedge_budget if has_own_budget else retry_budget
     next_check_at = silent_at if now < silent_at else None
-    if progress.attempts >= progress.call.max_attempts:
+    if count_delivered_attempts(progress) >= progress.call.max_attempts:
         return None
     candidate = choose_for_call(egress, progress.call, progress.tried_addresses)
     if candidate is None or not take_tokens(budget, now):
--- a/features/graceful_shutdown.feature
+++ b/features/graceful_shutdown.feature
@@ -63,6 +63,12 @@
   Scenario: Telling peers of the stop fails
     Then a request in progress is answered although the daemon's record can't be published
 
+  # Guards against peers that send requests to a daemon that stops, because a change of its target
+  # took back that it drains.
+  Scenario: A target leaves and comes back while its daemon stops
+    When targets leave, come back and leave again in any order while their daemons stop
+    Then each record that a daemon publishes says that it drains, and none follows its departure
+
   # Guards against answers of targets that are replaced by 504 at the end of the drain timeout, or cut
   # on their way to the caller, although the grace period goes on (issue 37, LOST).
   Scenario: Large answers are on their way when the drain timeout of a stop ends
@@ -101,3 +107,33 @@
       | shop      | za   | 1     |                  |
     When the daemon of shop is suspended while 5 requests are sent to it, whose callers leave
     Then shop has sent none of them to catalogue
+
+  # Guards against requests that get 504 at the end of a stop though another target could answer in
+  # time (issue 51, LOST).
+  Scenario: A target is slow while the daemon of its callers stops
+    Given settings drain_timeout 1.7 and stop_linger 0.5
+    And a running fleet
+      | service   | zone | count | target arguments |
+      | catalogue | za   | 2     | --service-ms 600 |
+      | shop      | za   | 1     |                  |
+    And catalogue has answered 3 requests of shop, sent one after the other
+    When one target of catalogue is slow, and 2 GETs are at work as shop is asked to stop
+    Then each of these GETs is answered by a target
+    And the daemon of shop has exited with code 0 within 4 seconds
+
+  # Guards against requests that are taken during a stop though they usually outlast it (issue 51,
+  # LOST).
+  Scenario Outline: A request is sent to a daemon that stops
+    Given settings drain_timeout 0.5 and stop_linger 1.5
+    And a running fleet
+      | service   | zone | count | target arguments  |
+      | catalogue | za   | 2     | --service-ms 1000 |
+      | shop      | za   | 1     |                   |
+    And catalogue has answered 3 requests of shop, sent one after the other
+    When shop is asked to stop, and <seconds> s later a GET is sent to it
+    Then the GET is <outcome>
+
+    Examples:
+      | seconds | outcome                    |
+      | 0.2     | answered by a target       |
+      | 1.4     | refused at once as not run |
