Test stops in the first second of a daemon with requests in progress

No finding: a daemon that is killed, starts again and gets SIGTERM 0 to 0.9 s after its first answer, with a store that takes 0 or 0.8 s, answers each request that it reads and exits with code 0 in its grace period.

--- a/features/signals.feature
+++ b/features/signals.feature
@@ -50,6 +50,24 @@
     Then each request that it read was answered
     And it has exited with code 0 after at least its linger time and before its grace period was over
 
+  # Guards against requests that are cut because a daemon stops before it has joined.
+  Scenario Outline: SIGTERM arrives in the first second, while requests are in progress
+    Given a fleet on the platform
+      | service   | zone | target arguments |
+      | catalogue | za   | --work-ms 300    |
+      | payments  | za   | --work-ms 300    |
+    When the store takes <delay> s, and a daemon is killed, starts again and gets SIGTERM <after> s after its first answer
+    Then each request that it read was answered
+    And it has exited with code 0 before its grace period was over
+
+    Examples:
+      | delay | after |
+      | 0     | 0     |
+      | 0     | 0.4   |
+      | 0     | 0.9   |
+      | 0.8   | 0     |
+      | 0.8   | 0.7   |
+
   # Guards against registrations of daemons that are gone: one that starts later tries to join
   # through them.
   Scenario Outline: SIGTERM arrives in the first second, while the store answers slowly
