Send one hedge at most to a silent target's request during a stop

Found by review with faked attempts: after the hedge of a stop, the hedge for a late answer was sent as well, so that three targets were at work on one request. Before, there was one hedge at most.

--- a/comfreyhitch/egress/hedging.py
+++ b/comfreyhitch/egress/hedging.py
@@ -147,6 +147,8 @@
     progress.call.patience_seconds = get_pace_wait_seconds(egress, progress)
     _hedge(egress, progress, attempts, now)
     schedule.stop_hedge_not_before = now + STOP_POLL_SECONDS
+    if len(attempts) > 1:
+        schedule.next_at = None
 
 
 def _hedge_if_late(
--- a/comfreyhitch/egress/retries.py
+++ b/comfreyhitch/egress/retries.py
@@ -135,7 +135,7 @@
     """Return how many seconds the ingress may delay the request while its instance is slow.
 
     None means that the request runs at once, however slow the instance is. A request that may
-    outlast the stop of this daemon never does.
+    outlast the stop of this daemon does so only if it has no latency objective.
     """
     call = progress.call
     if call.latency_objective_seconds is None:
