Tell a late end of a stop from a machine without a processor

Cause: with the machine at load 25 to 32 on 8 processors, 4 of 55 stops with series (grace 6 s) lasted up to 6.5 s: their own logs show stalls of up to 779 ms with 1 ms of processor time, and up to 1.07 s between "stopped" and the end of the process (0.03 s usual). The bound of the new scenario then judged the machine.

Change: the rig reads how long the process was ready to run without a processor (/proc/PID/schedstat) in the last sixth of the grace period and later, and takes exactly that off; lateness of the rig itself delays the kill. The bound, the grace period, stays. Each stop's line shows the time.

--- a/comfreyhitch/testing/processes.py
+++ b/comfreyhitch/testing/processes.py
@@ -12,6 +12,7 @@
 import gevent
 
 POLL_SECONDS = 0.02
+NANOSECONDS_PER_SECOND = 1_000_000_000
 # Processor time that the interpreter needs at most before it runs a program's own code.
 INTERPRETER_START_SECONDS = 0.1
 
@@ -86,3 +87,15 @@
 def is_running(process: subprocess.Popen | None) -> bool:
     """Return whether a process was started and has not exited."""
     return process is not None and process.poll() is None
+
+
+def read_processor_wait(process: subprocess.Popen) -> float:
+    """Return the seconds for which a process was ready to run, but had no processor.
+
+    Return 0 if the process has ended.
+    """
+    try:
+        _, waited_nanoseconds, _ = Path(f"/proc/{process.pid}/schedstat").read_text().split()
+    except (OSError, ValueError):
+        return 0.0
+    return int(waited_nanoseconds) / NANOSECONDS_PER_SECOND
--- a/comfreyhitch/testing/stops/records.py
+++ b/comfreyhitch/testing/stops/records.py
@@ -79,7 +79,8 @@
     """Hold one stop of a daemon's process; `events` names what else happened during it.
 
     `terminated_at` is the time of the first signal that ends a process. `held_up_seconds` is as
-    for requests.
+    for requests. `waited_seconds` is how long the process waited for a processor in the last
+    sixth of the grace period and later.
     """
 
     instance: str
@@ -91,6 +92,7 @@
     events: tuple[str, ...] = ()
     signals: list[SentSignal] = field(default_factory=list)
     held_up_seconds: float = 0.0
+    waited_seconds: float = 0.0
 
     @property
     def last_terminated_at(self) -> float:
@@ -100,5 +102,6 @@
 
     @property
     def seconds(self) -> float:
-        """Return how long the process surely ran after the first signal."""
-        return self.exited_at - self.held_up_seconds - self.terminated_at
+        """Return how long the stop took by the process, without what the machine added."""
+        machine_seconds = self.held_up_seconds + self.waited_seconds
+        return self.exited_at - machine_seconds - self.terminated_at
--- a/comfreyhitch/testing/stops/stop_counts.py
+++ b/comfreyhitch/testing/stops/stop_counts.py
@@ -47,7 +47,8 @@
     """Return one line for each stop: its signals, its length and its counts."""
     return [
         f"  stop of {stop.instance}, {', '.join(stop.events)}: {_describe_signals(stop)}; "
-        f"ended after {stop.seconds:.2f} s; refused {item.refused}, 504 {item.timed_out}, "
+        f"ended after {stop.seconds:.2f} s, waited {stop.waited_seconds:.2f} s for a processor; "
+        f"refused {item.refused}, 504 {item.timed_out}, "
         f"replaced {item.replaced}, excused by the first signal alone "
         f"{item.excused_by_first_signal}, without an end {item.unended}"
         for stop, item in count_by_stop(run)
--- a/comfreyhitch/testing/stops/stopping.py
+++ b/comfreyhitch/testing/stops/stopping.py
@@ -11,6 +11,7 @@
 from comfreyhitch.testing.processes import (
     is_running,
     kill,
+    read_processor_wait,
     stop_gracefully,
     wait_for_exit,
     wait_until,
@@ -28,6 +29,9 @@
 # The platform kills a process at the end of the grace period. This process waits a little longer,
 # so that only a late end, and not its own lateness, leads to a kill.
 KILL_MARGIN_SECONDS = 0.5
+# From this share of the grace period on, waits for a processor delay the end of a process.
+LAST_SIXTH_SHARE = 5 / 6
+POLL_SECONDS = 0.02
 EVENT_KILLED = "killed"
 EVENT_TARGET_KILLED = "target killed"
 
@@ -81,11 +85,23 @@
 def _end_process(run: StopRun, instance: PlatformInstance, stop: Stop) -> None:
     """Wait for the end of a process; kill it after the grace period, as the platform does."""
     process = instance.daemon
-    try:
-        wait_for_exit(process, run.fleet.grace_seconds + KILL_MARGIN_SECONDS)
-    except TimeoutError:
-        stop.events = (*stop.events, EVENT_KILLED)
-        kill(process)
+    grace = run.fleet.grace_seconds
+    last_sixth_at = stop.terminated_at + LAST_SIXTH_SHARE * grace
+    killed_at = stop.terminated_at + grace + KILL_MARGIN_SECONDS
+    waited_before = 0.0
+    polled_at = time.time()
+    while is_running(process):
+        now = time.time()
+        killed_at += max(0.0, now - polled_at - 2 * POLL_SECONDS)
+        polled_at = now
+        waited = read_processor_wait(process)
+        if now < last_sixth_at:
+            waited_before = waited
+        stop.waited_seconds = max(stop.waited_seconds, waited - waited_before)
+        if now > killed_at + stop.waited_seconds:
+            stop.events = (*stop.events, EVENT_KILLED)
+            kill(process)
+        gevent.sleep(POLL_SECONDS)
     stop.exited_at, stop.exit_code = time.time(), process.returncode
     run.load.up_names.discard(instance.name)
     run.stops.append(stop)
