--- a/.ci/removals.py
+++ b/.ci/removals.py
@@ -481,4 +481,20 @@
             ),
         ),
     ),
+    Removal(
+        "hedges before the end of a stop",
+        "A target is slow while the daemon of its callers stops",
+        (
+            (
+                "egress/hedging.py",
+                "if stop_hedge_at is not None and now >= stop_hedge_at:",
+                "if False:",
+            ),
+        ),
+    ),
+    Removal(
+        "refusal of requests that usually outlast a stop",
+        "Which requests are taken",
+        (("egress/stopping.py", "if now < plan.serves_until and can_end", "if True or can_end"),),
+    ),
 )
